--- /dev/null
+++ b/src/cranberrywheel/clock.py
@@ -0,0 +1,54 @@
+"""Monotonic time in milliseconds, replaceable by a manual clock in tests."""
+
+import time
+import typing as t
+
+
+class Clock:
+    """Reads the monotonic clock of this process.
+
+    Readings are comparable only within one process; messages carry durations.
+    """
+
+    def now_ms(self) -> int:
+        """Return the monotonic time.
+
+        :returns: milliseconds since an arbitrary start.
+        """
+        return time.monotonic_ns() // 1_000_000
+
+    def sleep_ms(self, duration_ms: int) -> None:
+        """Block the calling thread.
+
+        :param duration_ms: how long to sleep, in milliseconds.
+        """
+        time.sleep(max(0, duration_ms) / 1000)
+
+
+class ManualClock(Clock):
+    """A clock that moves only when told, for tests and simulated plans.
+
+    :param start_ms: the first reading, in milliseconds.
+    """
+
+    def __init__(self, start_ms: int = 0) -> None:
+        self._now_ms = start_ms
+
+    def now_ms(self) -> int:
+        return self._now_ms
+
+    def sleep_ms(self, duration_ms: int) -> None:
+        self.advance(duration_ms)
+
+    def advance(self, duration_ms: int) -> None:
+        """Move the clock forward.
+
+        :param duration_ms: milliseconds to add; not negative.
+        :raises ValueError: if ``duration_ms`` is negative.
+        """
+        if duration_ms < 0:
+            raise ValueError("a monotonic clock cannot move back")
+        self._now_ms += duration_ms
+
+
+NowMs = t.Callable[[], int]
--- /dev/null
+++ b/src/cranberrywheel/connection/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets to callers, targets, peers and the platform."""
--- /dev/null
+++ b/src/cranberrywheel/connection/store_client.py
@@ -0,0 +1,275 @@
+"""Client of the platform: key-value service, leases, instance list and pools."""
+
+import dataclasses
+import io
+import json
+import typing as t
+import urllib.parse
+
+import pycurl
+
+from cranberrywheel.errors import (
+    LeaseLostError,
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+from cranberrywheel.settings import PlatformSettings
+
+MAX_ANSWER_BYTES = 4_000_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """One value of the store with its revision."""
+
+    key: str
+    value: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Instance:
+    """One row of the platform's instance list."""
+
+    instance_id: str
+    kind: str
+    zone: str
+    rack: str
+    address: str
+    leaving: bool
+    cores: float
+    memory_mb: int
+
+
+@dataclasses.dataclass(frozen=True)
+class InstanceList:
+    """The instance list; ``age_ms`` is how far it lags behind."""
+
+    revision: int
+    age_ms: int
+    instances: tuple[Instance, ...]
+
+
+class StoreClient:
+    """Calls the platform over one connection; use it from one thread only.
+
+    :param settings: address and timeout.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._settings = settings
+        self._curl = pycurl.Curl()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._curl.close()
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: t.Any = None,
+        extra_wait_ms: int = 0,
+        headers: tuple[str, ...] = (),
+    ) -> tuple[int, t.Any]:
+        answer = io.BytesIO()
+
+        def write(chunk: bytes) -> int | None:
+            if answer.tell() + len(chunk) > MAX_ANSWER_BYTES:
+                return -1
+            return answer.write(chunk)
+
+        curl = self._curl
+        curl.reset()
+        curl.setopt(pycurl.URL, self._settings.url + path)
+        curl.setopt(pycurl.CUSTOMREQUEST, method)
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.TIMEOUT_MS, self._settings.timeout_ms + extra_wait_ms)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, self._settings.timeout_ms)
+        curl.setopt(pycurl.WRITEFUNCTION, write)
+        if body is not None:
+            data = json.dumps(body).encode()
+            curl.setopt(pycurl.POSTFIELDS, data)
+            headers = ("Content-Type: application/json", "Expect:", *headers)
+        curl.setopt(pycurl.HTTPHEADER, list(headers))
+        try:
+            curl.perform()
+        except pycurl.error as error:
+            raise StoreUnavailableError(
+                f"{method} {path} got no answer: {error.args[1]}.",
+                "Check the platform's key-value service and the network.",
+            ) from None
+        status = curl.getinfo(pycurl.RESPONSE_CODE)
+        if status >= 500:
+            raise StoreUnavailableError(
+                f"{method} {path} was answered with status {status}.",
+                "Check the platform's key-value service.",
+            )
+        return status, self._decode(method, path, status, answer.getvalue())
+
+    @staticmethod
+    def _decode(method: str, path: str, status: int, data: bytes) -> t.Any:
+        if not data:
+            return {}
+        try:
+            return json.loads(data)
+        except ValueError:
+            raise StoreUnavailableError(
+                f"{method} {path} was answered with status {status} and no JSON.",
+                "Check what listens on the platform's address.",
+            ) from None
+
+    def get(
+        self, key: str, newer_than: int = 0, wait_ms: int = 0
+    ) -> Record | None | t.Literal["unchanged"]:
+        """Read a record, or watch it for a while.
+
+        :param key: key of the record.
+        :param newer_than: revision already known.
+        :param wait_ms: how long the store may wait for a newer revision.
+        :returns: the record, ``None`` if there is none, or ``"unchanged"``.
+        :raises StoreUnavailableError: without a usable answer.
+        """
+        query = urllib.parse.urlencode({"newer_than": newer_than, "wait_ms": wait_ms})
+        path = f"/v1/kv/{urllib.parse.quote(key)}?{query}"
+        status, body = self._call("GET", path, extra_wait_ms=wait_ms)
+        if status == 304:
+            return "unchanged"
+        if status == 404:
+            return None
+        return self._record(key, status, body)
+
+    @staticmethod
+    def _record(key: str, status: int, body: t.Any) -> Record:
+        try:
+            return Record(key, str(body["value"]), int(body["revision"]))
+        except (KeyError, TypeError, ValueError):
+            raise StoreUnavailableError(
+                f"Reading {key} gave status {status} and no record.",
+                "Check the platform's key-value service.",
+            ) from None
+
+    def list(self, prefix: str) -> list[Record]:
+        """Read all records under a prefix.
+
+        :param prefix: start of the keys.
+        :raises StoreUnavailableError: without a usable answer.
+        """
+        query = urllib.parse.urlencode({"prefix": prefix})
+        status, body = self._call("GET", f"/v1/kv?{query}")
+        try:
+            return [self._record(item["key"], status, item) for item in body["items"]]
+        except (KeyError, TypeError):
+            raise StoreUnavailableError(
+                f"Listing {prefix} gave status {status} and no items.",
+                "Check the platform's key-value service.",
+            ) from None
+
+    def put(self, key: str, value: str, expected_revision: int, lease: str = "") -> int:
+        """Write a record by compare-and-swap.
+
+        :param key: key of the record.
+        :param value: new value, up to a megabyte.
+        :param expected_revision: revision that must be there; 0 for none.
+        :param lease: lease that the record ends with, or ``""``.
+        :returns: the new revision.
+        :raises StoreConflictError: if another revision is there.
+        :raises LeaseLostError: if the lease has lapsed.
+        :raises StoreUnavailableError: the write may have taken effect.
+        """
+        body = {"value": value, "expected_revision": expected_revision, "lease": lease}
+        status, answer = self._call("PUT", f"/v1/kv/{urllib.parse.quote(key)}", body)
+        if status == 412:
+            raise StoreConflictError(
+                f"{key} has another revision than {expected_revision}.",
+                "Read it again and retry.",
+                int(answer.get("revision", 0)),
+            )
+        if status == 404:
+            raise LeaseLostError(f"The lease for {key} has lapsed.", "Grant a new one.")
+        if status != 200:
+            raise StoreError(
+                f"Writing {key} was refused with status {status}.",
+                "Check the size of the value.",
+            )
+        return int(answer["revision"])
+
+    def delete(self, key: str, expected_revision: int) -> None:
+        """Delete a record by compare-and-swap.
+
+        :raises StoreConflictError: if another revision is there.
+        """
+        path = f"/v1/kv/{urllib.parse.quote(key)}?expected_revision={expected_revision}"
+        status, answer = self._call("DELETE", path)
+        if status == 412:
+            raise StoreConflictError(
+                f"{key} has another revision than {expected_revision}.",
+                "Read it again and retry.",
+                int(answer.get("revision", 0)),
+            )
+
+    def grant_lease(self, ttl_ms: int) -> str:
+        """Create a lease.
+
+        :param ttl_ms: time to live without renewal.
+        :returns: the lease id.
+        """
+        _, answer = self._call("POST", "/v1/leases", {"ttl_ms": ttl_ms})
+        return str(answer["lease"])
+
+    def renew_lease(self, lease: str) -> None:
+        """Renew a lease; count its time from before this call.
+
+        :raises LeaseLostError: if it has lapsed.
+        """
+        status, _ = self._call("POST", f"/v1/leases/{lease}/renewal", {})
+        if status == 404:
+            raise LeaseLostError("The lease has lapsed.", "Grant a new one.")
+
+    def revoke_lease(self, lease: str) -> None:
+        """End a lease and the records under it."""
+        self._call("DELETE", f"/v1/leases/{lease}")
+
+    def instances(self) -> InstanceList:
+        """Read the lagging instance list.
+
+        :raises StoreUnavailableError: without a usable answer.
+        """
+        _, body = self._call("GET", "/v1/instances")
+        try:
+            rows = tuple(
+                Instance(
+                    instance_id=str(row["id"]),
+                    kind=str(row["kind"]),
+                    zone=str(row["zone"]),
+                    rack=str(row["rack"]),
+                    address=str(row["address"]),
+                    leaving=row["state"] == "leaving",
+                    cores=float(row["cores"]),
+                    memory_mb=int(row["memory_mb"]),
+                )
+                for row in body["instances"]
+            )
+            return InstanceList(int(body["revision"]), int(body["age_ms"]), rows)
+        except (KeyError, TypeError, ValueError):
+            raise StoreUnavailableError(
+                "The instance list could not be read.", "Check the platform."
+            ) from None
+
+    def control_instance(self, instance: str, action: str, fence: int) -> bool:
+        """Ask the platform to drain, undrain or reboot an instance.
+
+        :param instance: instance id.
+        :param action: ``drain``, ``undrain`` or ``reboot``.
+        :param fence: fencing number of the caller's planner lease.
+        :returns: false if a higher fencing number was seen.
+        """
+        path = f"/v1/instances/{urllib.parse.quote(instance)}/{action}"
+        status, _ = self._call("POST", path, {}, headers=(f"Fence: {fence}",))
+        if status == 404:
+            raise StoreError(
+                f"The platform knows no instance {instance}.",
+                "Wait for the instance list to catch up.",
+            )
+        return status != 409
--- /dev/null
+++ b/src/cranberrywheel/process/messages.py
@@ -0,0 +1,285 @@
+"""Messages between the tasks of one entry process.
+
+Each task owns its state and reads its inbox, a ``queue.SimpleQueue``. Replies
+go through a ``concurrent.futures.Future`` in the message.
+"""
+
+import dataclasses
+import typing as t
+from concurrent.futures import Future
+
+from cranberrywheel.connection.store_client import InstanceList
+from cranberrywheel.request.model import Answer
+from cranberrywheel.version.configuration import Configuration
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class IncomingRequest:
+    """A caller's request before authorization.
+
+    :param request_id: assigned by the connection that received it.
+    :param queue: queue name from the path.
+    :param authorization: the ``Authorization`` header, or ``""``.
+    :param idempotency_key: the ``Idempotency-Key`` header, or ``""``.
+    :param timeout_ms: the caller's timeout, or 0 for the queue's.
+    :param forwarded: true if a peer sent it; it is then not forwarded again.
+    """
+
+    request_id: str
+    queue: str
+    authorization: str
+    idempotency_key: str
+    body: bytes
+    content_type: str
+    timeout_ms: int
+    traceparent: str = ""
+    forwarded: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class SubmitRequest:
+    """To the dispatcher: run a request; the future gets its answer."""
+
+    incoming: IncomingRequest
+    answer: "Future[Answer]"
+
+
+@dataclasses.dataclass(frozen=True)
+class CancelRequest:
+    """To the dispatcher: the caller hung up."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class IssueTickets:
+    """To the dispatcher: the future gets a list of tickets."""
+
+    authorization: str
+    queue: str
+    count: int
+    tickets: "Future[list[str]]"
+
+
+@dataclasses.dataclass(frozen=True)
+class QueryTicket:
+    """To the dispatcher: the future gets what is known about a ticket."""
+
+    ticket: str
+    answer: "Future[Answer]"
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadStatus:
+    """To the dispatcher: the future gets a JSON-ready status."""
+
+    status: "Future[dict[str, t.Any]]"
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyEntry:
+    """A team key as stored: only the hash of its secret."""
+
+    key_id: str
+    team: str
+    secret_sha256: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigurationSnapshot:
+    """One version of the configuration record.
+
+    :param version: store revision of the record.
+    :param text_version: counter of text changes.
+    :param text: the operators' text.
+    :param configuration: the parsed text.
+    :param keys_by_id: granted keys; withdrawn ones are absent.
+    :param withdrawn_ids: ids of withdrawn keys.
+    """
+
+    version: int
+    text_version: int
+    text: str
+    configuration: Configuration
+    keys_by_id: dict[str, KeyEntry]
+    withdrawn_ids: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigurationAdopted:
+    """To the dispatcher: a higher version is in force."""
+
+    snapshot: ConfigurationSnapshot
+
+
+@dataclasses.dataclass(frozen=True)
+class ProofTaken:
+    """To the dispatcher: the keys were current at ``taken_ms``.
+
+    :param taken_ms: own clock reading before the proving read was sent.
+    """
+
+    taken_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class MarkWithdrawn:
+    """To the dispatcher: a key was withdrawn and must stop at once."""
+
+    key_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class PoolRow:
+    """One instance of a ``pools/<zone>`` record."""
+
+    worker: str
+    pool: str
+    state: str
+
+
+@dataclasses.dataclass(frozen=True)
+class PoolsChanged:
+    """To the dispatcher: a newer ``pools/<zone>`` record."""
+
+    zone: str
+    revision: int
+    rows: tuple[PoolRow, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class InstancesListed:
+    """To the dispatcher: a new instance list."""
+
+    listed: InstanceList
+
+
+@dataclasses.dataclass(frozen=True)
+class UnitsHeld:
+    """To the dispatcher: the units this process holds of one team.
+
+    Sent after a confirmed write or read. The store session sends a lower count
+    before it gives units away; see :class:`ReleaseUnits`.
+    """
+
+    team: str
+    long_units: int
+    short_units: int
+
+
+@dataclasses.dataclass(frozen=True)
+class HoldRenewed:
+    """To the dispatcher: the lease was renewed.
+
+    :param started_ms: own clock reading before the renewal was sent.
+    """
+
+    started_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ReleaseUnits:
+    """To the dispatcher: stop using units before they are written away.
+
+    :param released: gets the long and short counts that are now unusable; both
+        may be lower than asked where units are in use.
+    """
+
+    team: str
+    long_units: int
+    short_units: int
+    released: "Future[tuple[int, int]]"
+
+
+@dataclasses.dataclass(frozen=True)
+class UnitsWanted:
+    """To the store session: use and demand per team, sent every second.
+
+    :param in_use_by_team: units with a running request.
+    :param waiting_by_team: requests that wait for a unit.
+    """
+
+    in_use_by_team: dict[str, int]
+    waiting_by_team: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerLoad:
+    """What a peer said about its load, per team and service."""
+
+    team: str
+    service: str
+    running: int
+    queued: int
+    idle_units: int
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerReport:
+    """To the dispatcher: the load part of a peer's last exchange."""
+
+    process_id: str
+    zone: str
+    http_address: str
+    peer_address: str
+    stopping: bool
+    loads: tuple[PeerLoad, ...]
+    in_flight_by_worker: dict[str, int]
+    leaving_instances: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerLost:
+    """To the dispatcher: a peer has not been heard within its timeout."""
+
+    process_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class LoadReport:
+    """To the peer task: own load for the next exchange."""
+
+    loads: tuple[PeerLoad, ...]
+    in_flight_by_worker: dict[str, int]
+    leaving_instances: tuple[str, ...]
+    stopping: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class ApplyText:
+    """To the store session: write a new operators' text.
+
+    :param expected_text_version: the version that the operator edited.
+    :param version: gets the new text version, or an error.
+    """
+
+    text: str
+    expected_text_version: int
+    version: "Future[int]"
+
+
+@dataclasses.dataclass(frozen=True)
+class GrantKey:
+    """To the store session: create a key; the future gets the whole key once."""
+
+    team: str
+    key: "Future[str]"
+
+
+@dataclasses.dataclass(frozen=True)
+class WithdrawKey:
+    """To the store session: withdraw a key.
+
+    :param result: gets ``{"stored": bool, "confirmed": [...], "unconfirmed": [...]}``
+        with process ids.
+    """
+
+    key_id: str
+    result: "Future[dict[str, t.Any]]"
+
+
+@dataclasses.dataclass(frozen=True)
+class Stop:
+    """To any task: finish; the future is set when it is done."""
+
+    done: "Future[None]"
--- /dev/null
+++ b/src/cranberrywheel/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Console scripts: argument parsing only."""
--- /dev/null
+++ b/src/cranberrywheel/request/__init__.py
@@ -0,0 +1,1 @@
+"""State that lives for one request, and decisions about requests."""
--- /dev/null
+++ b/src/cranberrywheel/version/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration versions, team keys and the records kept in the store."""
--- /dev/null
+++ b/src/cranberrywheel_load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation and experiments."""
--- /dev/null
+++ b/src/cranberrywheel_spec/__init__.py
@@ -0,0 +1,1 @@
+"""Small specification of the core protocol, its checks and the history checker."""
--- /dev/null
+++ b/src/cranberrywheel_standin/platform.py
@@ -0,0 +1,364 @@
+"""Stand-in for the platform: key-value service, leases, instances and pools."""
+
+import dataclasses
+import itertools
+import json
+import threading
+import time
+import typing as t
+
+import werkzeug
+from werkzeug.exceptions import HTTPException, NotFound
+from werkzeug.routing import Map, Rule
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+@dataclasses.dataclass
+class Entry:
+    """One value of the key-value service."""
+
+    value: str
+    revision: int
+    lease: str
+
+
+@dataclasses.dataclass
+class Faults:
+    """Faults to bring about, set with ``PUT /v1/faults``.
+
+    :param outage: answer nothing but 503.
+    :param slow_ms: delay of each call.
+    :param lose_answers: how many of the next writes take effect unanswered.
+    :param list_lag_ms: how far the instance list lags behind.
+    """
+
+    outage: bool = False
+    slow_ms: int = 0
+    lose_answers: int = 0
+    list_lag_ms: int = 0
+
+
+class Platform:
+    """State of the platform behind its HTTP service.
+
+    :param now_s: clock reading in seconds; replaceable in tests.
+    """
+
+    def __init__(self, now_s: t.Callable[[], float] = time.monotonic) -> None:
+        self._now_s = now_s
+        self.changed = threading.Condition()
+        self.entries_by_key: dict[str, Entry] = {}
+        self._lease_ends_by_id: dict[str, tuple[float, int]] = {}
+        self._revision = 0
+        self._ids = itertools.count(1)
+        self.instances_by_id: dict[str, dict[str, t.Any]] = {}
+        self._snapshots: list[tuple[float, int, str]] = []
+        self._fence_by_instance: dict[str, int] = {}
+        self.faults = Faults()
+        self.counters_by_call: dict[str, int] = {}
+
+    def count(self, call: str) -> None:
+        """Count one call."""
+        with self.changed:
+            self.counters_by_call[call] = self.counters_by_call.get(call, 0) + 1
+
+    def _expire(self) -> None:
+        now = self._now_s()
+        lapsed = {i for i, (end, _) in self._lease_ends_by_id.items() if end <= now}
+        for lease in lapsed:
+            self._end_lease(lease)
+
+    def _end_lease(self, lease: str) -> None:
+        self._lease_ends_by_id.pop(lease, None)
+        for key in [k for k, e in self.entries_by_key.items() if e.lease == lease]:
+            del self.entries_by_key[key]
+            self._revision += 1
+        self.changed.notify_all()
+
+    def get(self, key: str) -> Entry | None:
+        """Read one value."""
+        with self.changed:
+            self._expire()
+            return self.entries_by_key.get(key)
+
+    def watch(self, key: str, newer_than: int, wait_ms: int) -> Entry | None | str:
+        """Wait until a value is newer than a revision.
+
+        :returns: the entry, ``None`` if there is none, or ``"unchanged"``.
+        """
+        end = self._now_s() + wait_ms / 1000
+        with self.changed:
+            while True:
+                self._expire()
+                entry = self.entries_by_key.get(key)
+                if entry is None and newer_than == 0 and wait_ms == 0:
+                    return None
+                if entry is not None and entry.revision > newer_than:
+                    return entry
+                if entry is None and newer_than > 0:
+                    return None
+                left = end - self._now_s()
+                if left <= 0 or self.faults.outage:
+                    return "unchanged" if entry is not None else None
+                self.changed.wait(min(left, 0.2))
+
+    def list(self, prefix: str) -> list[dict[str, t.Any]]:
+        """Read all values under a prefix."""
+        with self.changed:
+            self._expire()
+            return [
+                {"key": k, "value": e.value, "revision": e.revision}
+                for k, e in sorted(self.entries_by_key.items())
+                if k.startswith(prefix)
+            ]
+
+    def put(
+        self, key: str, value: str, expected: int, lease: str
+    ) -> tuple[int, dict[str, t.Any]]:
+        """Compare-and-swap; returns an HTTP status and a body."""
+        if len(value.encode()) > MAX_VALUE_BYTES:
+            return 413, {}
+        with self.changed:
+            self._expire()
+            if lease and lease not in self._lease_ends_by_id:
+                return 404, {}
+            entry = self.entries_by_key.get(key)
+            revision = entry.revision if entry else 0
+            if revision != expected:
+                return 412, {"revision": revision}
+            self._revision += 1
+            self.entries_by_key[key] = Entry(value, self._revision, lease)
+            self.changed.notify_all()
+            return 200, {"revision": self._revision}
+
+    def delete(self, key: str, expected: int) -> tuple[int, dict[str, t.Any]]:
+        """Compare-and-delete; returns an HTTP status and a body."""
+        with self.changed:
+            self._expire()
+            entry = self.entries_by_key.get(key)
+            revision = entry.revision if entry else 0
+            if revision != expected:
+                return 412, {"revision": revision}
+            if entry:
+                del self.entries_by_key[key]
+                self._revision += 1
+                self.changed.notify_all()
+            return 200, {}
+
+    def grant_lease(self, ttl_ms: int) -> str:
+        """Create a lease."""
+        with self.changed:
+            lease = f"lease-{next(self._ids)}"
+            self._lease_ends_by_id[lease] = (self._now_s() + ttl_ms / 1000, ttl_ms)
+            return lease
+
+    def renew_lease(self, lease: str) -> bool:
+        """Renew a lease; false if it has lapsed."""
+        with self.changed:
+            self._expire()
+            if lease not in self._lease_ends_by_id:
+                return False
+            ttl_ms = self._lease_ends_by_id[lease][1]
+            self._lease_ends_by_id[lease] = (self._now_s() + ttl_ms / 1000, ttl_ms)
+            return True
+
+    def revoke_lease(self, lease: str) -> None:
+        """End a lease and its values."""
+        with self.changed:
+            self._end_lease(lease)
+
+    def set_instance(self, instance: str, fields: dict[str, t.Any]) -> None:
+        """Add or change a row of the instance list."""
+        with self.changed:
+            row = self.instances_by_id.setdefault(
+                instance,
+                {
+                    "id": instance,
+                    "kind": "worker",
+                    "zone": "",
+                    "rack": "",
+                    "address": "",
+                    "state": "live",
+                    "cores": 1.0,
+                    "memory_mb": 1024,
+                },
+            )
+            row.update(fields)
+            self._snapshot()
+
+    def remove_instance(self, instance: str) -> None:
+        """Remove a row of the instance list."""
+        with self.changed:
+            self.instances_by_id.pop(instance, None)
+            self._snapshot()
+
+    def _snapshot(self) -> None:
+        rows = json.dumps(list(self.instances_by_id.values()))
+        self._snapshots.append((self._now_s(), len(self._snapshots) + 1, rows))
+
+    def instance_list(self) -> dict[str, t.Any]:
+        """Return the newest list that is older than the lag."""
+        with self.changed:
+            if not self._snapshots:
+                return {"revision": 0, "age_ms": 0, "instances": []}
+            seen_s = self._now_s() - self.faults.list_lag_ms / 1000
+            shown = self._snapshots[0]
+            for snapshot in self._snapshots:
+                if snapshot[0] <= seen_s:
+                    shown = snapshot
+            return {
+                "revision": shown[1],
+                "age_ms": self.faults.list_lag_ms,
+                "instances": json.loads(shown[2]),
+            }
+
+    def check_fence(self, instance: str, fence: int) -> bool:
+        """Accept a fencing number unless a higher one was seen."""
+        with self.changed:
+            if fence < self._fence_by_instance.get(instance, 0):
+                return False
+            self._fence_by_instance[instance] = fence
+            return True
+
+
+class PlatformApp:
+    """WSGI application of the platform stand-in.
+
+    :param platform: the state to serve.
+    :param control_worker: called with address, action for drains and reboots.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        control_worker: t.Callable[[str, str], None] = lambda address, action: None,
+    ) -> None:
+        self.platform = platform
+        self._control_worker = control_worker
+        self._routes = Map(
+            [
+                Rule("/v1/kv", endpoint=self._list, methods=["GET"]),
+                Rule("/v1/kv/<path:key>", endpoint=self._get, methods=["GET"]),
+                Rule("/v1/kv/<path:key>", endpoint=self._put, methods=["PUT"]),
+                Rule("/v1/kv/<path:key>", endpoint=self._delete, methods=["DELETE"]),
+                Rule("/v1/leases", endpoint=self._grant, methods=["POST"]),
+                Rule(
+                    "/v1/leases/<lease>/renewal",
+                    endpoint=self._renew,
+                    methods=["POST"],
+                ),
+                Rule("/v1/leases/<lease>", endpoint=self._revoke, methods=["DELETE"]),
+                Rule("/v1/instances", endpoint=self._instances, methods=["GET"]),
+                Rule("/v1/instances/<name>", endpoint=self._set, methods=["PUT"]),
+                Rule("/v1/instances/<name>", endpoint=self._remove, methods=["DELETE"]),
+                Rule(
+                    "/v1/instances/<name>/<any(drain,undrain,reboot):action>",
+                    endpoint=self._control,
+                    methods=["POST"],
+                ),
+                Rule("/v1/faults", endpoint=self._faults, methods=["PUT"]),
+                Rule("/v1/counters", endpoint=self._counters, methods=["GET"]),
+            ]
+        )
+
+    def __call__(self, environ: t.Any, start_response: t.Any) -> t.Any:
+        request = werkzeug.Request(environ)
+        try:
+            endpoint, values = self._routes.bind_to_environ(environ).match()
+            response = self._answer(request, endpoint, values)
+        except HTTPException as error:
+            response = error.get_response(environ)
+        return response(environ, start_response)
+
+    def _answer(
+        self, request: werkzeug.Request, endpoint: t.Any, values: t.Any
+    ) -> t.Any:
+        if endpoint not in (self._faults, self._counters, self._set, self._remove):
+            self.platform.count(f"{request.method} {request.path.split('/')[2]}")
+            faults = self.platform.faults
+            if faults.slow_ms:
+                time.sleep(faults.slow_ms / 1000)
+            if faults.outage:
+                return werkzeug.Response(status=503)
+            if request.method in ("PUT", "DELETE") and faults.lose_answers > 0:
+                faults.lose_answers -= 1
+                endpoint(request, **values)
+                return werkzeug.Response(status=503)
+        return endpoint(request, **values)
+
+    @staticmethod
+    def _json(body: t.Any, status: int = 200) -> werkzeug.Response:
+        return werkzeug.Response(
+            json.dumps(body), status=status, content_type="application/json"
+        )
+
+    def _entry(self, entry: Entry | None | str) -> werkzeug.Response:
+        if entry is None:
+            return self._json({}, 404)
+        if isinstance(entry, str):
+            return werkzeug.Response(status=304)
+        return self._json({"value": entry.value, "revision": entry.revision})
+
+    def _get(self, request: werkzeug.Request, key: str) -> werkzeug.Response:
+        newer_than = request.args.get("newer_than", 0, type=int)
+        wait_ms = request.args.get("wait_ms", 0, type=int)
+        if newer_than or wait_ms:
+            return self._entry(self.platform.watch(key, newer_than, wait_ms))
+        return self._entry(self.platform.get(key))
+
+    def _list(self, request: werkzeug.Request) -> werkzeug.Response:
+        return self._json({"items": self.platform.list(request.args.get("prefix", ""))})
+
+    def _put(self, request: werkzeug.Request, key: str) -> werkzeug.Response:
+        body = request.get_json()
+        status, answer = self.platform.put(
+            key, body["value"], body["expected_revision"], body.get("lease", "")
+        )
+        return self._json(answer, status)
+
+    def _delete(self, request: werkzeug.Request, key: str) -> werkzeug.Response:
+        expected = request.args.get("expected_revision", 0, type=int)
+        status, answer = self.platform.delete(key, expected)
+        return self._json(answer, status)
+
+    def _grant(self, request: werkzeug.Request) -> werkzeug.Response:
+        return self._json({"lease": self.platform.grant_lease(request.json["ttl_ms"])})
+
+    def _renew(self, request: werkzeug.Request, lease: str) -> werkzeug.Response:
+        return self._json({}, 200 if self.platform.renew_lease(lease) else 404)
+
+    def _revoke(self, request: werkzeug.Request, lease: str) -> werkzeug.Response:
+        self.platform.revoke_lease(lease)
+        return self._json({})
+
+    def _instances(self, request: werkzeug.Request) -> werkzeug.Response:
+        return self._json(self.platform.instance_list())
+
+    def _set(self, request: werkzeug.Request, name: str) -> werkzeug.Response:
+        self.platform.set_instance(name, request.json)
+        return self._json({})
+
+    def _remove(self, request: werkzeug.Request, name: str) -> werkzeug.Response:
+        self.platform.remove_instance(name)
+        return self._json({})
+
+    def _control(
+        self, request: werkzeug.Request, name: str, action: str
+    ) -> werkzeug.Response:
+        row = self.platform.instances_by_id.get(name)
+        if row is None:
+            raise NotFound()
+        if not self.platform.check_fence(name, int(request.headers.get("Fence", 0))):
+            return self._json({}, 409)
+        self._control_worker(row["address"], action)
+        return self._json({})
+
+    def _faults(self, request: werkzeug.Request) -> werkzeug.Response:
+        self.platform.faults = Faults(**request.json)
+        with self.platform.changed:
+            self.platform.changed.notify_all()
+        return self._json({})
+
+    def _counters(self, request: werkzeug.Request) -> werkzeug.Response:
+        return self._json(self.platform.counters_by_call)
