--- /dev/null
+++ b/src/cranberrywheel/process/worker_table.py
@@ -0,0 +1,388 @@
+"""Workers with their load, health, ejection and start tokens."""
+
+import functools
+import heapq
+import itertools
+import math
+import random
+import typing as t
+
+from cranberrywheel.process.worker_health import (
+    Tally,
+    is_failing,
+    is_slow,
+    is_slow_run,
+)
+from cranberrywheel.process.worker_state import (
+    AttemptVerdict,
+    PoolState,
+    WorkerRow,
+    WorkerState,
+)
+from cranberrywheel.request.routing import choose_worker
+
+__all__ = ["AttemptVerdict", "WorkerRow", "WorkerTable"]
+
+#: Workers refuse a token older than 2 s. The rest is left for sending the start.
+TOKEN_USABLE_MS = 1_500
+FIRST_BACKOFF_MS = 2_000
+MAX_BACKOFF_MS = 60_000
+#: A worker that stayed healthy this long starts again at the first backoff.
+BACKOFF_RESET_MS = 300_000
+#: Service time assumed for a failure while no run has succeeded.
+DEFAULT_SERVICE_MS = 1_000
+MAX_PENALTY_MS = 10_000
+#: A worker that refused a start is probably full; it keeps the slot this long.
+REFUSAL_PENALTY_MS = 100
+
+
+class WorkerTable:
+    """Owned by the dispatcher; chooses workers and learns from the attempts.
+
+    Each request costs O(log workers) at most: candidates are kept in sampling lists
+    and timed changes in heaps.
+
+    :param zone: zone of this process, preferred in choices.
+    :param rng: source of the samples.
+    """
+
+    def __init__(self, zone: str, rng: random.Random) -> None:
+        self._zone = zone
+        self._rng = rng
+        self._workers_by_name: dict[str, WorkerState] = {}
+        self._pools_by_name: dict[str, PoolState] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._peer_loads_by_process: dict[str, dict[str, int]] = {}
+        self._sequence = itertools.count()
+        self._penalty_ends: list[tuple[int, int, WorkerState]] = []
+        self._probe_times: list[tuple[int, int, WorkerState]] = []
+
+    def set_workers(self, rows: t.Iterable[WorkerRow]) -> None:
+        """Replace the list of workers.
+
+        A worker that changed its pool or address loses its health record. A worker
+        that is no longer listed is kept until its own tasks end.
+
+        :param rows: all workers that are known now.
+        """
+        rows_by_name = {row.name: row for row in rows}
+        for name in [n for n in self._workers_by_name if n not in rows_by_name]:
+            worker = self._workers_by_name[name]
+            worker.listed = False
+            self._clear_health(worker)
+            self._refresh(worker)
+            self._forget_if_unused(worker)
+        for name, row in rows_by_name.items():
+            worker = self._workers_by_name.get(name)
+            if worker is None:
+                worker = self._workers_by_name[name] = WorkerState(row)
+                worker.peer_in_flight = sum(
+                    loads.get(name, 0) for loads in self._peer_loads_by_process.values()
+                )
+            elif (worker.row.pool, worker.row.address) != (row.pool, row.address):
+                worker.listed = False
+                self._clear_health(worker)
+                self._refresh(worker)
+                worker.token = ""
+            worker.row = row
+            worker.listed = True
+            worker.leaving = name in self._leaving
+            self._refresh(worker)
+
+    def set_leaving(self, names: t.Collection[str]) -> None:
+        """Replace the set of workers that get no new work.
+
+        :param names: workers that the instance list or a peer reports as leaving.
+        """
+        changed = self._leaving.symmetric_difference(names)
+        self._leaving = frozenset(names)
+        for name in changed:
+            if worker := self._workers_by_name.get(name):
+                worker.leaving = name in self._leaving
+                self._refresh(worker)
+
+    def set_peer_load(
+        self, process_id: str, in_flight_by_worker: t.Mapping[str, int]
+    ) -> None:
+        """Replace what one peer has in flight.
+
+        :param process_id: the peer.
+        :param in_flight_by_worker: tasks per worker; absent workers have none.
+        """
+        old = self._peer_loads_by_process.get(process_id, {})
+        new = dict(in_flight_by_worker)
+        self._peer_loads_by_process[process_id] = new
+        for name in old.keys() | new.keys():
+            change = new.get(name, 0) - old.get(name, 0)
+            if change and (worker := self._workers_by_name.get(name)):
+                worker.peer_in_flight += change
+                self._refresh(worker)
+
+    def drop_peer(self, process_id: str) -> None:
+        """Forget the load of a peer that is gone."""
+        self.set_peer_load(process_id, {})
+        del self._peer_loads_by_process[process_id]
+
+    def set_ejection_limit(self, pool: str, most_ejected: int) -> None:
+        """Set how many workers of a pool may be ejected at once.
+
+        Workers above a lowered limit are reinstated, longest ejected first. The limit
+        is 0 until it is set.
+
+        :param pool: pool name.
+        :param most_ejected: what the availability budget leaves.
+        """
+        state = self._pool(pool)
+        state.most_ejected = max(0, most_ejected)
+        while len(state.ejected) > state.most_ejected:
+            self._reinstate(next(iter(state.ejected)))
+
+    def choose(
+        self,
+        pool: str,
+        now_ms: int,
+        excluded: t.Collection[str] = (),
+        avoided_racks: t.Collection[str] = (),
+    ) -> WorkerRow | None:
+        """Choose the worker for one attempt.
+
+        :param pool: pool name.
+        :param now_ms: clock reading.
+        :param excluded: workers that must not be chosen.
+        :param avoided_racks: racks that are used only if no other has room.
+        :returns: a worker with a free slot as far as known, or ``None``. An ejected
+            worker whose backoff has passed is returned for one probe, but never for a
+            retry.
+        """
+        self._advance(now_ms)
+        state = self._pools_by_name.get(pool)
+        if state is None:
+            return None
+        if state.probes and not excluded:
+            return state.probes[0].row
+
+        def load(
+            worker: WorkerState, _now_ms: int, racks: t.Collection[str]
+        ) -> float | None:
+            row = worker.row
+            if row.name in excluded or row.rack in racks:
+                return None
+            return worker.load() / row.slots
+
+        groups = (state.near, state.far)
+        view = functools.partial(load, racks=avoided_racks)
+        chosen = choose_worker(groups, view, self._rng, now_ms)
+        if chosen is None and avoided_racks:
+            view = functools.partial(load, racks=())
+            chosen = choose_worker(groups, view, self._rng, now_ms)
+        return chosen.row if chosen else None
+
+    def has_room(self, pool: str, now_ms: int) -> bool:
+        """Tell whether :meth:`choose` would find a worker for a first attempt.
+
+        :param pool: pool name.
+        :param now_ms: clock reading.
+        """
+        self._advance(now_ms)
+        state = self._pools_by_name.get(pool)
+        return state is not None and bool(state.near or state.far or state.probes)
+
+    def started(self, worker: str, now_ms: int) -> None:
+        """Count an attempt that is being sent.
+
+        :param worker: a name that :meth:`choose` returned.
+        :param now_ms: clock reading.
+        """
+        if found := self._workers_by_name.get(worker):
+            found.own_in_flight += 1
+            if found.ejected_until_ms is not None:
+                found.probing = True
+            self._refresh(found)
+
+    def finished(
+        self, worker: str, verdict: AttemptVerdict, duration_ms: int, now_ms: int
+    ) -> None:
+        """Learn from an attempt and free its slot.
+
+        :param worker: the name given to :meth:`started`.
+        :param verdict: how the attempt ended.
+        :param duration_ms: time since it was sent.
+        :param now_ms: clock reading.
+        """
+        found = self._workers_by_name.get(worker)
+        if found is None:
+            return
+        found.own_in_flight = max(0, found.own_in_flight - 1)
+        pool = self._pool(found.row.pool)
+        found.tally.decay(now_ms)
+        pool.tally.decay(now_ms)
+        if found.listed:
+            self._record(found, pool, verdict, duration_ms, now_ms)
+        self._refresh(found)
+        self._forget_if_unused(found)
+
+    def excuse(self, workers: t.Iterable[str], now_ms: int) -> None:
+        """Take back one failure of each worker, because the request was the cause.
+
+        :param workers: workers on which the request failed.
+        :param now_ms: clock reading.
+        """
+        for name in workers:
+            if not (worker := self._workers_by_name.get(name)):
+                continue
+            pool = self._pool(worker.row.pool)
+            for tally in (worker.tally, pool.tally):
+                tally.decay(now_ms)
+                tally.remove_failure()
+            rest = pool.tally.minus(worker.tally)
+            if worker.ejected_until_ms is not None and not (
+                is_failing(worker.tally, rest) or is_slow(worker.tally, rest)
+            ):
+                self._reinstate(worker)
+
+    def set_token(self, worker: str, token: str, asked_ms: int) -> None:
+        """Keep a start token.
+
+        :param worker: the worker that issued it.
+        :param token: opaque text.
+        :param asked_ms: own clock reading before the token was asked for.
+        """
+        found = self._workers_by_name.get(worker)
+        if found and (not found.token or asked_ms >= found.token_asked_ms):
+            found.token, found.token_asked_ms = token, asked_ms
+
+    def token(self, worker: str, now_ms: int) -> str | None:
+        """Return a start token that the worker will still accept.
+
+        :param worker: worker name.
+        :param now_ms: clock reading.
+        :returns: the token, or ``None`` if it is missing or too old to use.
+        """
+        found = self._workers_by_name.get(worker)
+        if not found or not found.token:
+            return None
+        fresh = now_ms - found.token_asked_ms < TOKEN_USABLE_MS
+        return found.token if fresh else None
+
+    def in_flight_by_worker(self) -> dict[str, int]:
+        """Return this process's tasks on each worker that has any."""
+        return {
+            name: worker.own_in_flight
+            for name, worker in self._workers_by_name.items()
+            if worker.own_in_flight
+        }
+
+    def ejected(self, pool: str) -> list[str]:
+        """Return the names of the ejected workers of a pool."""
+        return [worker.row.name for worker in self._pool(pool).ejected]
+
+    def _pool(self, name: str) -> PoolState:
+        return self._pools_by_name.setdefault(name, PoolState())
+
+    def _refresh(self, worker: WorkerState) -> None:
+        """Put a worker into the lists that its state allows."""
+        row = worker.row
+        pool = self._pool(row.pool)
+        usable = worker.listed and row.serving and not worker.leaving
+        usable = usable and worker.load() < row.slots
+        group = pool.near if row.zone == self._zone else pool.far
+        if usable and worker.ejected_until_ms is None:
+            group.add(worker)
+        else:
+            group.discard(worker)
+        if not usable or worker.probing or worker.ejected_until_ms is None:
+            pool.probes.discard(worker)
+
+    def _forget_if_unused(self, worker: WorkerState) -> None:
+        if not worker.listed and not worker.own_in_flight:
+            self._workers_by_name.pop(worker.row.name, None)
+
+    def _advance(self, now_ms: int) -> None:
+        """Apply the timed changes that are due."""
+        while self._penalty_ends and self._penalty_ends[0][0] <= now_ms:
+            _, _, worker = heapq.heappop(self._penalty_ends)
+            worker.penalties -= 1
+            self._refresh(worker)
+        while self._probe_times and self._probe_times[0][0] <= now_ms:
+            due_ms, _, worker = heapq.heappop(self._probe_times)
+            if worker.ejected_until_ms == due_ms and not worker.probing:
+                self._pool(worker.row.pool).probes.add(worker)
+                self._refresh(worker)
+
+    def _record(
+        self,
+        worker: WorkerState,
+        pool: PoolState,
+        verdict: AttemptVerdict,
+        duration_ms: int,
+        now_ms: int,
+    ) -> None:
+        rest = pool.tally.minus(worker.tally)
+        failed = verdict in (AttemptVerdict.FAILED, AttemptVerdict.UNREACHABLE)
+        log_ms = math.log(max(1, duration_ms))
+        mean = rest.mean_log()
+        # A cancelled attempt would have run at least this long. Callers cancel most
+        # requests, so a slow worker may never complete one.
+        long_cancelled = (
+            verdict is AttemptVerdict.CANCELLED and mean is not None and log_ms > mean
+        )
+        for tally in (worker.tally, pool.tally):
+            if failed or verdict is AttemptVerdict.OK:
+                tally.add_outcome(failed)
+            if verdict is AttemptVerdict.OK or long_cancelled:
+                tally.add_duration(log_ms)
+        if failed:
+            self._penalize(worker, self._service_ms(worker, pool) - duration_ms, now_ms)
+        elif verdict is AttemptVerdict.REFUSED:
+            self._penalize(worker, REFUSAL_PENALTY_MS, now_ms)
+        if worker.ejected_until_ms is None:
+            if len(pool.ejected) < pool.most_ejected and (
+                is_failing(worker.tally, rest) or is_slow(worker.tally, rest)
+            ):
+                self._eject(worker, now_ms)
+        elif worker.probing:
+            worker.probing = False
+            if failed or is_slow_run(duration_ms, rest):
+                self._eject(worker, now_ms)
+            elif verdict is AttemptVerdict.OK:
+                worker.reinstated_ms = now_ms
+                self._reinstate(worker)
+            else:
+                pool.probes.add(worker)
+
+    def _service_ms(self, worker: WorkerState, pool: PoolState) -> float:
+        typical_ms = worker.tally.typical_ms() or pool.tally.typical_ms()
+        return typical_ms or DEFAULT_SERVICE_MS
+
+    def _penalize(self, worker: WorkerState, duration_ms: float, now_ms: int) -> None:
+        """Count a slot as used for some time after an attempt ended early."""
+        if duration_ms > 0:
+            end_ms = now_ms + math.ceil(min(duration_ms, MAX_PENALTY_MS))
+            worker.penalties += 1
+            heapq.heappush(self._penalty_ends, (end_ms, next(self._sequence), worker))
+
+    def _eject(self, worker: WorkerState, now_ms: int) -> None:
+        if worker.ejections and now_ms - worker.reinstated_ms > BACKOFF_RESET_MS:
+            worker.ejections = 0
+        backoff_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2**worker.ejections)
+        until_ms = now_ms + backoff_ms
+        worker.ejections = min(worker.ejections + 1, 10)
+        worker.ejected_until_ms = until_ms
+        worker.probing = False
+        self._pool(worker.row.pool).ejected[worker] = None
+        heapq.heappush(self._probe_times, (until_ms, next(self._sequence), worker))
+        self._refresh(worker)
+
+    def _reinstate(self, worker: WorkerState) -> None:
+        self._clear_health(worker)
+        self._refresh(worker)
+
+    def _clear_health(self, worker: WorkerState) -> None:
+        pool = self._pool(worker.row.pool)
+        pool.ejected.pop(worker, None)
+        pool.tally.decay(worker.tally.at_ms)
+        worker.tally.decay(pool.tally.at_ms)
+        pool.tally = pool.tally.minus(worker.tally)
+        worker.tally = Tally(at_ms=pool.tally.at_ms)
+        worker.ejected_until_ms = None
+        worker.probing = False
--- /dev/null
+++ b/src/cranberrywheel/request/fair_queue.py
@@ -0,0 +1,139 @@
+"""A bounded queue that serves the team farthest below its share first."""
+
+import collections
+import heapq
+import typing as t
+
+from cranberrywheel.errors import OverloadedError
+from cranberrywheel.request.model import Request
+
+#: Share assumed for teams without one, so that open queues are not starved.
+MIN_SHARE = 0.01
+
+_Requests = collections.OrderedDict[str, Request]
+
+
+class FairQueue:
+    """Waiting requests of one service.
+
+    Urgent requests go before all others. Among requests of the same urgency the team
+    with the lowest use relative to its share goes first, which lends unused share to
+    the teams that have work. Requests of one team keep their order.
+
+    :param max_queued: bound on waiting requests.
+    """
+
+    def __init__(self, max_queued: int) -> None:
+        self._max_queued = max_queued
+        self._requests_by_id: dict[str, Request] = {}
+        self._urgent_by_team: dict[str, _Requests] = {}
+        self._normal_by_team: dict[str, _Requests] = {}
+        self._deadlines: list[tuple[int, str]] = []
+        self._expired: list[Request] = []
+
+    def __len__(self) -> int:
+        return len(self._requests_by_id)
+
+    def push(self, request: Request) -> None:
+        """Append a request.
+
+        Expired requests are evicted first when the queue is full; the next
+        :meth:`take_expired` returns them.
+
+        :param request: its id must not be queued.
+        :raises OverloadedError: if the queue is full.
+        """
+        if len(self._requests_by_id) >= self._max_queued:
+            self._evict_expired(request.arrived_ms)
+        if len(self._requests_by_id) >= self._max_queued:
+            raise OverloadedError(
+                f"The queue of service {request.service!r} is full.", "Retry later."
+            )
+        self._requests_by_id[request.request_id] = request
+        by_team = self._requests_by_team(request)
+        by_team.setdefault(request.team, _Requests())[request.request_id] = request
+        heapq.heappush(self._deadlines, (request.deadline_ms, request.request_id))
+
+    def remove(self, request_id: str) -> Request | None:
+        """Remove a request, for example when its caller cancelled it.
+
+        :param request_id: any id.
+        :returns: the request, or ``None`` if it is not queued.
+        """
+        request = self._requests_by_id.pop(request_id, None)
+        if request is None:
+            return None
+        by_team = self._requests_by_team(request)
+        requests = by_team[request.team]
+        del requests[request_id]
+        if not requests:
+            del by_team[request.team]
+        self._compact_deadlines()
+        return request
+
+    def pop(
+        self,
+        now_ms: int,
+        shares_by_team: t.Mapping[str, float],
+        use_by_team: t.Mapping[str, int],
+        may_start: t.Callable[[str], bool],
+    ) -> Request | None:
+        """Remove and return the request to start next.
+
+        :param now_ms: clock reading; expired requests are never returned.
+        :param shares_by_team: fractions of the fleet.
+        :param use_by_team: running requests in the whole fleet.
+        :param may_start: whether a team is below its upper limit.
+        :returns: a request, or ``None`` if no team with work may start any.
+        """
+        self._evict_expired(now_ms)
+        for by_team in (self._urgent_by_team, self._normal_by_team):
+            best: tuple[float, int] | None = None
+            chosen = None
+            for team, requests in by_team.items():
+                share = max(shares_by_team.get(team, 0.0), MIN_SHARE)
+                first = next(iter(requests.values()))
+                rank = (use_by_team.get(team, 0) / share, first.arrived_ms)
+                if (best is None or rank < best) and may_start(team):
+                    best, chosen = rank, first
+            if chosen is not None:
+                return self.remove(chosen.request_id)
+        return None
+
+    def take_expired(self, now_ms: int) -> list[Request]:
+        """Remove the requests whose deadline has passed.
+
+        :param now_ms: clock reading.
+        :returns: each expired request once, also those evicted by other calls.
+        """
+        self._evict_expired(now_ms)
+        expired, self._expired = self._expired, []
+        return expired
+
+    def queued_by_team(self) -> dict[str, int]:
+        """Return the number of waiting requests of each team that has any."""
+        counts: collections.Counter[str] = collections.Counter()
+        for by_team in (self._urgent_by_team, self._normal_by_team):
+            for team, requests in by_team.items():
+                counts[team] += len(requests)
+        return dict(counts)
+
+    def _requests_by_team(self, request: Request) -> dict[str, _Requests]:
+        return self._urgent_by_team if request.urgent else self._normal_by_team
+
+    def _evict_expired(self, now_ms: int) -> None:
+        deadlines = self._deadlines
+        while deadlines and deadlines[0][0] <= now_ms:
+            _, request_id = heapq.heappop(deadlines)
+            if request := self.remove(request_id):
+                self._expired.append(request)
+
+    def _compact_deadlines(self) -> None:
+        # Removed requests leave their entry behind. Rebuilding at twice the live
+        # size keeps the cost per removal constant.
+        if len(self._deadlines) > 2 * len(self._requests_by_id) + 64:
+            self._deadlines = [
+                (request.deadline_ms, request_id)
+                for request_id, request in self._requests_by_id.items()
+            ]
+            heapq.heapify(self._deadlines)
