--- /dev/null
+++ b/src/cranberrywheel/connection/http_server.py
@@ -0,0 +1,168 @@
+"""A bounded HTTP/1.1 server for callers and operators, on werkzeug."""
+
+import select
+import socket
+import threading
+import typing as t
+from concurrent.futures import ThreadPoolExecutor
+
+from werkzeug.serving import BaseWSGIServer, WSGIRequestHandler
+
+from cranberrywheel.logs import PartLogger
+
+#: A connection that sends nothing for this long gives its thread back.
+IDLE_TIMEOUT_S = 10
+#: Connections that wait for a thread, as a multiple of the threads.
+WAITING_PER_THREAD = 2
+
+_REFUSAL_BODY = (
+    b'{"kind":"overloaded","remedy":"Retry later.","outcome":"not-run",'
+    b'"title":"Overloaded","status":503}'
+)
+_REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\n"
+    b"Content-Type: application/problem+json\r\nContent-Length: "
+    + str(len(_REFUSAL_BODY)).encode()
+    + b"\r\n\r\n"
+    + _REFUSAL_BODY
+)
+
+_log = PartLogger("http")
+
+
+class HangupWatcher:
+    """Tells when callers close their connections.
+
+    One task waits on all watched sockets, so that a waiting request needs no
+    polling.
+    """
+
+    def __init__(self) -> None:
+        self._epoll = select.epoll()
+        self._lock = threading.Lock()
+        self._callbacks_by_fd: dict[int, t.Callable[[], None]] = {}
+        self._thread = threading.Thread(target=self._run, name="hangup", daemon=True)
+        self._thread.start()
+
+    def watch(self, connection: socket.socket, callback: t.Callable[[], None]) -> None:
+        """Call back once when the other side closes the connection.
+
+        :param connection: a caller's socket.
+        :param callback: runs on the watcher's thread.
+        """
+        fd = connection.fileno()
+        if fd < 0:
+            callback()
+            return
+        with self._lock:
+            self._callbacks_by_fd[fd] = callback
+        flags = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+        try:
+            self._epoll.register(fd, flags | select.EPOLLONESHOT)
+        except FileExistsError:
+            self._epoll.modify(fd, flags | select.EPOLLONESHOT)
+
+    def unwatch(self, connection: socket.socket) -> None:
+        """Stop watching a connection."""
+        fd = connection.fileno()
+        if fd < 0:
+            return
+        with self._lock:
+            self._callbacks_by_fd.pop(fd, None)
+        try:
+            self._epoll.unregister(fd)
+        except OSError:
+            pass  # the watcher saw it close
+
+    def _run(self) -> None:
+        while True:
+            for fd, _ in self._epoll.poll():
+                with self._lock:
+                    callback = self._callbacks_by_fd.pop(fd, None)
+                if callback:
+                    callback()
+
+
+class _Handler(WSGIRequestHandler):
+    protocol_version = "HTTP/1.1"
+    timeout = IDLE_TIMEOUT_S
+
+    def log_request(self, code: t.Any = "-", size: t.Any = "-") -> None:
+        """Requests are logged where they are decided."""
+
+    def log(self, type: str, message: str, *args: t.Any) -> None:
+        _log.warning("connection problem", detail=message % args if args else message)
+
+
+class HttpServer(BaseWSGIServer):
+    """Serves a WSGI application with a bounded number of threads.
+
+    :param host: IP number to listen on.
+    :param port: TCP port; 0 picks a free one.
+    :param app: the WSGI application.
+    :param threads: connections served at once.
+    """
+
+    request_queue_size = 512
+
+    def __init__(self, host: str, port: int, app: t.Any, threads: int) -> None:
+        super().__init__(host, port, app, handler=_Handler)
+        self._pool = ThreadPoolExecutor(threads, thread_name_prefix="http")
+        self._room = threading.BoundedSemaphore(threads * (1 + WAITING_PER_THREAD))
+        self._lock = threading.Lock()
+        self._connections: set[socket.socket] = set()
+        self._acceptor = threading.Thread(
+            target=self.serve_forever, name="http-accept", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start accepting connections."""
+        self._acceptor.start()
+
+    def process_request(self, request: t.Any, client_address: t.Any) -> None:
+        if not self._room.acquire(blocking=False):
+            self._refuse(request)
+            return
+        self._pool.submit(self._serve, request, client_address)
+
+    def _refuse(self, request: socket.socket) -> None:
+        try:
+            request.settimeout(0.1)
+            request.sendall(_REFUSAL)
+        except OSError:
+            pass  # the caller is gone
+        self.shutdown_request(request)
+
+    def _serve(self, request: t.Any, client_address: t.Any) -> None:
+        with self._lock:
+            self._connections.add(request)
+        try:
+            self.finish_request(request, client_address)
+        except Exception as error:
+            _log.warning("connection ended early", detail=error)
+        finally:
+            with self._lock:
+                self._connections.discard(request)
+            self.shutdown_request(request)
+            self._room.release()
+
+    def close_listener(self) -> None:
+        """Stop accepting; connections that are served go on."""
+        self.shutdown()
+        self._acceptor.join()
+        self.server_close()
+
+    def stop(self) -> None:
+        """End idle connections and wait for the others; call it last.
+
+        Closing the reading side ends a connection that waits for its next
+        request, while an answer that is being written still goes out.
+        """
+        with self._lock:
+            connections = list(self._connections)
+        for connection in connections:
+            try:
+                connection.shutdown(socket.SHUT_RD)
+            except OSError:
+                pass  # the caller closed it
+        self._pool.shutdown(wait=True)
--- /dev/null
+++ b/src/cranberrywheel/connection/target_client.py
@@ -0,0 +1,446 @@
+"""Calls to workers: one task owns a ``CurlMulti`` and all its connections."""
+
+import dataclasses
+import enum
+import io
+import json
+import queue
+import selectors
+import socket
+import threading
+import typing as t
+
+import pycurl
+
+from cranberrywheel.clock import Clock
+from cranberrywheel.logs import PartLogger
+
+#: Refusals that the worker protocol defines as "not started". A ``duplicate``
+#: is not among them: the task may run under the same id.
+NOT_STARTED_KINDS = frozenset({"stale-token", "busy", "draining", "does-not-fit"})
+CONNECT_TIMEOUT_MS = 1_000
+CONTROL_TIMEOUT_MS = 5_000
+MAX_CONNECTIONS = 1_024
+
+_log = PartLogger("target-client")
+
+
+class AttemptEnd(enum.Enum):
+    """How one attempt at a worker ended."""
+
+    #: The worker ran the task and answered with its result.
+    RAN = "ran"
+    #: The worker ran the task and reported a failure.
+    FAILED = "failed"
+    #: The worker refused before it started; see the result's ``kind``.
+    REFUSED = "refused"
+    #: Nothing was sent to the worker.
+    NOT_SENT = "not-sent"
+    #: Something was sent and no usable answer came back.
+    BROKEN = "broken"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StartAttempt:
+    """To the target client: start a task at a worker."""
+
+    task_id: str
+    worker: str
+    address: str
+    token: str
+    lease_ms: int
+    timeout_ms: int
+    team: str
+    queue: str
+    cores: float
+    memory_mb: int
+    run_ms: int
+    content_type: str
+    traceparent: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FetchToken:
+    """To the target client: get a start token."""
+
+    worker: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ControlTask:
+    """To the target client: ``lease``, ``stop``, ``checkpoint`` or ``throttle``."""
+
+    task_id: str
+    worker: str
+    address: str
+    action: str
+    token: str = ""
+    lease_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class QueryTask:
+    """To the target client: ask what became of a task."""
+
+    task_id: str
+    worker: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AbortAttempt:
+    """To the target client: drop an attempt's connection, without an answer."""
+
+    task_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AttemptFinished:
+    """From the target client: the end of an attempt.
+
+    :param next_token: fresh start token, or ``""``.
+    :param asked_ms: clock reading before the request was sent.
+    :param slots_free: free slots that the worker reported, or -1.
+    """
+
+    task_id: str
+    worker: str
+    end: AttemptEnd
+    kind: str = ""
+    detail: str = ""
+    body: bytes = b""
+    content_type: str = ""
+    next_token: str = ""
+    asked_ms: int = 0
+    slots_free: int = -1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TokenFetched:
+    """From the target client: a start token, or ``""`` if there is none."""
+
+    worker: str
+    token: str
+    asked_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ControlFinished:
+    """From the target client: the end of a :class:`ControlTask`.
+
+    :param confirmed: whether the worker carried it out.
+    :param gone: whether the worker does not know the task.
+    """
+
+    task_id: str
+    worker: str
+    action: str
+    confirmed: bool
+    gone: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TaskQueried:
+    """From the target client: state of a task, or ``""`` without an answer."""
+
+    task_id: str
+    worker: str
+    state: str
+    body: bytes = b""
+    content_type: str = ""
+
+
+@dataclasses.dataclass(eq=False)
+class _Transfer:
+    message: t.Any
+    curl: pycurl.Curl
+    asked_ms: int
+    max_body_bytes: int
+    body: io.BytesIO = dataclasses.field(default_factory=io.BytesIO)
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    def write(self, chunk: bytes) -> int:
+        if self.body.tell() + len(chunk) > self.max_body_bytes:
+            return -1
+        return self.body.write(chunk)
+
+    def header(self, line: bytes) -> None:
+        name, separator, value = line.decode("latin-1").partition(":")
+        if separator:
+            self.headers[name.strip().lower()] = value.strip()
+
+    def json(self) -> dict[str, t.Any]:
+        try:
+            value = json.loads(self.body.getvalue())
+        except ValueError:
+            return {}
+        return value if isinstance(value, dict) else {}
+
+
+class TargetClient:
+    """The task that talks to workers.
+
+    :param clock: source of ``asked_ms`` readings.
+    :param to_dispatcher: gets every message from this task.
+    :param max_body_bytes: largest answer body; larger ones count as broken.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        to_dispatcher: t.Callable[[t.Any], None],
+        max_body_bytes: int,
+    ) -> None:
+        self._clock = clock
+        self._send = to_dispatcher
+        self._max_body_bytes = max_body_bytes
+        self._inbox: queue.SimpleQueue[t.Any] = queue.SimpleQueue()
+        self._wake_in, self._wake_out = socket.socketpair()
+        self._wake_in.setblocking(False)
+        self._wake_out.setblocking(False)
+        self._selector = selectors.DefaultSelector()
+        self._selector.register(self._wake_out, selectors.EVENT_READ)
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_CONNECTIONS)
+        self._timer_due_ms: int | None = None
+        self._transfers: dict[pycurl.Curl, _Transfer] = {}
+        self._attempts_by_task: dict[str, _Transfer] = {}
+        self._idle: list[pycurl.Curl] = []
+        self._stopping = False
+        self._thread = threading.Thread(
+            target=self._run, name="target-client", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the task."""
+        self._thread.start()
+
+    def post(self, message: t.Any) -> None:
+        """Send a message to the task, from any thread."""
+        self._inbox.put(message)
+        try:
+            self._wake_in.send(b"\0")
+        except BlockingIOError:
+            pass  # a full pipe already wakes the task
+
+    def stop(self) -> None:
+        """End the task; running transfers are dropped."""
+        self._stopping = True
+        self.post(None)
+        self._thread.join(timeout=5)
+
+    def _watch_socket(self, event: int, fd: int, multi: t.Any, data: t.Any) -> None:
+        if event == pycurl.POLL_REMOVE:
+            if fd in self._selector.get_map():
+                self._selector.unregister(fd)
+            return
+        events = 0
+        if event in (pycurl.POLL_IN, pycurl.POLL_INOUT):
+            events |= selectors.EVENT_READ
+        if event in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
+            events |= selectors.EVENT_WRITE
+        if fd in self._selector.get_map():
+            self._selector.modify(fd, events)
+        else:
+            self._selector.register(fd, events)
+
+    def _set_timer(self, timeout_ms: int) -> None:
+        self._timer_due_ms = (
+            None if timeout_ms < 0 else self._clock.now_ms() + timeout_ms
+        )
+
+    def _run(self) -> None:
+        while not self._stopping:
+            self._wait_for_events()
+            if (
+                self._timer_due_ms is not None
+                and self._clock.now_ms() >= self._timer_due_ms
+            ):
+                self._timer_due_ms = None
+                self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+            self._collect()
+        for transfer in list(self._transfers.values()):
+            self._remove(transfer)
+        self._multi.close()
+
+    def _wait_for_events(self) -> None:
+        wait_ms = 1_000
+        if self._timer_due_ms is not None:
+            wait_ms = max(0, min(wait_ms, self._timer_due_ms - self._clock.now_ms()))
+        for key, mask in self._selector.select(wait_ms / 1000):
+            if key.fileobj is self._wake_out:
+                self._read_inbox()
+                continue
+            flags = 0
+            if mask & selectors.EVENT_READ:
+                flags |= pycurl.CSELECT_IN
+            if mask & selectors.EVENT_WRITE:
+                flags |= pycurl.CSELECT_OUT
+            self._multi.socket_action(key.fd, flags)
+
+    def _read_inbox(self) -> None:
+        try:
+            while self._wake_out.recv(4096):
+                pass
+        except BlockingIOError:
+            pass
+        while True:
+            try:
+                message = self._inbox.get_nowait()
+            except queue.Empty:
+                return
+            if isinstance(message, AbortAttempt):
+                if transfer := self._attempts_by_task.get(message.task_id):
+                    self._remove(transfer)
+            elif message is not None:
+                self._begin(message)
+
+    def _begin(self, message: t.Any) -> None:
+        curl = self._idle.pop() if self._idle else pycurl.Curl()
+        curl.reset()
+        transfer = _Transfer(message, curl, self._clock.now_ms(), self._max_body_bytes)
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        curl.setopt(pycurl.WRITEFUNCTION, transfer.write)
+        curl.setopt(pycurl.HEADERFUNCTION, transfer.header)
+        _configure(curl, message)
+        self._transfers[curl] = transfer
+        if isinstance(message, StartAttempt):
+            self._attempts_by_task[message.task_id] = transfer
+        self._multi.add_handle(curl)
+
+    def _remove(self, transfer: _Transfer) -> None:
+        self._multi.remove_handle(transfer.curl)
+        del self._transfers[transfer.curl]
+        if isinstance(transfer.message, StartAttempt):
+            self._attempts_by_task.pop(transfer.message.task_id, None)
+        self._idle.append(transfer.curl)
+
+    def _collect(self) -> None:
+        remaining = 1
+        while remaining:
+            remaining, finished, failed = self._multi.info_read()
+            ended = [(curl, 0, "") for curl in finished] + list(failed)
+            for curl, code, text in ended:
+                transfer = self._transfers[curl]
+                message = _result_of(transfer, code, text)
+                self._remove(transfer)
+                self._send(message)
+
+
+def _configure(curl: pycurl.Curl, message: t.Any) -> None:
+    base = f"http://{message.address}/v1"
+    if isinstance(message, StartAttempt):
+        curl.setopt(pycurl.URL, f"{base}/tasks/{message.task_id}")
+        curl.setopt(pycurl.CUSTOMREQUEST, "PUT")
+        curl.setopt(pycurl.POSTFIELDS, message.body)
+        curl.setopt(pycurl.HTTPHEADER, _attempt_headers(message))
+        curl.setopt(pycurl.TIMEOUT_MS, message.timeout_ms)
+        return
+    curl.setopt(pycurl.TIMEOUT_MS, CONTROL_TIMEOUT_MS)
+    if isinstance(message, FetchToken):
+        curl.setopt(pycurl.URL, f"{base}/start-token")
+    elif isinstance(message, QueryTask):
+        curl.setopt(pycurl.URL, f"{base}/tasks/{message.task_id}")
+    else:
+        curl.setopt(pycurl.URL, f"{base}/tasks/{message.task_id}/{message.action}")
+        curl.setopt(pycurl.POSTFIELDS, b"")
+        headers = [f"Start-Token: {message.token}"] if message.token else []
+        if message.lease_ms:
+            headers.append(f"Task-Lease-Ms: {message.lease_ms}")
+        curl.setopt(pycurl.HTTPHEADER, headers)
+
+
+def _attempt_headers(message: StartAttempt) -> list[str]:
+    headers = [
+        "Expect:",
+        f"Content-Type: {message.content_type or 'application/octet-stream'}",
+        f"Start-Token: {message.token}",
+        f"Task-Lease-Ms: {message.lease_ms}",
+        f"Deadline-Ms: {message.timeout_ms}",
+        f"Team: {message.team}",
+        f"Queue: {message.queue}",
+        f"Cores: {message.cores:g}",
+        f"Memory-Mb: {message.memory_mb}",
+        f"Run-Ms: {message.run_ms}",
+    ]
+    if message.traceparent:
+        headers.append(f"traceparent: {message.traceparent}")
+    return headers
+
+
+def _result_of(transfer: _Transfer, code: int, text: str) -> t.Any:
+    message = transfer.message
+    status = transfer.curl.getinfo(pycurl.RESPONSE_CODE) if code == 0 else 0
+    if isinstance(message, StartAttempt):
+        return _attempt_result(transfer, code, text, status)
+    if isinstance(message, FetchToken):
+        token = str(transfer.json().get("token", "")) if status == 200 else ""
+        return TokenFetched(
+            worker=message.worker, token=token, asked_ms=transfer.asked_ms
+        )
+    if isinstance(message, QueryTask):
+        state = "absent" if status == 404 else ""
+        if status == 200:
+            state = transfer.headers.get("task-state") or str(
+                transfer.json().get("state", "")
+            )
+        return TaskQueried(
+            task_id=message.task_id,
+            worker=message.worker,
+            state=state,
+            body=transfer.body.getvalue(),
+            content_type=transfer.headers.get("content-type", ""),
+        )
+    return ControlFinished(
+        task_id=message.task_id,
+        worker=message.worker,
+        action=message.action,
+        confirmed=status == 200,
+        gone=status == 404,
+    )
+
+
+def _attempt_result(
+    transfer: _Transfer, code: int, text: str, status: int
+) -> AttemptFinished:
+    message = transfer.message
+    kind, detail = "", ""
+    if code:
+        # Only REQUEST_SIZE 0 shows that no byte of the request left.
+        sent = transfer.curl.getinfo(pycurl.REQUEST_SIZE) > 0
+        end = AttemptEnd.BROKEN if sent else AttemptEnd.NOT_SENT
+        detail = text
+    elif status == 409:
+        kind = str(transfer.json().get("kind", ""))
+        known = kind in NOT_STARTED_KINDS
+        end = AttemptEnd.REFUSED if known else AttemptEnd.BROKEN
+        detail = f"the worker refused the start as {kind or 'unknown'}"
+    elif transfer.headers.get("task-id") != message.task_id:
+        end = AttemptEnd.BROKEN
+        detail = "the answer belongs to another task"
+        _log.warning(
+            "dropped a crossed answer",
+            request_id=message.task_id,
+            worker=message.worker,
+        )
+    else:
+        end = AttemptEnd.RAN if 200 <= status < 300 else AttemptEnd.FAILED
+        detail = f"the worker answered with status {status}"
+    slots_free = transfer.headers.get("slots-free", "")
+    return AttemptFinished(
+        task_id=message.task_id,
+        worker=message.worker,
+        end=end,
+        kind=kind,
+        detail=detail,
+        body=transfer.body.getvalue(),
+        content_type=transfer.headers.get("content-type", ""),
+        next_token=transfer.headers.get("next-start-token", ""),
+        asked_ms=transfer.asked_ms,
+        slots_free=int(slots_free) if slots_free.isdigit() else -1,
+    )
--- /dev/null
+++ b/src/cranberrywheel/process/attempts.py
@@ -0,0 +1,396 @@
+"""Attempts of requests at workers, from start token to confirmed end."""
+
+import dataclasses
+import enum
+import itertools
+import typing as t
+
+from cranberrywheel.clock import Clock
+from cranberrywheel.connection.target_client import (
+    AttemptEnd,
+    AttemptFinished,
+    ControlFinished,
+    ControlTask,
+    FetchToken,
+    QueryTask,
+    StartAttempt,
+    TaskQueried,
+    TokenFetched,
+)
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.process.limit_units import UnitLedger
+from cranberrywheel.process.timers import Timers
+from cranberrywheel.process.worker_table import AttemptVerdict, WorkerRow, WorkerTable
+from cranberrywheel.request.model import Request
+from cranberrywheel.settings import LimitSettings
+from cranberrywheel.version.configuration import Queue
+
+#: Pause between two tries to stop or query a task.
+CONTROL_RETRY_MS = 500
+#: Renewals are sent this often per task lease.
+RENEWALS_PER_LEASE = 3
+
+_log = PartLogger("attempts")
+
+
+class AttemptState(enum.Enum):
+    """Where an attempt stands."""
+
+    NEEDS_TOKEN = "needs-token"
+    RUNNING = "running"
+    #: Nobody waits for it; the worker is asked to stop it.
+    STOPPING = "stopping"
+    #: Its connection broke; the worker is asked what became of it.
+    QUERYING = "querying"
+
+
+@dataclasses.dataclass(kw_only=True)
+class Attempt:
+    """One task at one worker.
+
+    :param task_id: id at the worker; also names the unit it uses.
+    :param lease_sent_ms: clock reading before the last lease was sent.
+    :param seen_running_ms: when the worker last confirmed that the task runs.
+    """
+
+    task_id: str
+    request: Request
+    queue: Queue
+    worker: WorkerRow
+    state: AttemptState
+    created_ms: int
+    sent_ms: int = 0
+    lease_sent_ms: int = 0
+    seen_running_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AttemptResult:
+    """What an attempt means for its request.
+
+    :param started: false only if the task certainly was not started.
+    :param last: whether the attempt is over at the worker.
+    """
+
+    attempt: Attempt
+    end: AttemptEnd
+    kind: str = ""
+    detail: str = ""
+    body: bytes = b""
+    content_type: str = ""
+    last: bool = True
+
+    @property
+    def started(self) -> bool:
+        return self.end not in (AttemptEnd.REFUSED, AttemptEnd.NOT_SENT)
+
+
+class Attempts:
+    """State of all attempts of one entry process; owned by the dispatcher.
+
+    :param post: sends a message to the target client.
+    :param on_result: gets an :class:`AttemptResult` when an attempt ends, and one
+        with ``last`` false when its connection broke while it may run on.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        settings: LimitSettings,
+        ledger: UnitLedger,
+        workers: WorkerTable,
+        timers: Timers,
+        post: t.Callable[[t.Any], None],
+        on_result: t.Callable[[AttemptResult], None],
+    ) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._ledger = ledger
+        self._workers = workers
+        self._timers = timers
+        self._post = post
+        self._on_result = on_result
+        self._by_task: dict[str, Attempt] = {}
+        self._waiting_by_worker: dict[str, list[str]] = {}
+        self._numbers = itertools.count(1)
+        self.late_answers = 0
+
+    def __len__(self) -> int:
+        return len(self._by_task)
+
+    def find(self, task_id: str) -> Attempt | None:
+        """Return a live attempt."""
+        return self._by_task.get(task_id)
+
+    def running(self) -> list[Attempt]:
+        """Return all live attempts."""
+        return list(self._by_task.values())
+
+    def start(self, request: Request, queue: Queue, worker: WorkerRow) -> str | None:
+        """Start a request at a worker.
+
+        :returns: the task id, or ``None`` if the team has no unit left.
+        """
+        now_ms = self._clock.now_ms()
+        task_id = f"{request.request_id}.{next(self._numbers)}"
+        if request.team and not self._ledger.take(request.team, task_id, now_ms):
+            return None
+        attempt = Attempt(
+            task_id=task_id,
+            request=request,
+            queue=queue,
+            worker=worker,
+            state=AttemptState.NEEDS_TOKEN,
+            created_ms=now_ms,
+        )
+        self._by_task[task_id] = attempt
+        self._workers.started(worker.name, now_ms)
+        if not self._send(attempt):
+            self._fetch_token(attempt)
+        return task_id
+
+    def _fetch_token(self, attempt: Attempt) -> None:
+        waiting = self._waiting_by_worker.setdefault(attempt.worker.name, [])
+        waiting.append(attempt.task_id)
+        if len(waiting) == 1:
+            self._post(
+                FetchToken(worker=attempt.worker.name, address=attempt.worker.address)
+            )
+
+    def _send(self, attempt: Attempt) -> bool:
+        """Send the start if there is a usable token; check the unit after it."""
+        now_ms = self._clock.now_ms()
+        token = self._workers.token(attempt.worker.name, now_ms)
+        if token is None:
+            return False
+        request = attempt.request
+        if request.team and not self._ledger.may_renew(attempt.task_id, now_ms):
+            self._end(attempt, AttemptVerdict.REFUSED)
+            self._report(attempt, AttemptEnd.NOT_SENT, detail="the unit has expired")
+            return True
+        attempt.state = AttemptState.RUNNING
+        attempt.sent_ms = attempt.lease_sent_ms = now_ms
+        self._post(
+            StartAttempt(
+                task_id=attempt.task_id,
+                worker=attempt.worker.name,
+                address=attempt.worker.address,
+                token=token,
+                lease_ms=self._settings.task_lease_ms,
+                timeout_ms=max(1, request.deadline_ms - now_ms),
+                team=request.team,
+                queue=request.queue,
+                cores=attempt.queue.cores,
+                memory_mb=attempt.queue.memory_mb,
+                run_ms=attempt.queue.run_ms,
+                content_type=request.content_type,
+                traceparent=request.traceparent,
+                body=request.body,
+            )
+        )
+        return True
+
+    def token_fetched(self, message: TokenFetched) -> None:
+        """Send the attempts that waited for a start token."""
+        if message.token:
+            self._workers.set_token(message.worker, message.token, message.asked_ms)
+        for task_id in self._waiting_by_worker.pop(message.worker, []):
+            attempt = self._by_task.get(task_id)
+            if attempt is None or self._send(attempt):
+                continue
+            self._end(attempt, AttemptVerdict.UNREACHABLE)
+            self._report(attempt, AttemptEnd.NOT_SENT, detail="no start token")
+
+    def finished(self, message: AttemptFinished) -> None:
+        """Handle the end of an attempt's connection."""
+        attempt = self._by_task.get(message.task_id)
+        if attempt is None:
+            self.late_answers += 1
+            _log.event("dropped a late answer", request_id=message.task_id)
+            return
+        if message.next_token:
+            self._workers.set_token(
+                message.worker, message.next_token, self._clock.now_ms()
+            )
+        if message.end is AttemptEnd.BROKEN:
+            self._connection_broke(attempt, message)
+            return
+        self._end(attempt, _verdict_of(message))
+        self._report(
+            attempt,
+            message.end,
+            kind=message.kind,
+            detail=message.detail,
+            body=message.body,
+            content_type=message.content_type,
+        )
+
+    def _connection_broke(self, attempt: Attempt, message: AttemptFinished) -> None:
+        if attempt.state is AttemptState.STOPPING:
+            return
+        if attempt.request.idempotent:
+            self.stop(attempt.task_id)
+        else:
+            attempt.state = AttemptState.QUERYING
+            self._query(attempt)
+        self._report(
+            attempt,
+            AttemptEnd.BROKEN,
+            kind=message.kind,
+            detail=message.detail,
+            last=False,
+        )
+
+    def stop(self, task_id: str) -> None:
+        """Ask the worker to stop a task; its unit stays taken until it has."""
+        attempt = self._by_task.get(task_id)
+        if attempt is None or attempt.state is AttemptState.STOPPING:
+            return
+        if attempt.state is AttemptState.NEEDS_TOKEN:
+            self._end(attempt, AttemptVerdict.CANCELLED)
+            return
+        attempt.state = AttemptState.STOPPING
+        self._control(attempt, "stop")
+
+    def control(self, task_id: str, action: str) -> None:
+        """Ask the worker to checkpoint or throttle a task."""
+        if attempt := self._by_task.get(task_id):
+            self._control(attempt, action)
+
+    def _control(self, attempt: Attempt, action: str) -> None:
+        self._post(
+            ControlTask(
+                task_id=attempt.task_id,
+                worker=attempt.worker.name,
+                address=attempt.worker.address,
+                action=action,
+            )
+        )
+
+    def _query(self, attempt: Attempt) -> None:
+        self._post(
+            QueryTask(
+                task_id=attempt.task_id,
+                worker=attempt.worker.name,
+                address=attempt.worker.address,
+            )
+        )
+
+    def control_finished(self, message: ControlFinished) -> None:
+        """Handle the worker's answer to a control call."""
+        attempt = self._by_task.get(message.task_id)
+        if attempt is None or message.action != "stop":
+            return
+        # A start may still be on its way until its token is too old.
+        settled = self._clock.now_ms() - attempt.sent_ms > self._token_bound_ms()
+        if message.confirmed or (message.gone and settled):
+            self._end(attempt, AttemptVerdict.CANCELLED)
+            _log.event(
+                "task stopped", request_id=attempt.task_id, worker=attempt.worker.name
+            )
+            self._report(attempt, AttemptEnd.BROKEN, detail="stopped")
+            return
+        self._retry_control(attempt, lambda: self._control(attempt, "stop"))
+
+    def task_queried(self, message: TaskQueried) -> None:
+        """Handle what a worker knows about a task whose connection broke."""
+        attempt = self._by_task.get(message.task_id)
+        if attempt is None:
+            return
+        if message.state in ("finished", "failed"):
+            ran = message.state == "finished"
+            self._end(attempt, AttemptVerdict.OK if ran else AttemptVerdict.FAILED)
+            self._report(
+                attempt,
+                AttemptEnd.RAN if ran else AttemptEnd.FAILED,
+                detail="the worker was asked for the result",
+                body=message.body,
+                content_type=message.content_type,
+            )
+        elif message.state == "stopped":
+            self._end(attempt, AttemptVerdict.UNREACHABLE)
+            self._report(attempt, AttemptEnd.BROKEN, detail="stopped at the worker")
+        else:
+            if message.state == "running":
+                attempt.seen_running_ms = self._clock.now_ms()
+            self._retry_control(attempt, lambda: self._query(attempt))
+
+    def _retry_control(self, attempt: Attempt, again: t.Callable[[], None]) -> None:
+        def retry() -> None:
+            if self._by_task.get(attempt.task_id) is attempt:
+                again()
+
+        self._timers.add(self._clock.now_ms() + CONTROL_RETRY_MS, retry)
+
+    def _token_bound_ms(self) -> int:
+        return self._settings.start_token_ms + self._settings.start_token_ms // 100 + 1
+
+    def renew_leases(self) -> None:
+        """Renew the leases that are due and end attempts whose lease is over."""
+        now_ms = self._clock.now_ms()
+        lease_ms = self._settings.task_lease_ms
+        for attempt in list(self._by_task.values()):
+            if attempt.state is AttemptState.NEEDS_TOKEN:
+                continue
+            since_ms = now_ms - attempt.lease_sent_ms
+            if since_ms >= lease_ms // RENEWALS_PER_LEASE and (
+                attempt.state is AttemptState.RUNNING
+                or (
+                    attempt.state is AttemptState.QUERYING
+                    and now_ms - attempt.seen_running_ms < lease_ms
+                )
+            ):
+                self._renew(attempt, now_ms)
+            # The worker counts the lease from when it got it, up to a token
+            # lifetime later; 1% covers the difference in clock rate.
+            bound_ms = (lease_ms + self._settings.start_token_ms) * 101 // 100
+            if since_ms > bound_ms:
+                self._end(attempt, AttemptVerdict.UNREACHABLE)
+                self._report(attempt, AttemptEnd.BROKEN, detail="the lease has expired")
+
+    def _renew(self, attempt: Attempt, now_ms: int) -> None:
+        team = attempt.request.team
+        if team and not self._ledger.may_renew(attempt.task_id, now_ms):
+            _log.event("unit expired while running", request_id=attempt.task_id)
+            if attempt.queue.can_checkpoint:
+                self._control(attempt, "checkpoint")
+            self.stop(attempt.task_id)
+            return
+        token = self._workers.token(attempt.worker.name, now_ms)
+        if token is None:
+            self._post(
+                FetchToken(worker=attempt.worker.name, address=attempt.worker.address)
+            )
+            return
+        attempt.lease_sent_ms = now_ms
+        self._post(
+            ControlTask(
+                task_id=attempt.task_id,
+                worker=attempt.worker.name,
+                address=attempt.worker.address,
+                action="lease",
+                token=token,
+                lease_ms=self._settings.task_lease_ms,
+            )
+        )
+
+    def _end(self, attempt: Attempt, verdict: AttemptVerdict) -> None:
+        now_ms = self._clock.now_ms()
+        self._by_task.pop(attempt.task_id, None)
+        duration_ms = now_ms - (attempt.sent_ms or now_ms)
+        self._workers.finished(attempt.worker.name, verdict, duration_ms, now_ms)
+        if attempt.request.team:
+            self._ledger.give_back(attempt.task_id)
+
+    def _report(self, attempt: Attempt, end: AttemptEnd, **fields: t.Any) -> None:
+        self._on_result(AttemptResult(attempt=attempt, end=end, **fields))
+
+
+def _verdict_of(message: AttemptFinished) -> AttemptVerdict:
+    if message.end is AttemptEnd.RAN:
+        return AttemptVerdict.OK
+    if message.end is AttemptEnd.FAILED:
+        return AttemptVerdict.FAILED
+    if message.end is AttemptEnd.NOT_SENT:
+        return AttemptVerdict.UNREACHABLE
+    return AttemptVerdict.REFUSED
--- /dev/null
+++ b/src/cranberrywheel/process/caller_api.py
@@ -0,0 +1,196 @@
+"""HTTP for callers: requests, tickets, health."""
+
+import json
+import re
+import typing as t
+import uuid
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+
+import werkzeug
+from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
+
+from cranberrywheel.connection.http_server import HangupWatcher
+from cranberrywheel.errors import (
+    CranberrywheelError,
+    MalformedRequestError,
+    RequestTooLargeError,
+    UnknownOutcomeError,
+    UnknownQueueError,
+)
+from cranberrywheel.process import messages as m
+from cranberrywheel.request.model import Answer
+from cranberrywheel.request.problem import problem_answer
+from cranberrywheel.settings import EntrySettings
+
+#: The dispatcher answers at the deadline; this is the margin for its thread.
+ANSWER_MARGIN_S = 5
+LONGEST_WAIT_S = 3_700
+MAX_TICKETS_PER_CALL = 100
+_TRACEPARENT = re.compile(r"[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
+
+
+def to_response(answer: Answer) -> werkzeug.Response:
+    """Turn an answer into an HTTP response.
+
+    :param answer: the whole answer.
+    """
+    response = werkzeug.Response(
+        answer.body, status=answer.status, content_type=answer.content_type
+    )
+    response.headers["X-Request-Id"] = answer.request_id
+    response.headers["Outcome"] = str(answer.outcome)
+    if answer.retry_after_s is not None:
+        response.headers["Retry-After"] = str(answer.retry_after_s)
+    return response
+
+
+class CallerApi:
+    """WSGI application for callers; passes other paths on.
+
+    :param settings: body limit.
+    :param post: posts to the dispatcher.
+    :param is_ready: whether the balancer should send work here.
+    :param fallback: serves paths that are not the callers'.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        post: t.Callable[[t.Any], None],
+        is_ready: t.Callable[[], bool],
+        fallback: t.Callable[[werkzeug.Request], werkzeug.Response],
+    ) -> None:
+        self._settings = settings
+        self._post = post
+        self._is_ready = is_ready
+        self._fallback = fallback
+        self._hangups = HangupWatcher()
+
+    def __call__(self, environ: t.Any, start_response: t.Any) -> t.Any:
+        request = werkzeug.Request(environ)
+        request.max_content_length = self._settings.max_body_bytes
+        request_id = uuid.uuid4().hex
+        try:
+            response = self._route(request, request_id)
+        except RequestEntityTooLarge:
+            error: CranberrywheelError = RequestTooLargeError(
+                f"The body is over {self._settings.max_body_bytes} bytes.", "Send less."
+            )
+            response = to_response(problem_answer(request_id, error))
+            response.headers["Connection"] = "close"
+        except HTTPException as failure:
+            error = MalformedRequestError(
+                f"The request could not be read: {failure.description}",
+                "Correct the request.",
+            )
+            response = to_response(problem_answer(request_id, error))
+        except CranberrywheelError as error:
+            response = to_response(problem_answer(request_id, error))
+        if not self._is_ready():
+            response.headers["Connection"] = "close"
+        return response(environ, start_response)
+
+    def _route(self, request: werkzeug.Request, request_id: str) -> werkzeug.Response:
+        path = request.path
+        if path == "/healthz":
+            return werkzeug.Response("ok\n")
+        if path == "/readyz":
+            ready = self._is_ready()
+            return werkzeug.Response(
+                "ready\n" if ready else "not ready\n", status=200 if ready else 503
+            )
+        if path.startswith("/v1/queues/"):
+            if request.method != "POST":
+                raise MalformedRequestError("Queues take POST.", "Use POST.")
+            return self._run(request, request_id, path.removeprefix("/v1/queues/"))
+        if path == "/v1/tickets" and request.method == "POST":
+            return self._tickets(request)
+        if path.startswith("/v1/requests/") and request.method == "GET":
+            return self._query(path.removeprefix("/v1/requests/"))
+        return self._fallback(request)
+
+    def _run(
+        self, request: werkzeug.Request, request_id: str, queue: str
+    ) -> werkzeug.Response:
+        timeout = request.headers.get("Request-Timeout-Ms", "0")
+        if not timeout.isdecimal() or len(timeout) > 9:
+            raise MalformedRequestError(
+                "Request-Timeout-Ms is not a whole number.", "Send milliseconds."
+            )
+        traceparent = request.headers.get("traceparent", "")
+        incoming = m.IncomingRequest(
+            request_id=request_id,
+            queue=queue,
+            authorization=request.headers.get("Authorization", ""),
+            idempotency_key=request.headers.get("Idempotency-Key", ""),
+            body=request.get_data(cache=False),
+            content_type=_header_safe(request.headers.get("Content-Type", "")),
+            timeout_ms=int(timeout),
+            traceparent=traceparent if _TRACEPARENT.fullmatch(traceparent) else "",
+        )
+        answer = self._wait(incoming, request.environ.get("werkzeug.socket"))
+        response = to_response(answer)
+        self._add_next_ticket(response, incoming, answer)
+        return response
+
+    def _wait(self, incoming: m.IncomingRequest, connection: t.Any) -> Answer:
+        future: Future[Answer] = Future()
+        self._post(m.SubmitRequest(incoming, future))
+        if connection is not None:
+            self._hangups.watch(
+                connection, lambda: self._post(m.CancelRequest(incoming.request_id))
+            )
+        try:
+            return future.result(timeout=LONGEST_WAIT_S)
+        except FutureTimeoutError:
+            error = UnknownOutcomeError(
+                "The request was not decided in time.", "Retry it with its ticket."
+            )
+            return problem_answer(incoming.request_id, error)
+        finally:
+            if connection is not None:
+                self._hangups.unwatch(connection)
+
+    def _add_next_ticket(
+        self, response: werkzeug.Response, incoming: m.IncomingRequest, answer: Answer
+    ) -> None:
+        wanted = bool(incoming.idempotency_key) or answer.kind == "ticket-required"
+        if not wanted or answer.kind in ("unauthorized", "keys-not-fresh"):
+            return
+        try:
+            tickets = self._issue(incoming.authorization, incoming.queue, 1)
+        except CranberrywheelError:
+            return
+        response.headers["Next-Idempotency-Key"] = tickets[0]
+
+    def _issue(self, authorization: str, queue: str, count: int) -> list[str]:
+        tickets: Future[list[str]] = Future()
+        self._post(m.IssueTickets(authorization, queue, count, tickets))
+        return tickets.result(timeout=ANSWER_MARGIN_S)
+
+    def _tickets(self, request: werkzeug.Request) -> werkzeug.Response:
+        body = request.get_json(force=True, silent=True)
+        queue = body.get("queue") if isinstance(body, dict) else None
+        count = body.get("count", 1) if isinstance(body, dict) else 0
+        if not isinstance(queue, str):
+            raise UnknownQueueError("No queue was named.", 'Send {"queue": NAME}.')
+        if not isinstance(count, int) or not 1 <= count <= MAX_TICKETS_PER_CALL:
+            raise MalformedRequestError(
+                "The count is out of range.",
+                f"Ask for 1 to {MAX_TICKETS_PER_CALL} tickets.",
+            )
+        tickets = self._issue(request.headers.get("Authorization", ""), queue, count)
+        return werkzeug.Response(
+            json.dumps({"tickets": tickets}), content_type="application/json"
+        )
+
+    def _query(self, ticket: str) -> werkzeug.Response:
+        future: Future[Answer] = Future()
+        self._post(m.QueryTicket(ticket, future))
+        return to_response(future.result(timeout=ANSWER_MARGIN_S))
+
+
+def _header_safe(value: str) -> str:
+    """Drop values that could not be passed on as one header line."""
+    return value if value.isprintable() and len(value) < 256 else ""
--- /dev/null
+++ b/src/cranberrywheel/process/dispatcher.py
@@ -0,0 +1,228 @@
+"""The task that owns queues, units, workers and running requests of an entry."""
+
+import queue
+import threading
+import typing as t
+
+from cranberrywheel.connection import target_client
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.process import messages as m
+from cranberrywheel.process.entry_state import EntryState
+from cranberrywheel.process.placement import Placement
+from cranberrywheel.request.fair_queue import FairQueue
+
+TICK_MS = 100
+REPORT_EVERY_TICKS = 5
+#: Messages handled before timers get a turn.
+MESSAGES_PER_TURN = 200
+
+_log = PartLogger("dispatcher")
+
+
+class Dispatcher:
+    """Takes requests to their queues, and from there to workers.
+
+    :param state: state of a process that has just started; the dispatcher
+        owns it from here on.
+    """
+
+    def __init__(self, state: EntryState) -> None:
+        self._state = state
+        self.inbox: queue.SimpleQueue[t.Any] = queue.SimpleQueue()
+        self._placement = Placement(state)
+        self._flow = self._placement.flow
+        self._attempts = self._placement.attempts
+        self._stopping: m.Stop | None = None
+        self._ticks = 0
+        self._running = True
+        self._handlers = self._build_handlers()
+        self._thread = threading.Thread(
+            target=self._run, name="dispatcher", daemon=True
+        )
+
+    def _build_handlers(self) -> dict[type, t.Callable[[t.Any], None]]:
+        state = self._state
+        return {
+            m.SubmitRequest: self._flow.submit,
+            m.CancelRequest: lambda msg: self._flow.cancel(msg.request_id),
+            m.IssueTickets: self._flow.issue_tickets,
+            m.QueryTicket: self._flow.query_ticket,
+            m.ReadStatus: lambda msg: msg.status.set_result(self._status()),
+            m.ConfigurationAdopted: self._adopt,
+            m.ProofTaken: lambda msg: state.freshness.proven(msg.taken_ms),
+            m.MarkWithdrawn: lambda msg: state.marked_ids.add(msg.key_id),
+            m.PoolsChanged: self._pools_changed,
+            m.InstancesListed: lambda msg: state.fleet.set_instances(msg.listed),
+            m.UnitsHeld: self._units_held,
+            m.HoldRenewed: lambda msg: state.ledger.renewed(msg.started_ms),
+            m.ReleaseUnits: self._release_units,
+            m.PeerReport: state.fleet.set_peer,
+            m.PeerLost: lambda msg: state.fleet.drop_peer(msg.process_id),
+            m.ResultsHandedOver: lambda msg: state.tickets.import_results(
+                msg.process_id, msg.results
+            ),
+            m.ExportResults: lambda msg: msg.results.set_result(
+                state.tickets.export_results()
+            ),
+            m.Stop: self._begin_stop,
+            target_client.AttemptFinished: self._attempts.finished,
+            target_client.TokenFetched: self._attempts.token_fetched,
+            target_client.ControlFinished: self._attempts.control_finished,
+            target_client.TaskQueried: self._attempts.task_queried,
+        }
+
+    def start(self) -> None:
+        """Start the task."""
+        self._state.timers.add(self._now_ms() + TICK_MS, self._tick)
+        self._thread.start()
+
+    def post(self, message: t.Any) -> None:
+        """Send a message to the task, from any thread."""
+        self.inbox.put(message)
+
+    def _run(self) -> None:
+        while self._running:
+            self.turn(self._state.timers.wait_ms(self._now_ms(), TICK_MS))
+
+    def turn(self, wait_ms: int = 0) -> None:
+        """Handle waiting messages, start what can start, run due timers.
+
+        :param wait_ms: longest wait for the first message.
+        """
+        try:
+            self._handle(self.inbox.get(timeout=max(wait_ms, 1) / 1000))
+            for _ in range(MESSAGES_PER_TURN):
+                self._handle(self.inbox.get_nowait())
+        except queue.Empty:
+            pass
+        self._guard("timers", lambda: self._state.timers.run_due(self._now_ms()))
+        self._guard("placement", self._placement.start_queued)
+
+    def _handle(self, message: t.Any) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            _log.warning("dropped an unknown message", type=type(message).__name__)
+            return
+        self._guard(type(message).__name__, lambda: handler(message))
+
+    @staticmethod
+    def _guard(step: str, run: t.Callable[[], None]) -> None:
+        """Keep one failing step from ending the task that serves all others."""
+        try:
+            run()
+        except Exception as error:
+            _log.warning("step failed", step=step, error=repr(error))
+
+    def _now_ms(self) -> int:
+        return self._state.clock.now_ms()
+
+    def _adopt(self, message: m.ConfigurationAdopted) -> None:
+        snapshot = message.snapshot
+        if self._state.snapshot and snapshot.version <= self._state.snapshot.version:
+            return
+        self._state.snapshot = snapshot
+        configuration = snapshot.configuration
+        for team in configuration.teams_by_name.values():
+            self._state.ledger.set_limit(team.name, team.limit)
+        self._state.fleet.set_configuration(configuration)
+        for name in configuration.services_by_name:
+            if name not in self._state.queues_by_service:
+                longest = max(
+                    (
+                        q.max_queued
+                        for q in configuration.queues_by_name.values()
+                        if q.service == name
+                    ),
+                    default=1,
+                )
+                self._state.queues_by_service[name] = FairQueue(longest)
+        self._flow.drop_removed_queues()
+        _log.event("configuration in force", version=snapshot.version)
+
+    def _pools_changed(self, message: m.PoolsChanged) -> None:
+        self._state.fleet.set_pools(message.zone, message.revision, message.rows)
+
+    def _units_held(self, message: m.UnitsHeld) -> None:
+        self._state.ledger.set_held(
+            message.team, message.long_units, message.short_units
+        )
+
+    def _release_units(self, message: m.ReleaseUnits) -> None:
+        message.released.set_result(
+            self._state.ledger.release(
+                message.team, message.long_units, message.short_units
+            )
+        )
+
+    def _tick(self) -> None:
+        now_ms = self._now_ms()
+        self._state.timers.add(now_ms + TICK_MS, self._tick)
+        self._ticks += 1
+        self._attempts.renew_leases()
+        if self._ticks % REPORT_EVERY_TICKS == 0:
+            self._state.tickets.expire(now_ms)
+            self._send_reports(now_ms)
+        self._stop_if_idle()
+
+    def _send_reports(self, now_ms: int) -> None:
+        waiting: dict[str, int] = {}
+        for fair_queue in self._state.queues_by_service.values():
+            for team, count in fair_queue.queued_by_team().items():
+                waiting[team] = waiting.get(team, 0) + count
+        waiting.pop("", None)
+        self._state.links.to_store(
+            m.UnitsWanted(dict(self._state.ledger.in_use_by_team()), waiting)
+        )
+        idle = {
+            team: self._state.ledger.usable(team, now_ms)
+            for team in self._state.fleet.shares_by_team
+        }
+        self._state.links.to_peers(
+            self._state.fleet.load_report(
+                {
+                    s: q.queued_by_team()
+                    for s, q in self._state.queues_by_service.items()
+                },
+                idle,
+                self._stopping is not None,
+            )
+        )
+
+    def _status(self) -> dict[str, t.Any]:
+        now_ms = self._now_ms()
+        snapshot = self._state.snapshot
+        return {
+            "process_id": self._state.process_id,
+            "zone": self._state.settings.zone,
+            "version": snapshot.version if snapshot else 0,
+            "text_version": snapshot.text_version if snapshot else 0,
+            "keys_age_ms": self._state.freshness.age_ms(now_ms),
+            "queued_by_service": {
+                s: len(q) for s, q in self._state.queues_by_service.items()
+            },
+            "running": len(self._attempts),
+            "late_answers": self._attempts.late_answers,
+            "units_in_use_by_team": dict(self._state.ledger.in_use_by_team()),
+            "units_usable_by_team": {
+                team: self._state.ledger.usable(team, now_ms)
+                for team in self._state.fleet.shares_by_team
+            },
+            "peers": self._state.fleet.peer_ids(),
+            "pools": self._state.fleet.pool_status(),
+            "stopping": self._stopping is not None,
+        }
+
+    def _begin_stop(self, message: m.Stop) -> None:
+        self._stopping = message
+        self._stop_if_idle()
+
+    def _stop_if_idle(self) -> None:
+        if self._stopping and not len(self._state.pending) and not len(self._attempts):
+            if not self._state.drained:
+                self._state.drained = True
+                self._stopping.done.set_result(None)
+
+    def stop(self) -> None:
+        """End the task; nothing may need an answer any more."""
+        self._running = False
+        self._thread.join(timeout=5)
--- /dev/null
+++ b/src/cranberrywheel/process/entry.py
@@ -0,0 +1,174 @@
+"""Wires the tasks of one entry instance and runs it until it is told to stop."""
+
+import random
+import threading
+import typing as t
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+
+from cranberrywheel.clock import Clock
+from cranberrywheel.connection.http_server import HttpServer
+from cranberrywheel.connection.peer_service import PeerService
+from cranberrywheel.connection.target_client import TargetClient
+from cranberrywheel.errors import CranberrywheelError, SettingsError
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.process import messages as m
+from cranberrywheel.process.caller_api import CallerApi
+from cranberrywheel.process.dispatcher import Dispatcher
+from cranberrywheel.process.entry_state import Links, create_state
+from cranberrywheel.process.exchange import PeerExchange
+from cranberrywheel.process.membership import new_process_id
+from cranberrywheel.process.operator_api import OperatorApi
+from cranberrywheel.process.store_session import StoreSession
+from cranberrywheel.request.model import Answer
+from cranberrywheel.settings import EntrySettings
+
+HAND_OVER_WAIT_S = 5
+STORE_STOP_WAIT_S = 5
+
+_log = PartLogger("entry")
+
+
+def read_token(path: str) -> str:
+    """Read the operators' bearer token.
+
+    :param path: file that holds the token in its first line.
+    :raises SettingsError: if the file cannot be read or is empty.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            token = file.readline().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            f"The operators' token cannot be read: {error}.",
+            "Check operator_token_file in [entry].",
+        ) from None
+    if not token:
+        raise SettingsError(
+            f"{path} is empty.", "Write the operators' token into its first line."
+        )
+    return token
+
+
+class Entry:
+    """One entry instance: its tasks and their order of start and stop.
+
+    :param settings: checked settings.
+    :raises SettingsError: if the operators' token cannot be read.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        self._stop_requested = threading.Event()
+        clock = Clock()
+        process_id = new_process_id(settings)
+        token = read_token(settings.operator_token_file)
+        links = Links(
+            to_targets=lambda message: self._targets.post(message),
+            to_store=lambda message: self._store.inbox.put(message),
+            to_peers=lambda load: self._peers.report_load(load),
+            forward=lambda address, incoming, timeout_ms: self._peers.forward(
+                address, incoming, timeout_ms
+            ),
+        )
+        self._dispatcher = Dispatcher(
+            create_state(settings, process_id, clock, links, random.Random())
+        )
+        post = self._dispatcher.post
+        self._targets = TargetClient(clock, post, settings.max_body_bytes)
+        self._exchange = PeerExchange(settings, clock, process_id, post)
+        self._peers = PeerService(
+            settings,
+            clock,
+            self._exchange,
+            self._submit_forwarded,
+            lambda peer, results: post(m.ResultsHandedOver(peer, tuple(results))),
+        )
+        self._store = StoreSession(settings, clock, post, self._exchange)
+        operators = OperatorApi(
+            token, post, self._store.inbox.put, lambda: self._exchange.holder.snapshot
+        )
+        callers = CallerApi(settings, post, self.is_ready, operators)
+        self._http = HttpServer(
+            settings.host, settings.http_port, callers, settings.http_threads
+        )
+
+    def _submit_forwarded(self, incoming: m.IncomingRequest) -> "Future[Answer]":
+        answer: Future[Answer] = Future()
+        self._dispatcher.post(m.SubmitRequest(incoming, answer))
+        return answer
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send work here."""
+        return (
+            not self._stop_requested.is_set()
+            and self._exchange.holder.snapshot is not None
+        )
+
+    def start(self) -> None:
+        """Start all tasks.
+
+        The peer port is bound before the registration, because the registration
+        tells others that no older process owns the address.
+        """
+        self._dispatcher.start()
+        self._targets.start()
+        self._peers.start()
+        self._store.start()
+        self._http.start()
+        _log.event(
+            "started",
+            process=self._exchange.process_id,
+            zone=self._settings.zone,
+            port=self._settings.http_port,
+        )
+
+    def request_stop(self) -> None:
+        """Ask for a graceful stop; safe in a signal handler."""
+        self._stop_requested.set()
+
+    def run(self) -> None:
+        """Run until a stop is requested, then shut down gracefully."""
+        self.start()
+        self._stop_requested.wait()
+        self._stop()
+
+    def _stop(self) -> None:
+        _log.event("leaving the balancer", delay_ms=self._settings.leave_delay_ms)
+        Clock().sleep_ms(self._settings.leave_delay_ms)
+        self._http.close_listener()
+        self._wait_for_requests()
+        self._hand_over()
+        self._http.stop()
+        done: Future[None] = Future()
+        self._store.inbox.put(m.Stop(done))
+        try:
+            done.result(timeout=STORE_STOP_WAIT_S)
+        except FutureTimeoutError:
+            _log.warning("units were not returned; the store did not answer")
+        self._dispatcher.stop()
+        self._peers.stop()
+        self._targets.stop()
+        _log.event("stopped", process=self._exchange.process_id)
+
+    def _wait_for_requests(self) -> None:
+        done: Future[None] = Future()
+        self._dispatcher.post(m.Stop(done))
+        try:
+            done.result(timeout=self._settings.drain_timeout_ms / 1000)
+        except FutureTimeoutError:
+            _log.warning("requests were still running at the drain timeout")
+
+    def _hand_over(self) -> None:
+        exported: Future[list[tuple[str, Answer]]] = Future()
+        self._dispatcher.post(m.ExportResults(exported))
+        results = exported.result(timeout=HAND_OVER_WAIT_S)
+        pending: list[tuple[str, t.Any]] = [
+            (peer.peer_address, self._peers.hand_over(peer.peer_address, results))
+            for peer in self._exchange.peers()
+        ]
+        for address, future in pending:
+            try:
+                future.result(timeout=HAND_OVER_WAIT_S)
+            except (CranberrywheelError, FutureTimeoutError) as error:
+                _log.warning("hand-over failed", peer=address, error=error)
--- /dev/null
+++ b/src/cranberrywheel/process/entry_state.py
@@ -0,0 +1,95 @@
+"""State of one entry process that its dispatcher task owns."""
+
+import dataclasses
+import random
+import secrets
+import typing as t
+from concurrent.futures import Future
+
+from cranberrywheel.clock import Clock
+from cranberrywheel.process import messages as m
+from cranberrywheel.process.fleet_view import FleetView
+from cranberrywheel.process.limit_units import UnitLedger
+from cranberrywheel.process.pending import PendingRequests
+from cranberrywheel.process.timers import Timers
+from cranberrywheel.process.worker_table import WorkerTable
+from cranberrywheel.request.estimates import RunTimeEstimates
+from cranberrywheel.request.fair_queue import FairQueue
+from cranberrywheel.request.model import Answer
+from cranberrywheel.request.retry import RetryBudget
+from cranberrywheel.request.ticket import TicketBook
+from cranberrywheel.settings import EntrySettings
+from cranberrywheel.version.freshness import FreshnessTracker
+
+
+@dataclasses.dataclass(frozen=True)
+class Links:
+    """How the dispatcher reaches the other tasks.
+
+    :param to_targets: posts to the target client.
+    :param to_store: posts to the store session.
+    :param to_peers: posts to the peer service.
+    :param forward: sends a request to a peer: (peer address, request, timeout).
+    """
+
+    to_targets: t.Callable[[t.Any], None]
+    to_store: t.Callable[[t.Any], None]
+    to_peers: t.Callable[[t.Any], None]
+    forward: t.Callable[[str, m.IncomingRequest, int], "Future[Answer]"]
+
+
+@dataclasses.dataclass(kw_only=True)
+class EntryState:
+    """Everything that the dispatcher task decides on.
+
+    :param snapshot: the configuration in force, or ``None`` before the first.
+    :param marked_ids: keys withdrawn since that version was written.
+    :param drained: whether the process has finished its last request before a
+        stop; it accepts none from then on.
+    """
+
+    settings: EntrySettings
+    process_id: str
+    clock: Clock
+    links: Links
+    rng: random.Random
+    ledger: UnitLedger
+    workers: WorkerTable
+    fleet: FleetView
+    tickets: TicketBook
+    snapshot: m.ConfigurationSnapshot | None = None
+    drained: bool = False
+    marked_ids: set[str] = dataclasses.field(default_factory=set)
+    freshness: FreshnessTracker = dataclasses.field(default_factory=FreshnessTracker)
+    timers: Timers = dataclasses.field(default_factory=Timers)
+    estimates: RunTimeEstimates = dataclasses.field(default_factory=RunTimeEstimates)
+    retry_budget: RetryBudget = dataclasses.field(default_factory=RetryBudget)
+    pending: PendingRequests = dataclasses.field(default_factory=PendingRequests)
+    queues_by_service: dict[str, FairQueue] = dataclasses.field(default_factory=dict)
+
+
+def create_state(
+    settings: EntrySettings,
+    process_id: str,
+    clock: Clock,
+    links: Links,
+    rng: random.Random,
+) -> EntryState:
+    """Create the state of a process that has just started.
+
+    :param process_id: id of this process; names it in tickets.
+    :param links: the other tasks.
+    :param rng: source of all random choices.
+    """
+    workers = WorkerTable(settings.zone, rng)
+    return EntryState(
+        settings=settings,
+        process_id=process_id,
+        clock=clock,
+        links=links,
+        rng=rng,
+        ledger=UnitLedger(settings.limits),
+        workers=workers,
+        fleet=FleetView(process_id, workers),
+        tickets=TicketBook(process_id, settings, secrets.token_bytes(32)),
+    )
--- /dev/null
+++ b/src/cranberrywheel/process/fleet_view.py
@@ -0,0 +1,222 @@
+"""What one entry process knows of the fleet: workers, pools and peers."""
+
+import typing as t
+
+from cranberrywheel.connection.store_client import Instance, InstanceList
+from cranberrywheel.process import messages as m
+from cranberrywheel.process.worker_table import WorkerRow, WorkerTable
+from cranberrywheel.version.configuration import Configuration
+
+SERVING = "serving"
+
+
+class FleetView:
+    """Combines configuration, pool records, instance list and peers' reports.
+
+    :param process_id: id of this process.
+    :param workers: kept in step with what is known.
+    """
+
+    def __init__(self, process_id: str, workers: WorkerTable) -> None:
+        self._process_id = process_id
+        self._workers = workers
+        self._configuration: Configuration | None = None
+        self._revision_by_zone: dict[str, int] = {}
+        self._rows_by_zone: dict[str, tuple[m.PoolRow, ...]] = {}
+        self._instances_by_id: dict[str, Instance] = {}
+        self._refused_as_leaving: set[str] = set()
+        self._peers_by_id: dict[str, m.PeerReport] = {}
+        self._own_use: dict[tuple[str, str], int] = {}
+        self._slots_by_pool: dict[str, int] = {}
+        self.shares_by_team: dict[str, float] = {}
+        self.use_by_team: dict[str, int] = {}
+
+    @property
+    def entry_count(self) -> int:
+        """Entry processes that serve, this one included."""
+        return 1 + sum(not peer.stopping for peer in self._peers_by_id.values())
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Use a new version of the configuration."""
+        self._configuration = configuration
+        self.shares_by_team = {
+            team.name: team.share for team in configuration.teams_by_name.values()
+        }
+        self._refresh_workers()
+
+    def set_pools(self, zone: str, revision: int, rows: tuple[m.PoolRow, ...]) -> None:
+        """Use a newer ``pools/<zone>`` record; older ones are ignored."""
+        if revision <= self._revision_by_zone.get(zone, 0):
+            return
+        self._revision_by_zone[zone] = revision
+        self._rows_by_zone[zone] = rows
+        self._refresh_workers()
+
+    def set_instances(self, listed: InstanceList) -> None:
+        """Use a new instance list."""
+        self._instances_by_id = {
+            i.instance_id: i for i in listed.instances if i.kind == "worker"
+        }
+        self._refused_as_leaving.clear()
+        self._refresh_workers()
+
+    def add_leaving(self, worker: str) -> None:
+        """Note that a worker refused a start because it drains."""
+        self._refused_as_leaving.add(worker)
+        self._set_leaving()
+
+    def _assignments(self) -> dict[str, m.PoolRow]:
+        """Pool and state per worker: as recorded, else as declared."""
+        assert self._configuration is not None
+        rows = {
+            w.name: m.PoolRow(w.name, w.pool, SERVING)
+            for w in self._configuration.workers_by_name.values()
+            if w.zone not in self._rows_by_zone
+        }
+        for zone_rows in self._rows_by_zone.values():
+            rows.update({row.worker: row for row in zone_rows})
+        return rows
+
+    def _refresh_workers(self) -> None:
+        if self._configuration is None:
+            return
+        rows = []
+        slots_by_pool: dict[str, int] = {}
+        for row in self._assignments().values():
+            instance = self._instances_by_id.get(row.worker)
+            pool = self._configuration.pools_by_name.get(row.pool)
+            if instance is None or pool is None:
+                continue
+            rows.append(
+                WorkerRow(
+                    name=row.worker,
+                    address=instance.address,
+                    zone=instance.zone,
+                    rack=instance.rack,
+                    pool=row.pool,
+                    slots=pool.slots_per_executor,
+                    serving=row.state == SERVING,
+                )
+            )
+            if row.state == SERVING:
+                slots = slots_by_pool.get(row.pool, 0)
+                slots_by_pool[row.pool] = slots + pool.slots_per_executor
+        self._slots_by_pool = slots_by_pool
+        self._workers.set_workers(rows)
+        self._set_leaving()
+        self._set_ejection_limits(rows)
+
+    def _set_leaving(self) -> None:
+        leaving = {i.instance_id for i in self._instances_by_id.values() if i.leaving}
+        for peer in self._peers_by_id.values():
+            leaving.update(peer.leaving_instances)
+        self._workers.set_leaving(leaving | self._refused_as_leaving)
+
+    def _set_ejection_limits(self, rows: list[WorkerRow]) -> None:
+        assert self._configuration is not None
+        serving_by_pool: dict[str, int] = {}
+        for row in rows:
+            if row.serving:
+                serving_by_pool[row.pool] = serving_by_pool.get(row.pool, 0) + 1
+        for service in self._configuration.services_by_name.values():
+            spare = serving_by_pool.get(service.pool, 0) - service.min_healthy
+            self._workers.set_ejection_limit(service.pool, max(0, spare))
+
+    def set_peer(self, report: m.PeerReport) -> None:
+        """Use a peer's report."""
+        old = self._peers_by_id.get(report.process_id)
+        self._peers_by_id[report.process_id] = report
+        self._workers.set_peer_load(report.process_id, report.in_flight_by_worker)
+        if old is None or old.leaving_instances != report.leaving_instances:
+            self._set_leaving()
+        self._sum_use()
+
+    def drop_peer(self, process_id: str) -> None:
+        """Forget a peer that is no longer heard."""
+        if self._peers_by_id.pop(process_id, None):
+            self._workers.drop_peer(process_id)
+            self._set_leaving()
+            self._sum_use()
+
+    def peer_address(self, process_id: str) -> str:
+        """Return where a peer listens, or ``""`` if it is not known."""
+        report = self._peers_by_id.get(process_id)
+        return report.peer_address if report else ""
+
+    def peer_with_units(self, team: str) -> str:
+        """Return the address of the peer with most idle units of a team, or ``""``."""
+        best, most = "", 0
+        for report in self._peers_by_id.values():
+            idle = sum(load.idle_units for load in report.loads if load.team == team)
+            if idle > most and not report.stopping:
+                best, most = report.peer_address, idle
+        return best
+
+    def peer_ids(self) -> list[str]:
+        """Return the ids of all peers that are heard."""
+        return sorted(self._peers_by_id)
+
+    def count_started(self, team: str, service: str) -> None:
+        """Count a running task of this process."""
+        key = (team, service)
+        self._own_use[key] = self._own_use.get(key, 0) + 1
+        self.use_by_team[team] = self.use_by_team.get(team, 0) + 1
+
+    def count_ended(self, team: str, service: str) -> None:
+        """Count the end of a task of this process."""
+        key = (team, service)
+        self._own_use[key] = self._own_use.get(key, 0) - 1
+        self.use_by_team[team] = self.use_by_team.get(team, 0) - 1
+
+    def _sum_use(self) -> None:
+        use: dict[str, int] = {}
+        for (team, _), count in self._own_use.items():
+            use[team] = use.get(team, 0) + count
+        for report in self._peers_by_id.values():
+            for load in report.loads:
+                use[load.team] = use.get(load.team, 0) + load.running
+        self.use_by_team = use
+
+    def slots_of_pool(self, pool: str) -> int:
+        """Return the slots of a pool's serving workers."""
+        return self._slots_by_pool.get(pool, 0)
+
+    def pool_status(self) -> dict[str, t.Any]:
+        """Return workers per pool and state, JSON-ready."""
+        status: dict[str, dict[str, int]] = {}
+        if self._configuration is not None:
+            for row in self._assignments().values():
+                states = status.setdefault(row.pool, {})
+                known = row.worker in self._instances_by_id
+                state = row.state if known else "unlisted"
+                states[state] = states.get(state, 0) + 1
+        return status
+
+    def load_report(
+        self,
+        queued_by_service: t.Mapping[str, t.Mapping[str, int]],
+        idle_units_by_team: t.Mapping[str, int],
+        stopping: bool,
+    ) -> m.LoadReport:
+        """Build the load part of the next exchange with peers."""
+        loads: dict[tuple[str, str], list[int]] = {
+            key: [count, 0, 0] for key, count in self._own_use.items() if count
+        }
+        for service, queued in queued_by_service.items():
+            for team, count in queued.items():
+                loads.setdefault((team, service), [0, 0, 0])[1] = count
+        for team, idle in idle_units_by_team.items():
+            if idle:
+                loads.setdefault((team, ""), [0, 0, 0])[2] = idle
+        own_leaving = {
+            i.instance_id for i in self._instances_by_id.values() if i.leaving
+        }
+        return m.LoadReport(
+            loads=tuple(
+                m.PeerLoad(team, service, *counts)
+                for (team, service), counts in sorted(loads.items())
+            ),
+            in_flight_by_worker=self._workers.in_flight_by_worker(),
+            leaving_instances=tuple(sorted(own_leaving | self._refused_as_leaving)),
+            stopping=stopping,
+        )
--- a/src/cranberrywheel/process/messages.py
+++ b/src/cranberrywheel/process/messages.py
@@ -69,6 +69,13 @@
     answer: "Future[Answer]"
 
 
+@dataclasses.dataclass(frozen=True)
+class ExportResults:
+    """To the dispatcher: the future gets the results of finished tickets."""
+
+    results: "Future[list[tuple[str, Answer]]]"
+
+
 @dataclasses.dataclass(frozen=True)
 class ReadStatus:
     """To the dispatcher: the future gets a JSON-ready status."""
@@ -235,6 +242,14 @@
     process_id: str
 
 
+@dataclasses.dataclass(frozen=True)
+class ResultsHandedOver:
+    """To the dispatcher: a peer that shut down handed over its ticket results."""
+
+    process_id: str
+    results: tuple[tuple[str, Answer], ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class LoadReport:
     """To the peer task: own load for the next exchange."""
--- /dev/null
+++ b/src/cranberrywheel/process/pending.py
@@ -0,0 +1,93 @@
+"""Requests that this process has accepted and not yet answered."""
+
+import dataclasses
+import typing as t
+from concurrent.futures import Future
+
+from cranberrywheel.process.messages import IncomingRequest
+from cranberrywheel.request.model import Answer, Request
+
+
+@dataclasses.dataclass(eq=False)
+class Waiter:
+    """One caller connection that waits for an answer.
+
+    A retry with the same ticket adds a waiter to the request that runs.
+    """
+
+    incoming: IncomingRequest
+    answer: "Future[Answer]"
+    deadline_ms: int
+
+
+@dataclasses.dataclass(kw_only=True)
+class PendingRequest:
+    """A request with the callers that wait for it and its attempts so far.
+
+    :param task_id: the attempt that runs now, or ``""``.
+    :param attempts: attempts so far.
+    :param misfits: workers that said the request does not fit.
+    """
+
+    request: Request
+    waiters: list[Waiter]
+    task_id: str = ""
+    attempts: int = 0
+    misfits: int = 0
+    tried_workers: set[str] = dataclasses.field(default_factory=set)
+    avoided_racks: set[str] = dataclasses.field(default_factory=set)
+
+
+class PendingRequests:
+    """Finds pending requests by their id, a waiter's id or their ticket."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, PendingRequest] = {}
+        self._by_ticket: dict[str, PendingRequest] = {}
+        self._by_waiter: dict[str, PendingRequest] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def __iter__(self) -> t.Iterator[PendingRequest]:
+        return iter(list(self._by_id.values()))
+
+    def add(self, pending: PendingRequest) -> None:
+        """Add a request with its first waiter."""
+        self._by_id[pending.request.request_id] = pending
+        if pending.request.ticket:
+            self._by_ticket[pending.request.ticket] = pending
+        for waiter in pending.waiters:
+            self._by_waiter[waiter.incoming.request_id] = pending
+
+    def add_waiter(self, pending: PendingRequest, waiter: Waiter) -> None:
+        """Add a caller that waits for the same request."""
+        pending.waiters.append(waiter)
+        self._by_waiter[waiter.incoming.request_id] = pending
+
+    def find(self, request_id: str) -> PendingRequest | None:
+        """Return a request by its id."""
+        return self._by_id.get(request_id)
+
+    def find_ticket(self, ticket: str) -> PendingRequest | None:
+        """Return a request by its ticket."""
+        return self._by_ticket.get(ticket)
+
+    def find_waiter(self, request_id: str) -> PendingRequest | None:
+        """Return the request that a caller waits for."""
+        return self._by_waiter.get(request_id)
+
+    def drop_waiter(self, pending: PendingRequest, waiter: Waiter) -> None:
+        """Forget one caller."""
+        pending.waiters.remove(waiter)
+        self._by_waiter.pop(waiter.incoming.request_id, None)
+
+    def remove(self, pending: PendingRequest) -> list[Waiter]:
+        """Forget a request; returns the waiters that still need an answer."""
+        self._by_id.pop(pending.request.request_id, None)
+        if pending.request.ticket:
+            self._by_ticket.pop(pending.request.ticket, None)
+        waiters, pending.waiters = pending.waiters, []
+        for waiter in waiters:
+            self._by_waiter.pop(waiter.incoming.request_id, None)
+        return waiters
--- /dev/null
+++ b/src/cranberrywheel/process/placement.py
@@ -0,0 +1,229 @@
+"""Requests between queues and workers: placement, results, retries."""
+
+from cranberrywheel.connection.target_client import AttemptEnd
+from cranberrywheel.errors import (
+    NeverFitsError,
+    OverloadedError,
+    TargetFailedError,
+    UnknownOutcomeError,
+)
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.process.attempts import AttemptResult, Attempts
+from cranberrywheel.process.entry_state import EntryState
+from cranberrywheel.process.pending import PendingRequest
+from cranberrywheel.process.request_flow import RequestFlow
+from cranberrywheel.request.model import Answer, Outcome, Request
+from cranberrywheel.request.problem import problem_answer
+from cranberrywheel.request.retry import plan_retry
+
+#: Workers that must say "does not fit" before a request counts as impossible.
+MISFITS_TO_REFUSE = 2
+
+_log = PartLogger("placement")
+
+
+class Placement:
+    """Starts queued requests and handles their results; part of the dispatcher.
+
+    :param state: the dispatcher's state.
+    """
+
+    def __init__(self, state: EntryState) -> None:
+        self._state = state
+        self.attempts = Attempts(
+            state.clock,
+            state.settings.limits,
+            state.ledger,
+            state.workers,
+            state.timers,
+            state.links.to_targets,
+            self._attempt_ended,
+        )
+        self.flow = RequestFlow(state, self.attempts.stop)
+
+    def start_queued(self) -> None:
+        """Start queued requests while there are slots and units for them."""
+        if self._state.snapshot is None:
+            return
+        now_ms = self._state.clock.now_ms()
+        configuration = self._state.snapshot.configuration
+        for service, fair_queue in self._state.queues_by_service.items():
+            if not len(fair_queue) or service not in configuration.services_by_name:
+                continue
+            pool = configuration.services_by_name[service].pool
+            while len(fair_queue) and self._state.workers.has_room(pool, now_ms):
+                request = fair_queue.pop(
+                    now_ms,
+                    self._state.fleet.shares_by_team,
+                    self._state.fleet.use_by_team,
+                    lambda team: (
+                        not team or self._state.ledger.usable(team, now_ms) > 0
+                    ),
+                )
+                if request is None:
+                    break
+                if not self._start(request, pool, now_ms):
+                    fair_queue.push(request)
+                    break
+
+    def _start(self, request: Request, pool: str, now_ms: int) -> bool:
+        pending = self._state.pending.find(request.request_id)
+        if pending is None:
+            return True
+        worker = self._state.workers.choose(
+            pool, now_ms, pending.tried_workers, pending.avoided_racks
+        ) or self._state.workers.choose(pool, now_ms, pending.tried_workers)
+        if worker is None:
+            return False
+        assert self._state.snapshot is not None
+        found = self._state.snapshot.configuration.queues_by_name[request.queue]
+        task_id = self.attempts.start(request, found, worker)
+        if task_id is None:
+            return False
+        if request.ticket:
+            self._state.tickets.started(request.ticket)
+        pending.task_id = task_id
+        pending.attempts += 1
+        self._state.fleet.count_started(request.team, request.service)
+        _log.event(
+            "routed request",
+            request_id=request.request_id,
+            queue=request.queue,
+            team=request.team or "-",
+            worker=worker.name,
+            zone=worker.zone,
+            attempt=pending.attempts,
+            waited_ms=now_ms - request.arrived_ms,
+        )
+        return True
+
+    def _attempt_ended(self, result: AttemptResult) -> None:
+        request = result.attempt.request
+        if result.last:
+            self._state.fleet.count_ended(request.team, request.service)
+        if result.end is AttemptEnd.RAN:
+            self._state.estimates.record(
+                request.queue,
+                self._state.clock.now_ms() - result.attempt.sent_ms,
+                0.0,
+                0,
+            )
+        pending = self._state.pending.find(request.request_id)
+        if pending is None or pending.task_id != result.attempt.task_id:
+            return
+        if result.end in (AttemptEnd.RAN, AttemptEnd.FAILED):
+            self._target_answered(pending, result)
+        elif not result.started:
+            self._not_started(pending, result)
+        elif result.last or request.idempotent:
+            self._attempt_broke(pending, result)
+
+    def _target_answered(self, pending: PendingRequest, result: AttemptResult) -> None:
+        request = pending.request
+        if result.end is AttemptEnd.RAN:
+            answer = Answer(
+                request_id=request.request_id,
+                outcome=Outcome.OK,
+                status=200,
+                body=result.body,
+                content_type=result.content_type,
+            )
+        else:
+            if self._retry(pending, result, certainly_not_started=False):
+                return
+            answer = problem_answer(
+                request.request_id,
+                TargetFailedError(
+                    "The target ran the request and it failed.",
+                    "Look at the target's own messages.",
+                ),
+            )
+        if request.ticket:
+            self._state.tickets.finish(
+                request.ticket, answer, self._state.clock.now_ms()
+            )
+        self.flow.finish(pending, answer)
+
+    def _not_started(self, pending: PendingRequest, result: AttemptResult) -> None:
+        if result.kind == "does-not-fit":
+            pending.misfits += 1
+            if pending.misfits >= MISFITS_TO_REFUSE:
+                self.flow.finish_not_run(
+                    pending,
+                    NeverFitsError(
+                        f"No worker of the pool fits queue {pending.request.queue!r}.",
+                        "Ask an operator to check the declared sizes.",
+                    ),
+                )
+                return
+        if self._retry(pending, result, certainly_not_started=True):
+            return
+        error = OverloadedError(
+            "No worker accepted the request in time.", "Retry later."
+        )
+        self.flow.finish_not_run(pending, error)
+
+    def _attempt_broke(self, pending: PendingRequest, result: AttemptResult) -> None:
+        if self._retry(pending, result, certainly_not_started=False):
+            return
+        request = pending.request
+        answer = problem_answer(
+            request.request_id,
+            UnknownOutcomeError(
+                f"The target gave no whole answer: {result.detail}.",
+                "Retry if the request is idempotent; else check with the target.",
+            ),
+        )
+        if request.ticket:
+            self._state.tickets.finish(
+                request.ticket, answer, self._state.clock.now_ms()
+            )
+        self.flow.finish(pending, answer)
+
+    def _retry(
+        self,
+        pending: PendingRequest,
+        result: AttemptResult,
+        certainly_not_started: bool,
+    ) -> bool:
+        now_ms = self._state.clock.now_ms()
+        request = pending.request
+        delay_ms = plan_retry(
+            request,
+            pending.attempts,
+            certainly_not_started,
+            now_ms,
+            self._state.retry_budget,
+            self._state.rng,
+        )
+        if delay_ms is None:
+            return False
+        pending.task_id = ""
+        if result.kind != "stale-token":
+            pending.tried_workers.add(result.attempt.worker.name)
+            pending.avoided_racks.add(result.attempt.worker.rack)
+        if result.kind == "draining":
+            self._state.fleet.add_leaving(result.attempt.worker.name)
+        _log.event(
+            "will retry request",
+            request_id=request.request_id,
+            worker=result.attempt.worker.name,
+            reason=result.kind or result.end.value,
+            delay_ms=delay_ms,
+        )
+
+        def requeue() -> None:
+            if self._state.pending.find(request.request_id) is not pending:
+                return
+            if request.service not in self._state.queues_by_service:
+                return
+            try:
+                self._state.queues_by_service[request.service].push(request)
+            except OverloadedError as error:
+                if certainly_not_started:
+                    self.flow.finish_not_run(pending, error)
+                else:
+                    self._attempt_broke(pending, result)
+
+        self._state.timers.add(now_ms + delay_ms, requeue)
+        return True
--- /dev/null
+++ b/src/cranberrywheel/process/request_flow.py
@@ -0,0 +1,343 @@
+"""Requests between callers and queues: admission, tickets, deadlines, answers."""
+
+import dataclasses
+import typing as t
+from concurrent.futures import Future
+
+from cranberrywheel.errors import (
+    CancelledError,
+    CranberrywheelError,
+    DeadlineError,
+    NeverFitsError,
+    NotReadyError,
+    OverloadedError,
+    RequestError,
+    TicketExpiredError,
+    TicketRequiredError,
+    UnknownOutcomeError,
+    UnknownQueueError,
+)
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.process import messages as m
+from cranberrywheel.process.admission import (
+    authorize_team,
+    build_request,
+    find_queue,
+)
+from cranberrywheel.process.entry_state import EntryState
+from cranberrywheel.process.pending import PendingRequest, Waiter
+from cranberrywheel.request.model import Answer, Outcome, Request
+from cranberrywheel.request.problem import problem_answer
+from cranberrywheel.request.ticket import Claim, ClaimState, owner_of
+
+_log = PartLogger("request")
+
+
+class RequestFlow:
+    """Handles callers' messages; part of the dispatcher task.
+
+    :param state: the dispatcher's state.
+    :param stop_attempt: stops a task that nobody waits for.
+    """
+
+    def __init__(
+        self, state: EntryState, stop_attempt: t.Callable[[str], None]
+    ) -> None:
+        self._state = state
+        self._stop_attempt = stop_attempt
+
+    def submit(self, message: m.SubmitRequest) -> None:
+        """Admit a caller's request, or answer it at once."""
+        incoming = message.incoming
+        now_ms = self._state.clock.now_ms()
+        try:
+            request = self._admit(incoming, now_ms)
+            waiter = Waiter(incoming, message.answer, request.deadline_ms)
+            if request.ticket and self._answer_by_ticket(request, waiter, now_ms):
+                return
+            self._enqueue(request, waiter, now_ms)
+        except RequestError as error:
+            _log.event(
+                "refused request",
+                request_id=incoming.request_id,
+                queue=incoming.queue[:64],
+                kind=error.kind,
+            )
+            message.answer.set_result(problem_answer(incoming.request_id, error))
+
+    def _admit(self, incoming: m.IncomingRequest, now_ms: int) -> Request:
+        if self._state.drained:
+            raise NotReadyError(
+                "This instance is shutting down.", "Retry at another instance."
+            )
+        found = find_queue(self._state.snapshot, incoming.queue)
+        assert self._state.snapshot is not None
+        team = authorize_team(
+            self._state.snapshot,
+            found,
+            incoming.authorization,
+            self._state.freshness,
+            self._state.marked_ids,
+            self._state.settings,
+            now_ms,
+        )
+        request = build_request(incoming, found, team, self._state.settings, now_ms)
+        pool = self._state.snapshot.configuration.pool_of_queue(found.name)
+        if self._state.estimates.never_fits(found.name, pool.cores, pool.memory_mb):
+            raise NeverFitsError(
+                f"Requests of queue {found.name!r} use more than a worker of pool "
+                f"{pool.name!r} has.",
+                "Ask an operator for a pool of larger workers.",
+            )
+        if not found.idempotent and not incoming.idempotency_key:
+            raise TicketRequiredError(
+                f"Queue {found.name!r} is not idempotent and needs a ticket.",
+                "Send the ticket from Next-Idempotency-Key as Idempotency-Key.",
+            )
+        return request
+
+    def _answer_by_ticket(self, request: Request, waiter: Waiter, now_ms: int) -> bool:
+        """Handle a ticket that needs no new run here.
+
+        :returns: false if the request is new and this process may start it.
+        """
+        try:
+            owner = owner_of(request.ticket)
+        except RequestError:
+            raise TicketRequiredError(
+                "The Idempotency-Key is not a ticket of this system.",
+                "Send the ticket from Next-Idempotency-Key as Idempotency-Key.",
+            ) from None
+        if owner != self._state.process_id and not waiter.incoming.forwarded:
+            peer = self._state.fleet.peer_address(owner)
+            if peer:
+                self._forward(peer, waiter)
+                return True
+        claim = self._state.tickets.claim(
+            request.ticket, request.team, request.queue, now_ms
+        )
+        if claim.state is ClaimState.NEW:
+            return False
+        if claim.state is ClaimState.RUNNING:
+            pending = self._state.pending.find_ticket(request.ticket)
+            if pending is not None:
+                self._state.pending.add_waiter(pending, waiter)
+                self._watch_deadline(waiter)
+                return True
+        self._answer(waiter, self._claimed_answer(request.request_id, claim))
+        return True
+
+    def _claimed_answer(self, request_id: str, claim: Claim) -> Answer:
+        if claim.state is ClaimState.FINISHED:
+            return dataclasses.replace(claim.answer, request_id=request_id)
+        if claim.state is ClaimState.NOT_RUN:
+            error: RequestError = TicketExpiredError(
+                "The ticket can no longer start its request, which was never run.",
+                "Send the request again with a fresh ticket.",
+            )
+        else:
+            error = UnknownOutcomeError(
+                "The process that could tell what became of the request is gone.",
+                "Check with the target before you send a new request.",
+            )
+        return problem_answer(request_id, error)
+
+    def _enqueue(self, request: Request, waiter: Waiter, now_ms: int) -> None:
+        self._state.retry_budget.note_request(now_ms)
+        try:
+            self._check_wait(request, now_ms)
+            self._state.queues_by_service[request.service].push(request)
+        except OverloadedError:
+            if request.ticket:
+                self._state.tickets.release(request.ticket, now_ms)
+            raise
+        self._state.pending.add(PendingRequest(request=request, waiters=[waiter]))
+        self._watch_deadline(waiter)
+
+    def _check_wait(self, request: Request, now_ms: int) -> None:
+        assert self._state.snapshot is not None
+        found = self._state.snapshot.configuration.queues_by_name[request.queue]
+        pool = self._state.snapshot.configuration.pool_of_queue(request.queue)
+        slots = (
+            self._state.fleet.slots_of_pool(pool.name) // self._state.fleet.entry_count
+        )
+        queued = len(self._state.queues_by_service[request.service])
+        wait_ms = self._state.estimates.wait_ms(
+            request.queue, found.run_ms, queued, max(1, slots)
+        )
+        if queued and now_ms + wait_ms > request.deadline_ms:
+            raise OverloadedError(
+                f"Queue {request.queue!r} would take {wait_ms / 1000:.1f} s, longer "
+                "than the deadline.",
+                "Retry later or with a longer Request-Timeout-Ms.",
+                retry_after_s=max(1, round(wait_ms / 1000)),
+            )
+
+    def _watch_deadline(self, waiter: Waiter) -> None:
+        def check() -> None:
+            if not waiter.answer.done():
+                self._deadline_passed(waiter)
+
+        self._state.timers.add(waiter.deadline_ms, check)
+
+    def _deadline_passed(self, waiter: Waiter) -> None:
+        pending = self._state.pending.find_waiter(waiter.incoming.request_id)
+        if pending is None:
+            return
+        request = pending.request
+        if self._state.queues_by_service[request.service].remove(request.request_id):
+            error: RequestError = DeadlineError(
+                "The deadline passed while the request was queued.",
+                "Retry later or with a longer Request-Timeout-Ms.",
+            )
+            self.finish_not_run(pending, error)
+            return
+        error = UnknownOutcomeError(
+            "The deadline passed while the request was running.",
+            "Ask GET /v1/requests/<ticket> later."
+            if request.ticket
+            else "Retry with a longer Request-Timeout-Ms.",
+        )
+        self._answer(waiter, problem_answer(request.request_id, error))
+        self._leave(pending, waiter)
+
+    def cancel(self, request_id: str) -> None:
+        """Handle a caller that disconnected.
+
+        :param request_id: id that the caller's connection was given.
+        """
+        pending = self._state.pending.find_waiter(request_id)
+        if pending is None:
+            return
+        waiter = next(w for w in pending.waiters if w.incoming.request_id == request_id)
+        request = pending.request
+        error = CancelledError("The caller disconnected.", "Send the request again.")
+        if len(pending.waiters) == 1 and self._state.queues_by_service[
+            request.service
+        ].remove(request.request_id):
+            _log.event("dropped a cancelled request", request_id=request_id)
+            self.finish_not_run(pending, error)
+            return
+        self._answer(waiter, problem_answer(request_id, error))
+        self._leave(pending, waiter)
+
+    def _leave(self, pending: PendingRequest, waiter: Waiter) -> None:
+        """Drop a waiter of a request that is running or between attempts.
+
+        A non-idempotent task runs on: stopping it half-way would leave an unknown
+        outcome, and the ticket's owner can still report its result.
+        """
+        self._state.pending.drop_waiter(pending, waiter)
+        if pending.waiters or not pending.request.idempotent:
+            return
+        self._state.pending.remove(pending)
+        if pending.task_id:
+            self._stop_attempt(pending.task_id)
+
+    def finish_not_run(self, pending: PendingRequest, error: RequestError) -> None:
+        """Answer a request that certainly was not started."""
+        if pending.request.ticket:
+            self._state.tickets.release(
+                pending.request.ticket, self._state.clock.now_ms()
+            )
+        self.finish(pending, problem_answer(pending.request.request_id, error))
+
+    def finish(self, pending: PendingRequest, answer: Answer) -> None:
+        """Answer every caller that waits for a request."""
+        for waiter in self._state.pending.remove(pending):
+            self._answer(waiter, answer)
+
+    @staticmethod
+    def _answer(waiter: Waiter, answer: Answer) -> None:
+        if not waiter.answer.done():
+            waiter.answer.set_result(
+                dataclasses.replace(answer, request_id=waiter.incoming.request_id)
+            )
+
+    def _forward(self, peer_address: str, waiter: Waiter) -> None:
+        timeout_ms = max(1, waiter.deadline_ms - self._state.clock.now_ms())
+        _log.event(
+            "forwarded request",
+            request_id=waiter.incoming.request_id,
+            peer=peer_address,
+        )
+
+        def copy(done: "Future[Answer]") -> None:
+            error = done.exception()
+            if error is None:
+                self._answer(waiter, done.result())
+            elif isinstance(error, CranberrywheelError):
+                self._answer(waiter, problem_answer(waiter.incoming.request_id, error))
+            else:
+                unknown = UnknownOutcomeError(
+                    "The owner of the ticket did not answer.", "Retry the ticket."
+                )
+                self._answer(
+                    waiter, problem_answer(waiter.incoming.request_id, unknown)
+                )
+
+        incoming = dataclasses.replace(waiter.incoming, forwarded=True)
+        self._state.links.forward(peer_address, incoming, timeout_ms).add_done_callback(
+            copy
+        )
+
+    def issue_tickets(self, message: m.IssueTickets) -> None:
+        """Issue tickets to the team of a key."""
+        now_ms = self._state.clock.now_ms()
+        try:
+            found = find_queue(self._state.snapshot, message.queue)
+            assert self._state.snapshot is not None
+            team = authorize_team(
+                self._state.snapshot,
+                found,
+                message.authorization,
+                self._state.freshness,
+                self._state.marked_ids,
+                self._state.settings,
+                now_ms,
+            )
+            message.tickets.set_result(
+                [
+                    self._state.tickets.issue(team, message.queue, now_ms)
+                    for _ in range(message.count)
+                ]
+            )
+        except RequestError as error:
+            message.tickets.set_exception(error)
+
+    def query_ticket(self, message: m.QueryTicket) -> None:
+        """Tell what is known about a ticket."""
+        now_ms = self._state.clock.now_ms()
+        try:
+            claim = self._state.tickets.query(message.ticket, now_ms)
+        except RequestError as error:
+            message.answer.set_result(problem_answer("", error))
+            return
+        if claim.state is ClaimState.RUNNING:
+            body = b'{"state":"running"}'
+            message.answer.set_result(
+                Answer(
+                    request_id="",
+                    outcome=Outcome.UNKNOWN,
+                    status=202,
+                    body=body,
+                    content_type="application/json",
+                )
+            )
+            return
+        message.answer.set_result(self._claimed_answer("", claim))
+
+    def drop_removed_queues(self) -> None:
+        """Refuse what is queued for queues that the new version lacks."""
+        assert self._state.snapshot is not None
+        for pending in self._state.pending:
+            request = pending.request
+            if request.queue in self._state.snapshot.configuration.queues_by_name:
+                continue
+            if self._state.queues_by_service[request.service].remove(
+                request.request_id
+            ):
+                error = UnknownQueueError(
+                    "The queue was removed.", "Use another queue."
+                )
+                self.finish_not_run(pending, error)
--- /dev/null
+++ b/src/cranberrywheel/programs/operator.py
@@ -0,0 +1,316 @@
+"""``cranberrywheel``: the operators' command line."""
+
+import json
+import os
+import time
+import typing as t
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+import cranberrywheel
+from cranberrywheel.errors import ConfigurationError, CranberrywheelError
+from cranberrywheel.programs.operator_client import EntryClient, OperatorCallError
+from cranberrywheel.version.configuration import Configuration, parse_configuration
+from cranberrywheel.version.differences import list_differences
+
+WAIT_S = 10.0
+POLL_S = 0.2
+#: Exit codes: refused or failed, and wrong usage.
+REFUSED, USAGE = 1, 2
+
+ENTRY = option(
+    "entry",
+    "e",
+    "URL of an entry instance; repeat it for each.",
+    flag=False,
+    multiple=True,
+)
+TOKEN_FILE = option(
+    "token-file",
+    None,
+    "File with the operators' token; default from CRANBERRYWHEEL_TOKEN_FILE.",
+    flag=False,
+)
+JSON = option("json", None, "Print JSON.")
+FILE = argument("file", "The operators' text.")
+
+
+def read_configuration(path: str) -> tuple[str, Configuration]:
+    """Read and validate a text file.
+
+    :param path: path of the operators' text.
+    :returns: the text and the configuration.
+    :raises ConfigurationError: if it cannot be read or is invalid.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigurationError(
+            f"{path} cannot be read: {error}.", "Check the path."
+        ) from None
+    return text, parse_configuration(text)
+
+
+class OperatorCommand(Command):
+    """Base of the commands: finds instances, prints results and errors."""
+
+    def handle(self) -> int:
+        try:
+            return self.work()
+        except CranberrywheelError as error:
+            if self.option("json"):
+                self.line(
+                    json.dumps(
+                        {
+                            "error": error.kind,
+                            "message": error.message,
+                            "remedy": error.remedy,
+                        }
+                    )
+                )
+            else:
+                self.line_error(f"<error>{error}</error>")
+            return REFUSED
+
+    def work(self) -> int:
+        """Run the command; returns the exit code."""
+        raise NotImplementedError
+
+    def clients(self) -> list[EntryClient]:
+        """Return a client per ``--entry``."""
+        urls = (
+            self.option("entry") or os.environ.get("CRANBERRYWHEEL_ENTRY", "").split()
+        )
+        path = self.option("token-file") or os.environ.get(
+            "CRANBERRYWHEEL_TOKEN_FILE", ""
+        )
+        if not urls or not path:
+            raise OperatorCallError(
+                "No entry instance or no token file is named.",
+                "Give --entry URL and --token-file FILE.",
+            )
+        try:
+            with open(path, encoding="utf-8") as file:
+                token = file.read().strip()
+        except OSError as error:
+            raise OperatorCallError(
+                f"The token file cannot be read: {error}.", "Check --token-file."
+            ) from None
+        return [EntryClient(url, token) for url in urls]
+
+    def first_answer(
+        self, method: str, path: str, body: bytes | None = None, *headers: str
+    ) -> dict[str, t.Any]:
+        """Call the instances in turn until one can be reached."""
+        problem: OperatorCallError | None = None
+        for client in self.clients():
+            try:
+                return client.call(method, path, body, headers)
+            except OperatorCallError as error:
+                if error.status:
+                    raise
+                problem = error
+        assert problem is not None
+        raise problem
+
+    def show_result(self, result: t.Any, lines: t.Iterable[str]) -> None:
+        """Print JSON or lines, as asked."""
+        if self.option("json"):
+            self.line(json.dumps(result))
+        else:
+            for line in lines:
+                self.line(line)
+
+
+class CheckCommand(OperatorCommand):
+    name = "check"
+    description = "Validate a text without applying it."
+    help = "Example: cranberrywheel check fleet.ini"
+    arguments = [FILE]
+    options = [JSON]
+
+    def work(self) -> int:
+        _, configuration = read_configuration(self.argument("file"))
+        counts = {
+            "zones": len(configuration.regions_by_zone),
+            "pools": len(configuration.pools_by_name),
+            "workers": len(configuration.workers_by_name),
+            "services": len(configuration.services_by_name),
+            "queues": len(configuration.queues_by_name),
+            "teams": len(configuration.teams_by_name),
+        }
+        words = ", ".join(f"{count} {name}" for name, count in counts.items())
+        self.show_result({"valid": True, **counts}, [f"valid: {words}"])
+        return 0
+
+
+def wait_until_in_force(
+    clients: list[EntryClient], text_version: int
+) -> tuple[dict[str, str], list[str]]:
+    """Poll instances until all have a text version or the wait is over.
+
+    :returns: zone by URL of those that have it, and the URLs of the others.
+    """
+    zones_by_url: dict[str, str] = {}
+    deadline = time.monotonic() + WAIT_S
+    while True:
+        for client in clients:
+            if client.url in zones_by_url:
+                continue
+            try:
+                status = client.call("GET", "/v1/status")
+            except OperatorCallError:
+                continue
+            if status.get("text_version", 0) >= text_version:
+                zones_by_url[client.url] = str(status.get("zone"))
+        missing = [c.url for c in clients if c.url not in zones_by_url]
+        if not missing or time.monotonic() > deadline:
+            return zones_by_url, missing
+        time.sleep(POLL_S)
+
+
+class ApplyCommand(OperatorCommand):
+    name = "apply"
+    description = "Apply a text and wait until it is in force."
+    help = "Example: cranberrywheel apply fleet.ini --entry http://10.0.0.1:8000"
+    arguments = [FILE]
+    options = [
+        ENTRY,
+        TOKEN_FILE,
+        option("expect", None, "Text version that you edited.", flag=False),
+        JSON,
+    ]
+
+    def work(self) -> int:
+        text, configuration = read_configuration(self.argument("file"))
+        shown = self.first_answer("GET", "/v1/configuration")
+        old = parse_configuration(shown["text"]) if shown["text"] else None
+        changes = list_differences(old, configuration) if old else ["first text"]
+        if not self.option("json"):
+            for change in changes or ["no differences"]:
+                self.line(change)
+        expected = self.option("expect") or str(shown["text_version"])
+        answer = self.first_answer(
+            "PUT", "/v1/configuration", text.encode(), f'If-Match: "{expected}"'
+        )
+        version = int(answer["text_version"])
+        zones_by_url, missing = wait_until_in_force(self.clients(), version)
+        result = {
+            "text_version": version,
+            "differences": changes,
+            "in_force": zones_by_url,
+            "not_reached": missing,
+        }
+        lines = [f"text version {version} accepted"]
+        lines += [f"in force in {z}: {url}" for url, z in sorted(zones_by_url.items())]
+        lines += [f"not reached: {url}" for url in missing]
+        self.show_result(result, lines)
+        return REFUSED if missing else 0
+
+
+class ShowCommand(OperatorCommand):
+    name = "show"
+    description = "Print the text in force and the granted keys."
+    help = "Example: cranberrywheel show > fleet.ini"
+    options = [ENTRY, TOKEN_FILE, JSON]
+
+    def work(self) -> int:
+        shown = self.first_answer("GET", "/v1/configuration")
+        lines = [f"# text version {shown['text_version']}"]
+        lines += [f"# key {key['key_id']} of {key['team']}" for key in shown["keys"]]
+        self.show_result(shown, [*lines, shown["text"]])
+        return 0
+
+
+class GrantCommand(OperatorCommand):
+    name = "grant"
+    description = "Create a key for a team; it is printed once."
+    help = "Example: cranberrywheel grant head-office"
+    arguments = [argument("team", "Team that the key is for.")]
+    options = [ENTRY, TOKEN_FILE, JSON]
+
+    def work(self) -> int:
+        body = json.dumps({"team": self.argument("team")}).encode()
+        answer = self.first_answer("POST", "/v1/keys", body)
+        self.show_result(answer, [answer["key"]])
+        return 0
+
+
+class WithdrawCommand(OperatorCommand):
+    name = "withdraw"
+    description = "Withdraw a key by its id."
+    help = "Example: cranberrywheel withdraw 4f1c22aa90b1"
+    arguments = [argument("key", "Id of the key, as 'show' prints it.")]
+    options = [ENTRY, TOKEN_FILE, JSON]
+
+    def work(self) -> int:
+        answer = self.first_answer("DELETE", f"/v1/keys/{self.argument('key')}")
+        confirmed, rest = answer.get("confirmed", []), answer.get("unconfirmed", [])
+        stored = bool(answer.get("stored"))
+        lines = ["withdrawn in the store" if stored else "the store is unavailable"]
+        lines += [f"confirmed by {name}" for name in confirmed]
+        lines += [
+            f"not confirmed by {name}; it stops authenticated requests within the "
+            "freshness bound unless it has the withdrawal by then"
+            for name in rest
+        ]
+        self.show_result(answer, lines)
+        # Held by one entry alone, a withdrawal would be lost with that entry.
+        return 0 if stored or len(confirmed) > 1 else REFUSED
+
+
+class StatusCommand(OperatorCommand):
+    name = "status"
+    description = "Print pools, teams and the version in force per instance."
+    help = "Example: cranberrywheel status --json"
+    options = [ENTRY, TOKEN_FILE, JSON]
+
+    def work(self) -> int:
+        statuses: dict[str, t.Any] = {}
+        for client in self.clients():
+            try:
+                statuses[client.url] = client.call("GET", "/v1/status")
+            except OperatorCallError as error:
+                statuses[client.url] = {"error": error.message}
+        self.show_result(statuses, _status_lines(statuses))
+        return REFUSED if any("error" in s for s in statuses.values()) else 0
+
+
+def _status_lines(statuses: dict[str, t.Any]) -> t.Iterator[str]:
+    for url, status in statuses.items():
+        if "error" in status:
+            yield f"{url}: {status['error']}"
+            continue
+        yield (
+            f"{url}: zone {status['zone']}, version {status['version']} (text "
+            f"{status['text_version']}), {status['running']} running, "
+            f"{sum(status['queued_by_service'].values())} queued"
+        )
+        for team, usable in sorted(status["units_usable_by_team"].items()):
+            used = status["units_in_use_by_team"].get(team, 0)
+            yield f"  team {team}: {used} units in use, {usable} free here"
+        for pool, states in sorted(status["pools"].items()):
+            words = ", ".join(f"{n} {state}" for state, n in sorted(states.items()))
+            yield f"  pool {pool}: {words}"
+
+
+def main() -> None:
+    """Run the command line."""
+    application = Application("cranberrywheel", cranberrywheel.__version__)
+    for command in (
+        CheckCommand,
+        ApplyCommand,
+        ShowCommand,
+        GrantCommand,
+        WithdrawCommand,
+        StatusCommand,
+    ):
+        application.add(command())
+    raise SystemExit(application.run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cranberrywheel/programs/operator_client.py
@@ -0,0 +1,96 @@
+"""HTTP client of the operators' command line."""
+
+import dataclasses
+import io
+import json
+import typing as t
+
+import pycurl
+
+from cranberrywheel.errors import CranberrywheelError
+
+TIMEOUT_MS = 20_000
+
+
+class OperatorCallError(CranberrywheelError):
+    """An entry instance refused a call or could not be reached.
+
+    :param status: HTTP status, or 0 without an answer.
+    """
+
+    kind = "operator-call"
+
+    def __init__(self, message: str, remedy: str = "", status: int = 0) -> None:
+        super().__init__(message, remedy)
+        self.status = status
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryClient:
+    """Calls one entry instance.
+
+    :param url: base URL of the instance.
+    :param token: the operators' bearer token.
+    """
+
+    url: str
+    token: str
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: t.Sequence[str] = (),
+    ) -> dict[str, t.Any]:
+        """Make one call.
+
+        :param body: request body, or ``None`` for none.
+        :returns: the JSON object of the answer.
+        :raises OperatorCallError: with the instance's own message and remedy.
+        """
+        answer = io.BytesIO()
+        curl = pycurl.Curl()
+        curl.setopt(pycurl.URL, self.url.rstrip("/") + path)
+        curl.setopt(pycurl.CUSTOMREQUEST, method)
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.TIMEOUT_MS, TIMEOUT_MS)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, 2_000)
+        curl.setopt(pycurl.WRITEFUNCTION, answer.write)
+        if body is not None:
+            curl.setopt(pycurl.POSTFIELDS, body)
+        curl.setopt(
+            pycurl.HTTPHEADER,
+            [f"Authorization: Bearer {self.token}", "Expect:", *headers],
+        )
+        try:
+            curl.perform()
+            status = curl.getinfo(pycurl.RESPONSE_CODE)
+        except pycurl.error as error:
+            raise OperatorCallError(
+                f"{self.url} did not answer: {error.args[1]}.",
+                "Check --entry, or name another instance.",
+            ) from None
+        finally:
+            curl.close()
+        return _decode(self.url, status, answer.getvalue())
+
+
+def _decode(url: str, status: int, data: bytes) -> dict[str, t.Any]:
+    try:
+        body = json.loads(data)
+    except ValueError:
+        body = None
+    if not isinstance(body, dict):
+        raise OperatorCallError(
+            f"{url} answered with status {status} and no JSON.",
+            "Check that --entry names an entry instance.",
+            status,
+        )
+    if status >= 400:
+        raise OperatorCallError(
+            str(body.get("detail", f"status {status}")),
+            str(body.get("remedy", "")),
+            status,
+        )
+    return body
