Never resend a non-idempotent start and report unsent forwards as unknown

Cause: libcurl repeats a request on a reused connection that dies before the first answer byte, and a failed forward of a ticket was answered not-run although an earlier call with the ticket may have run. Change: fresh connections for non-idempotent starts; every failed forward is unknown.

--- a/src/cranberrywheel/connection/target_client.py
+++ b/src/cranberrywheel/connection/target_client.py
@@ -55,6 +55,7 @@
     cores: float
     memory_mb: int
     run_ms: int
+    idempotent: bool
     content_type: str
     traceparent: str
     body: bytes
@@ -340,6 +341,10 @@
         curl.setopt(pycurl.POSTFIELDS, message.body)
         curl.setopt(pycurl.HTTPHEADER, _attempt_headers(message))
         curl.setopt(pycurl.TIMEOUT_MS, message.timeout_ms)
+        if not message.idempotent:
+            # libcurl sends a request again when a reused connection dies before
+            # the first byte of the answer; on a fresh one it never does.
+            curl.setopt(pycurl.FRESH_CONNECT, 1)
         return
     curl.setopt(pycurl.TIMEOUT_MS, CONTROL_TIMEOUT_MS)
     if isinstance(message, FetchToken):
--- a/src/cranberrywheel/process/attempts.py
+++ b/src/cranberrywheel/process/attempts.py
@@ -183,6 +183,7 @@
                 cores=attempt.queue.cores,
                 memory_mb=attempt.queue.memory_mb,
                 run_ms=attempt.queue.run_ms,
+                idempotent=request.idempotent,
                 content_type=request.content_type,
                 traceparent=request.traceparent,
                 body=request.body,
--- a/src/cranberrywheel/process/request_flow.py
+++ b/src/cranberrywheel/process/request_flow.py
@@ -6,7 +6,6 @@
 
 from cranberrywheel.errors import (
     CancelledError,
-    CranberrywheelError,
     DeadlineError,
     NeverFitsError,
     NotReadyError,
@@ -266,9 +265,9 @@
             error = done.exception()
             if error is None:
                 self._answer(waiter, done.result())
-            elif isinstance(error, CranberrywheelError):
-                self._answer(waiter, problem_answer(waiter.incoming.request_id, error))
             else:
+                # Even an unsent forward leaves open whether an earlier call with
+                # this ticket ran.
                 unknown = UnknownOutcomeError(
                     "The owner of the ticket did not answer.", "Retry the ticket."
                 )
