--- /dev/null
+++ b/src/cranberrywheel_standin/main.py
@@ -0,0 +1,162 @@
+"""Command line of the stand-ins: ``cranberrywheel-standin``."""
+
+import dataclasses
+import json
+import signal
+import sys
+import threading
+import typing as t
+
+import pycurl
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from cranberrywheel_standin.platform import Platform, PlatformApp
+from cranberrywheel_standin.serving import Server
+from cranberrywheel_standin.worker import Task, Worker, WorkerConfig
+from cranberrywheel_standin.worker_app import WorkerApp
+
+CALL_TIMEOUT_MS = 2_000
+
+
+def call(method: str, url: str, body: t.Any) -> int:
+    """Send JSON to another stand-in.
+
+    :returns: the HTTP status.
+    :raises pycurl.error: without an answer.
+    """
+    curl = pycurl.Curl()
+    curl.setopt(pycurl.URL, url)
+    curl.setopt(pycurl.CUSTOMREQUEST, method)
+    curl.setopt(pycurl.POSTFIELDS, json.dumps(body).encode())
+    curl.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"])
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.TIMEOUT_MS, CALL_TIMEOUT_MS)
+    curl.setopt(pycurl.WRITEFUNCTION, lambda chunk: None)
+    try:
+        curl.perform()
+        return int(curl.getinfo(pycurl.RESPONSE_CODE))
+    finally:
+        curl.close()
+
+
+def control_worker(address: str, action: str) -> None:
+    """Pass a drain, undrain or reboot on to a worker.
+
+    A worker that does not answer is logged only: the platform has accepted the
+    action, and the planner sees the worker's state itself.
+    """
+    try:
+        call("POST", f"http://{address}/v1/control/{action}", {})
+    except pycurl.error as error:
+        print(f"worker {address} did not answer {action}: {error}", file=sys.stderr)
+
+
+def _wait_for_signal() -> None:
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    stopped.wait()
+
+
+class PlatformCommand(Command):
+    """Runs the platform stand-in."""
+
+    name = "platform"
+    description = "Run the key-value service, instance list and pools."
+    options = [
+        option(
+            "host", None, "IP number to listen on.", flag=False, default="127.0.0.1"
+        ),
+        option("port", None, "Port; 0 picks one.", flag=False, default="0"),
+    ]
+
+    def handle(self) -> int:
+        app = PlatformApp(Platform(), control_worker)
+        server = Server(self.option("host"), int(self.option("port")), app)
+        server.start()
+        print(f"platform listening on {server.address}", flush=True)
+        _wait_for_signal()
+        return 0
+
+
+def load_configs(path: str) -> list[WorkerConfig]:
+    """Read a JSON list of workers; keys are the fields of ``WorkerConfig``."""
+    with open(path, encoding="utf-8") as file:
+        return [WorkerConfig(**row) for row in json.load(file)]
+
+
+def start_worker(
+    config: WorkerConfig,
+    platform_url: str,
+    record: t.Callable[[str, str, Task], None],
+    checkpoints: dict[str, float],
+) -> Server:
+    """Serve one worker and enter it in the platform's instance list."""
+    worker = Worker(config, record=record, checkpoints=checkpoints)
+    server = Server(config.host, config.port, WorkerApp(worker))
+    server.start()
+    if platform_url:
+        row = {
+            "kind": "worker",
+            "zone": config.zone,
+            "rack": config.rack,
+            "address": server.address,
+            "state": "live",
+            "cores": config.cores,
+            "memory_mb": config.memory_mb,
+        }
+        call("PUT", f"{platform_url}/v1/instances/{config.name}", row)
+    return server
+
+
+class WorkerCommand(Command):
+    """Runs worker stand-ins."""
+
+    name = "worker"
+    description = "Run one worker, or all workers of a JSON file."
+    options = [
+        option("config", None, "JSON list of workers.", flag=False),
+        option("platform", None, "Base URL of the platform.", flag=False, default=""),
+        option("history", None, "File for task events.", flag=False),
+        *(
+            option(f.name.replace("_", "-"), None, "One worker: see --config.", False)
+            for f in dataclasses.fields(WorkerConfig)
+            if f.name != "name"
+        ),
+        option("name", None, "One worker: its name.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        checkpoints: dict[str, float] = {}
+        for config in self._configs():
+            server = start_worker(
+                config, self.option("platform"), lambda *_: None, checkpoints
+            )
+            print(f"worker {config.name} listening on {server.address}", flush=True)
+        print("workers ready", flush=True)
+        _wait_for_signal()
+        return 0
+
+    def _configs(self) -> list[WorkerConfig]:
+        if self.option("config"):
+            return load_configs(self.option("config"))
+        values = {}
+        for field in dataclasses.fields(WorkerConfig):
+            text = self.option(field.name.replace("_", "-"))
+            if text is not None:
+                values[field.name] = t.cast(type, field.type)(text)
+        return [WorkerConfig(**values)]
+
+
+def main() -> None:
+    """Run the command line."""
+    application = Application("cranberrywheel-standin")
+    application.add(PlatformCommand())
+    application.add(WorkerCommand())
+    application.run()
+
+
+if __name__ == "__main__":
+    main()
