Write task histories from the worker stand-in and test it

Cause: the history checker needs task starts and ends from the workers.

Conclusion: histories of workers follow the format of the checker.

--- a/src/cranberrywheel_standin/main.py
+++ b/src/cranberrywheel_standin/main.py
@@ -12,6 +12,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from cranberrywheel_standin.history import HistoryWriter
 from cranberrywheel_standin.platform import Platform, PlatformApp
 from cranberrywheel_standin.serving import Server
 from cranberrywheel_standin.worker import Task, Worker, WorkerConfig
@@ -81,6 +82,23 @@
         return 0
 
 
+def task_recorder(history: HistoryWriter) -> t.Callable[[str, str, Task], None]:
+    """Return a function that writes task starts and ends to a history."""
+
+    def record(event: str, worker: str, task: Task) -> None:
+        # A task id is unique per worker only: a retry elsewhere may repeat it.
+        fields = {"worker": worker, "task": f"{worker}/{task.order.task_id}"}
+        if event == "task_start":
+            order = task.order
+            fields |= {"request": order.request, "team": order.team}
+            history.write(event, queue=order.queue, **fields)
+        else:
+            how = "expired" if task.reason == "lease-expired" else task.state
+            history.write(event, how=how, **fields)
+
+    return record
+
+
 def load_configs(path: str) -> list[WorkerConfig]:
     """Read a JSON list of workers; keys are the fields of ``WorkerConfig``."""
     with open(path, encoding="utf-8") as file:
@@ -130,10 +148,9 @@
 
     def handle(self) -> int:
         checkpoints: dict[str, float] = {}
+        record = task_recorder(HistoryWriter(self.option("history") or ""))
         for config in self._configs():
-            server = start_worker(
-                config, self.option("platform"), lambda *_: None, checkpoints
-            )
+            server = start_worker(config, self.option("platform"), record, checkpoints)
             print(f"worker {config.name} listening on {server.address}", flush=True)
         print("workers ready", flush=True)
         _wait_for_signal()
--- a/src/cranberrywheel_standin/worker.py
+++ b/src/cranberrywheel_standin/worker.py
@@ -84,7 +84,7 @@
 
     :param deadline_ms: time left until the task is useless; 0 for none.
     :param checkpoint: id of a checkpointed task to continue.
-    :param call: the caller's own id of the request, for the history.
+    :param request: the caller's token of the call, for the history.
     """
 
     task_id: str
@@ -97,7 +97,7 @@
     cores: float = 1.0
     memory_mb: int = 0
     checkpoint: str = ""
-    call: str = ""
+    request: str = ""
     body_digest: str = ""
 
 
@@ -139,7 +139,7 @@
 
     :param config: name, place and size.
     :param now_ms: own clock; replaceable in tests.
-    :param record: receives ``task-started`` and ``task-ended`` with the task.
+    :param record: receives ``task_start`` and ``task_end``, worker name and task.
     :param checkpoints: work left by checkpointed task; workers that share it
         can continue each other's tasks.
     """
@@ -222,7 +222,7 @@
                 remaining_ms=work_ms * self.faults.slow_factor,
             )
             self._running_by_id[order.task_id] = task
-            self._record("task-started", config.name, task)
+            self._record("task_start", config.name, task)
             if self.faults.fail:
                 self._end(task, "failed", "fault")
             return task
@@ -234,7 +234,7 @@
         self._ended_by_id[task.order.task_id] = task
         if len(self._ended_by_id) > MAX_ENDED_TASKS:
             self._ended_by_id.popitem(last=False)
-        self._record("task-ended", self.config.name, task)
+        self._record("task_end", self.config.name, task)
         self.changed.notify_all()
 
     def _settle(self) -> None:
@@ -262,6 +262,12 @@
                 wait_ms = task.next_change_ms() - self._now_ms()
                 self.changed.wait(min(max(wait_ms, 0) / 1000 + 0.001, MAX_WAIT_S))
 
+    def find_other(self, task: Task) -> Task | None:
+        """Return the newest other task, for a crossed answer."""
+        with self.changed:
+            others = [*self._ended_by_id.values(), *self._running_by_id.values()]
+        return next((other for other in reversed(others) if other is not task), None)
+
     def find(self, task_id: str) -> Task | None:
         """Return a task that runs or that ended since the last boot."""
         with self.changed:
--- a/src/cranberrywheel_standin/worker_app.py
+++ b/src/cranberrywheel_standin/worker_app.py
@@ -42,7 +42,7 @@
 ) -> StartOrder:
     """Read a start from the headers and, if it is JSON, the body.
 
-    The body may state ``run_ms`` and ``call``, because entry instances pass on
+    The body may state ``run_ms`` and ``request``, because entry instances pass on
     the caller's body but not the caller's headers.
     """
     headers, body = request.headers, request.get_data()
@@ -64,7 +64,7 @@
         cores=float(headers.get("Cores", 1)),
         memory_mb=int(headers.get("Memory-Mb", 0)),
         checkpoint=headers.get("Checkpoint", ""),
-        call=str(stated.get("call", "")),
+        request=str(stated.get("request", "")),
         body_digest=digest(body),
     )
 
@@ -136,11 +136,27 @@
 
     def _answer(self, request: werkzeug.Request, task: Task) -> werkzeug.Response:
         faults = self.worker.faults
-        while faults.freeze:
+        while self.worker.faults.freeze:
             time.sleep(FREEZE_POLL_S)
         if faults.late_ms:
             time.sleep(faults.late_ms / 1000)
-        shown_id, shown_digest = task.order.task_id, task.order.body_digest
+        shown = self._damage(request, task)
+        headers = {"Task_Id": shown.order.task_id, **self._state_headers()}
+        if shown.state == "failed" or shown.state == "stopped":
+            kind = shown.reason if shown.state == "stopped" else "task-failed"
+            body = {"kind": kind, "task": shown.order.task_id}
+            return _json(body, 500, **headers)
+        body = {
+            "task": shown.order.task_id,
+            "digest": shown.order.body_digest,
+            "request": shown.order.request,
+            "worker": self.worker.config.name,
+        }
+        return _json(body, 200, **headers)
+
+    def _damage(self, request: werkzeug.Request, task: Task) -> Task:
+        """Apply one pending answer fault; returns the task whose answer to send."""
+        faults = self.worker.faults
         with self.worker.changed:
             if faults.lose_answers > 0:
                 faults.lose_answers -= 1
@@ -148,21 +164,10 @@
             elif faults.truncate > 0:
                 faults.truncate -= 1
                 request.environ[WIRE_FAULT] = TRUNCATE
-            elif faults.cross > 0:
+            elif faults.cross > 0 and (other := self.worker.find_other(task)):
                 faults.cross -= 1
-                shown_id += ".crossed"
-                shown_digest = digest(shown_id.encode())
-        headers = {"Task_Id": shown_id, **self._state_headers()}
-        if task.state == "finished":
-            body = {
-                "task": shown_id,
-                "digest": shown_digest,
-                "call": task.order.call,
-                "worker": self.worker.config.name,
-            }
-            return _json(body, 200, **headers)
-        kind = task.reason if task.state == "stopped" else "task-failed"
-        return _json({"kind": kind, "task": shown_id}, 500, **headers)
+                return other
+        return task
 
     @staticmethod
     def _row(task: Task) -> dict[str, t.Any]:
--- /dev/null
+++ b/tests/test_worker.py
@@ -0,0 +1,149 @@
+import json
+
+import testtools
+from werkzeug.test import Client
+
+from cranberrywheel.clock import ManualClock
+from cranberrywheel_standin.main import task_recorder
+from cranberrywheel_standin.worker import (
+    StartOrder,
+    StartRefusedError,
+    Worker,
+    WorkerConfig,
+    WorkerFaults,
+)
+from cranberrywheel_standin.worker_app import WorkerApp, digest
+
+
+class WorkerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(10_000)
+        self.events = []
+        self.worker = Worker(
+            WorkerConfig(name="a-1", slots=2),
+            self.clock.now_ms,
+            task_recorder(self),
+        )
+
+    def write(self, event, **fields):
+        self.events.append((event, fields.get("how")))
+
+    def start(self, task_id, token=None, **fields):
+        token = token or self.worker.start_token()
+        values = {"lease_ms": 10_000, "run_ms": 1_000, **fields}
+        return self.worker.start(StartOrder(task_id=task_id, token=token, **values))
+
+    def assert_refused(self, kind, *args, **fields):
+        error = self.assertRaises(StartRefusedError, self.start, *args, **fields)
+        self.assertEqual(kind, error.kind)
+
+    def test_tokens_of_a_paused_sender_or_an_earlier_boot_are_refused(self):
+        token = self.worker.start_token()
+        self.clock.advance(2_000)
+        self.start("t1", token)
+        self.clock.advance(1)
+        self.assert_refused("stale-token", "t2", token)
+        self.assert_refused("stale-token", "t2", "garbage")
+        earlier = self.worker.start_token()
+        self.worker.control("reboot")
+        self.assert_refused("stale-token", "t2", earlier)
+
+    def test_a_task_id_runs_once_on_a_worker(self):
+        self.start("t1")
+        self.assert_refused("duplicate", "t1")
+        self.clock.advance(1_000)
+        self.assertEqual("finished", self.worker.find("t1").state)
+        self.assert_refused("duplicate", "t1")
+
+    def test_a_task_without_renewal_stops_at_its_lease_end(self):
+        kept, lost = [self.start(i, run_ms=60_000) for i in ("kept", "lost")]
+        self.clock.advance(9_999)
+        self.worker.renew(kept, self.worker.start_token(), 10_000)
+        self.clock.advance(1)
+        self.assertEqual(["kept"], [x.order.task_id for x in self.worker.running()])
+        self.assertEqual("lease-expired", lost.reason)
+        self.assertIn(("task_end", "expired"), self.events)
+        stale = self.worker.start_token()
+        self.clock.advance(2_001)
+        self.assertRaises(StartRefusedError, self.worker.renew, kept, stale, 10_000)
+
+    def test_a_draining_or_full_worker_refuses_and_finishes_its_tasks(self):
+        running = self.start("t1")
+        self.worker.control("drain")
+        self.assert_refused("draining", "t2")
+        self.clock.advance(1_000)
+        self.assertEqual([], self.worker.running())
+        self.assertEqual("finished", running.state)
+        self.worker.control("undrain")
+        self.start("t2")
+        self.start("t3")
+        self.assert_refused("busy", "t4")
+        self.assert_refused("does-not-fit", "t4", cores=33)
+        self.assert_refused("does-not-fit", "t4", memory_mb=1_000_000)
+
+    def test_throttling_and_checkpoints_free_slots_and_keep_progress(self):
+        slow, saved = self.start("slow"), self.start("saved")
+        self.clock.advance(400)
+        self.worker.throttle(slow, 0.0)
+        self.assertEqual(1, self.worker.slots_free())
+        self.assertTrue(self.worker.checkpoint(saved))
+        resumed = self.start("resumed", checkpoint="saved")
+        self.clock.advance(600)
+        self.assertEqual([slow], self.worker.running())
+        self.assertEqual("finished", resumed.state)
+
+    def test_a_stop_is_confirmed_only_after_the_task_has_stopped(self):
+        task = self.start("t1")
+        self.worker.stop(task)
+        self.assertEqual("running", self.worker.find("t1").state)
+        self.clock.advance(self.worker.config.stop_ms)
+        self.worker.wait(task)
+        self.assertEqual(("stopped", "stop-requested"), (task.state, task.reason))
+
+
+class WorkerAppTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.worker = Worker(WorkerConfig(name="a-1", run_ms=1))
+        self.client = Client(WorkerApp(self.worker))
+
+    def run_task(self, task_id, **stated):
+        headers = {"Start-Token": self.worker.start_token(), "Team": "north"}
+        data = json.dumps({"request": f"call-{task_id}", **stated})
+        answer = self.client.put(f"/v1/tasks/{task_id}", data=data, headers=headers)
+        return answer, data.encode()
+
+    def test_an_answer_shows_whose_request_it_answers(self):
+        answer, body = self.run_task("t1")
+        self.assertEqual(200, answer.status_code)
+        self.assertEqual("t1", answer.headers["Task-Id"])
+        self.assertEqual(digest(body), answer.json["digest"])
+        self.assertEqual("call-t1", answer.json["request"])
+        self.assertEqual("8", answer.headers["Slots-Free"])
+        headers = {"Start-Token": answer.headers["Next-Start-Token"]}
+        refused = self.client.put("/v1/tasks/t1", data=b"{}", headers=headers)
+        self.assertEqual(
+            (409, "duplicate"), (refused.status_code, refused.json["kind"])
+        )
+
+    def test_faults_fail_or_cross_answers(self):
+        self.run_task("t1")
+        self.worker.faults = WorkerFaults(cross=1)
+        answer, _ = self.run_task("t2")
+        self.assertEqual("t1", answer.headers["Task-Id"])
+        self.worker.faults = WorkerFaults(fail=True)
+        answer, _ = self.run_task("t3", run_ms=60_000)
+        self.assertEqual(
+            (500, "task-failed"), (answer.status_code, answer.json["kind"])
+        )
+        self.assertEqual("failed", self.client.get("/v1/tasks/t3").json["state"])
+
+    def test_platform_control_reaches_the_task_list(self):
+        self.client.post("/v1/control/drain")
+        listed = self.client.get("/v1/tasks").json
+        self.assertEqual({"tasks": [], "draining": True}, listed)
+        answer, _ = self.run_task("t1")
+        self.assertEqual((409, "draining"), (answer.status_code, answer.json["kind"]))
+        self.client.post("/v1/control/reboot")
+        self.assertEqual(503, self.client.get("/v1/tasks").status_code)
