Add the load driver with bursts, cancellations and repeated tickets

Cause: limits, shares and at-most-once need load that bursts, is cancelled and is sent twice.

Change: cranberrywheel-load run plans Poisson arrivals per queue (five times the mean in its turn, a twentieth otherwise), sends them over one pycurl multi handle, cancels, repeats tickets and retries refusals, and writes a table, JSON with HDR percentiles and a history.

--- /dev/null
+++ b/src/cranberrywheel_load/main.py
@@ -0,0 +1,99 @@
+"""Command line of the load tool: ``cranberrywheel-load``."""
+
+import pathlib
+import random
+import typing as t
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from cranberrywheel.version.configuration import parse_configuration
+from cranberrywheel_load.driver import LoadDriver, monotonic_ms
+from cranberrywheel_load.pattern import LoadPlan, plan_arrivals
+from cranberrywheel_load.report import queue_table, summarize, write_json
+from cranberrywheel_standin.history import HistoryWriter
+
+#: time after the last arrival in which answers are waited for.
+ANSWER_WAIT_MS = 20_000
+
+
+def read_keys(path: str) -> dict[str, str]:
+    """Read ``team key`` lines."""
+    lines = pathlib.Path(path).read_text().splitlines()
+    return dict(line.split(None, 1) for line in lines if line.strip())
+
+
+def read_weights(text: str) -> dict[str, float]:
+    """Read ``team=weight,...``."""
+    pairs = (part.partition("=") for part in text.split(",") if part)
+    return {team: float(weight) for team, _, weight in pairs}
+
+
+def _value(name: str, text: str, default: str | None = None) -> t.Any:
+    return option(name, None, text, flag=False, default=default)
+
+
+class RunCommand(Command):
+    """Sends the calls of one plan to entry instances that are running."""
+
+    name = "run"
+    description = "Drive entry instances with bursts, cancellations and retries."
+    options = [
+        _value("entries", "Base URLs, separated by commas."),
+        _value("configuration", "The operators' text with queues and teams."),
+        _value("keys", "File of 'team key' lines."),
+        _value("seconds", "Length of the run.", "30"),
+        _value("surge-seconds", "Length of one queue's burst.", "3"),
+        _value("scale", "Factor on the mean rates.", "1"),
+        _value("cancel", "Part of the calls that are cancelled.", "0.6"),
+        _value("repeat", "Part of ticketed calls sent twice.", "0.1"),
+        _value("mix", "Weights as team=weight,...; default the shares.", ""),
+        _value("queues", "Queues to use, separated by commas; default all.", ""),
+        _value("max-calls", "Bound on the calls.", "100000"),
+        _value("seed", "Seed of the random choices.", "1"),
+        _value("json", "File for the summary and each call."),
+        _value("history", "File for the history.", ""),
+    ]
+
+    def handle(self) -> int:
+        text = pathlib.Path(self.option("configuration")).read_text()
+        configuration = parse_configuration(text)
+        seed = int(self.option("seed"))
+        rng = random.Random(seed)
+        plan = LoadPlan(
+            duration_ms=round(float(self.option("seconds")) * 1000),
+            surge_ms=round(float(self.option("surge-seconds")) * 1000),
+            scale=float(self.option("scale")),
+            cancel_fraction=float(self.option("cancel")),
+            repeat_fraction=float(self.option("repeat")),
+            max_calls=int(self.option("max-calls")),
+            queues=tuple(filter(None, self.option("queues").split(","))),
+            weights_by_team=read_weights(self.option("mix")),
+        )
+        keys = read_keys(self.option("keys")) if self.option("keys") else {}
+        history = HistoryWriter(self.option("history"))
+        history.write("meta", seed=seed)
+        arrivals = plan_arrivals(configuration, plan, rng)
+        self.line(f"seed={seed} calls={len(arrivals)}")
+        driver = LoadDriver(
+            self.option("entries").split(","), configuration, keys, rng, history
+        )
+        driver.run(arrivals, monotonic_ms() + plan.duration_ms + ANSWER_WAIT_MS)
+        summary = {"seed": seed, **summarize(driver.results)}
+        self.line(queue_table(summary))
+        self.line(f"useful/offered={summary['useful_over_offered']:.3f}")
+        if self.option("json"):
+            write_json(self.option("json"), summary, driver.results)
+        return 0
+
+
+def main() -> None:
+    """Run the command line."""
+    application = Application("cranberrywheel-load")
+    application.add(RunCommand())
+    application.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cranberrywheel_load/report.py
@@ -0,0 +1,98 @@
+"""Tables and JSON of what the callers saw."""
+
+import collections
+import dataclasses
+import json
+import pathlib
+import typing as t
+
+from hdrh.histogram import HdrHistogram
+
+from cranberrywheel_load.driver import CallResult
+
+#: highest value and precision of the latency histograms.
+MAX_LATENCY_MS = 3_600_000
+SIGNIFICANT_DIGITS = 3
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+def percentiles(values_ms: t.Iterable[float]) -> dict[str, float]:
+    """Return percentiles and the maximum of durations in milliseconds."""
+    histogram = HdrHistogram(1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
+    for value in values_ms:
+        histogram.record_value(min(max(round(value), 1), MAX_LATENCY_MS))
+    found = {f"p{p:g}": histogram.get_value_at_percentile(p) for p in PERCENTILES}
+    return {
+        "count": histogram.get_total_count(),
+        **found,
+        "max": histogram.get_max_value(),
+    }
+
+
+def useful_work(results: t.Sequence[CallResult]) -> float:
+    """Return the run time answered ``ok`` over the run time asked for.
+
+    Only calls that their caller did not plan to cancel count, each work once.
+    """
+    offered = {r.work: r.run_ms for r in results if r.wanted}
+    done = {r.work: r.run_ms for r in results if r.wanted and r.outcome == "ok"}
+    return sum(done.values()) / max(sum(offered.values()), 1)
+
+
+def summarize(results: t.Sequence[CallResult]) -> dict[str, t.Any]:
+    """Return outcome counts and latency percentiles of each queue."""
+    by_queue: dict[str, list[CallResult]] = collections.defaultdict(list)
+    for result in results:
+        by_queue[result.queue].append(result)
+    rows = {}
+    for queue, part in sorted(by_queue.items()):
+        answered = [r.done_ms - r.sent_ms for r in part if r.outcome == "ok"]
+        kinds = collections.Counter(r.kind for r in part if r.kind)
+        rows[queue] = {
+            "calls": len(part),
+            "outcomes": dict(collections.Counter(r.outcome for r in part)),
+            "kinds": dict(kinds),
+            "latency_ms": percentiles(answered),
+        }
+    return {"useful_over_offered": useful_work(results), "queues": rows}
+
+
+def format_table(header: t.Sequence[str], rows: t.Iterable[t.Sequence[t.Any]]) -> str:
+    """Return aligned columns; floats keep three decimals."""
+    texts = [
+        [f"{cell:.3f}" if isinstance(cell, float) else str(cell) for cell in row]
+        for row in rows
+    ]
+    widths = [
+        max(len(row[i]) for row in [list(header), *texts]) for i in range(len(header))
+    ]
+    lines = [list(header), *texts]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def queue_table(summary: t.Mapping[str, t.Any]) -> str:
+    """Return the summary as one line for each queue."""
+    outcomes = ("ok", "failed", "unknown", "not-run", "broken", "cancelled")
+    rows = [
+        [
+            queue,
+            row["calls"],
+            *(row["outcomes"].get(outcome, 0) for outcome in outcomes),
+            *(row["latency_ms"][p] for p in ("p50", "p99", "max")),
+        ]
+        for queue, row in summary["queues"].items()
+    ]
+    return format_table(["queue", "calls", *outcomes, "p50", "p99", "max"], rows)
+
+
+def write_json(
+    path: str, summary: t.Mapping[str, t.Any], results: t.Sequence[CallResult] = ()
+) -> None:
+    """Write a summary and, if given, each call."""
+    calls = [dataclasses.asdict(result) for result in results]
+    pathlib.Path(path).write_text(json.dumps({**summary, "calls": calls}, indent=1))
--- a/src/cranberrywheel_standin/main.py
+++ b/src/cranberrywheel_standin/main.py
@@ -7,40 +7,17 @@
 import threading
 import typing as t
 
-import pycurl
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import option
 
 from cranberrywheel_standin.history import HistoryWriter
+from cranberrywheel_standin.http_call import NoAnswerError, call_json
 from cranberrywheel_standin.platform import Platform, PlatformApp
 from cranberrywheel_standin.serving import Server
 from cranberrywheel_standin.worker import Task, Worker, WorkerConfig
 from cranberrywheel_standin.worker_app import WorkerApp
 
-CALL_TIMEOUT_MS = 2_000
-
-
-def call(method: str, url: str, body: t.Any) -> int:
-    """Send JSON to another stand-in.
-
-    :returns: the HTTP status.
-    :raises pycurl.error: without an answer.
-    """
-    curl = pycurl.Curl()
-    curl.setopt(pycurl.URL, url)
-    curl.setopt(pycurl.CUSTOMREQUEST, method)
-    curl.setopt(pycurl.POSTFIELDS, json.dumps(body).encode())
-    curl.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"])
-    curl.setopt(pycurl.NOSIGNAL, 1)
-    curl.setopt(pycurl.TIMEOUT_MS, CALL_TIMEOUT_MS)
-    curl.setopt(pycurl.WRITEFUNCTION, lambda chunk: None)
-    try:
-        curl.perform()
-        return int(curl.getinfo(pycurl.RESPONSE_CODE))
-    finally:
-        curl.close()
-
 
 def control_worker(address: str, action: str) -> None:
     """Pass a drain, undrain or reboot on to a worker.
@@ -49,8 +26,8 @@
     action, and the planner sees the worker's state itself.
     """
     try:
-        call("POST", f"http://{address}/v1/control/{action}", {})
-    except pycurl.error as error:
+        call_json("POST", f"http://{address}/v1/control/{action}", {})
+    except NoAnswerError as error:
         print(f"worker {address} did not answer {action}: {error}", file=sys.stderr)
 
 
@@ -125,7 +102,7 @@
             "cores": config.cores,
             "memory_mb": config.memory_mb,
         }
-        call("PUT", f"{platform_url}/v1/instances/{config.name}", row)
+        call_json("PUT", f"{platform_url}/v1/instances/{config.name}", row)
     return server
 
 
