Test the target client and ask workers for results of broken attempts

Cause: a worker that stopped a task answered 500 and was counted as "ran and failed"; a lost answer of a non-idempotent task had no way to its result. Change: a stopped task is an end of its own, GET /v1/tasks/<id>/result returns a result again, and the stand-in's wire faults work (run_wsgi_app copies environ).

--- a/src/cranberrywheel/connection/http_server.py
+++ b/src/cranberrywheel/connection/http_server.py
@@ -86,6 +86,10 @@
 class _Handler(WSGIRequestHandler):
     protocol_version = "HTTP/1.1"
     timeout = IDLE_TIMEOUT_S
+    # Headers and body leave in one segment; otherwise Nagle's algorithm delays
+    # small answers by up to 40 ms.
+    disable_nagle_algorithm = True
+    wbufsize = -1
 
     def log_request(self, code: t.Any = "-", size: t.Any = "-") -> None:
         """Requests are logged where they are decided."""
--- a/src/cranberrywheel/connection/target_client.py
+++ b/src/cranberrywheel/connection/target_client.py
@@ -18,6 +18,8 @@
 #: Refusals that the worker protocol defines as "not started". A ``duplicate``
 #: is not among them: the task may run under the same id.
 NOT_STARTED_KINDS = frozenset({"stale-token", "busy", "draining", "does-not-fit"})
+#: Kind of a 500 answer for a task that ran to its end and failed.
+TASK_FAILED_KIND = "task-failed"
 CONNECT_TIMEOUT_MS = 1_000
 CONTROL_TIMEOUT_MS = 5_000
 MAX_CONNECTIONS = 1_024
@@ -32,6 +34,8 @@
     RAN = "ran"
     #: The worker ran the task and reported a failure.
     FAILED = "failed"
+    #: The worker started the task and stopped it before its end.
+    STOPPED = "stopped"
     #: The worker refused before it started; see the result's ``kind``.
     REFUSED = "refused"
     #: Nothing was sent to the worker.
@@ -144,7 +148,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TaskQueried:
-    """From the target client: state of a task, or ``""`` without an answer."""
+    """From the target client: what became of a task.
+
+    :param state: ``finished``, ``failed``, ``stopped``, ``running``, ``absent``,
+        or ``""`` without a usable answer.
+    :param body: the result, if ``finished`` or ``failed``.
+    """
 
     task_id: str
     worker: str
@@ -350,7 +359,7 @@
     if isinstance(message, FetchToken):
         curl.setopt(pycurl.URL, f"{base}/start-token")
     elif isinstance(message, QueryTask):
-        curl.setopt(pycurl.URL, f"{base}/tasks/{message.task_id}")
+        curl.setopt(pycurl.URL, f"{base}/tasks/{message.task_id}/result")
     else:
         curl.setopt(pycurl.URL, f"{base}/tasks/{message.task_id}/{message.action}")
         curl.setopt(pycurl.POSTFIELDS, b"")
@@ -389,15 +398,10 @@
             worker=message.worker, token=token, asked_ms=transfer.asked_ms
         )
     if isinstance(message, QueryTask):
-        state = "absent" if status == 404 else ""
-        if status == 200:
-            state = transfer.headers.get("task-state") or str(
-                transfer.json().get("state", "")
-            )
         return TaskQueried(
             task_id=message.task_id,
             worker=message.worker,
-            state=state,
+            state=_queried_state(transfer, status),
             body=transfer.body.getvalue(),
             content_type=transfer.headers.get("content-type", ""),
         )
@@ -410,6 +414,24 @@
     )
 
 
+def _end_of(transfer: _Transfer, status: int) -> AttemptEnd:
+    if 200 <= status < 300:
+        return AttemptEnd.RAN
+    failed = transfer.json().get("kind") == TASK_FAILED_KIND
+    return AttemptEnd.FAILED if failed else AttemptEnd.STOPPED
+
+
+def _queried_state(transfer: _Transfer, status: int) -> str:
+    if status == 404:
+        return "absent"
+    if status == 409:
+        return "running"
+    if transfer.headers.get("task-id") != transfer.message.task_id:
+        return ""
+    ends = {AttemptEnd.RAN: "finished", AttemptEnd.FAILED: "failed"}
+    return ends.get(_end_of(transfer, status), "stopped")
+
+
 def _attempt_result(
     transfer: _Transfer, code: int, text: str, status: int
 ) -> AttemptFinished:
@@ -434,7 +456,7 @@
             worker=message.worker,
         )
     else:
-        end = AttemptEnd.RAN if 200 <= status < 300 else AttemptEnd.FAILED
+        end = _end_of(transfer, status)
         detail = f"the worker answered with status {status}"
     slots_free = transfer.headers.get("slots-free", "")
     return AttemptFinished(
--- a/src/cranberrywheel/process/attempts.py
+++ b/src/cranberrywheel/process/attempts.py
@@ -392,6 +392,8 @@
         return AttemptVerdict.OK
     if message.end is AttemptEnd.FAILED:
         return AttemptVerdict.FAILED
+    if message.end is AttemptEnd.STOPPED:
+        return AttemptVerdict.CANCELLED
     if message.end is AttemptEnd.NOT_SENT:
         return AttemptVerdict.UNREACHABLE
     return AttemptVerdict.REFUSED
--- a/src/cranberrywheel_standin/serving.py
+++ b/src/cranberrywheel_standin/serving.py
@@ -11,7 +11,7 @@
 from werkzeug.serving import ThreadedWSGIServer, WSGIRequestHandler
 from werkzeug.test import run_wsgi_app
 
-#: environ key that an application sets to damage its answer on the wire.
+#: environ key of a list; an application appends a fault to damage its answer.
 WIRE_FAULT = "standin.wire_fault"
 #: send the headers and half of the body, then close the connection.
 TRUNCATE = "truncate"
@@ -31,9 +31,13 @@
         environ = self.make_environ()
         length = int(self.headers.get("Content-Length") or 0)
         environ["wsgi.input"] = io.BytesIO(self.rfile.read(length))
+        # run_wsgi_app passes on a copy of environ, so the application appends to
+        # a list that both share.
+        faults: list[str] = []
+        environ[WIRE_FAULT] = faults
         chunks, status, headers = run_wsgi_app(self.server.app, environ)
         body = b"".join(chunks)
-        fault = environ.get(WIRE_FAULT)
+        fault = faults[0] if faults else ""
         if fault == DROP:
             self.close_connection = True
             return
--- a/src/cranberrywheel_standin/worker_app.py
+++ b/src/cranberrywheel_standin/worker_app.py
@@ -80,6 +80,11 @@
                 Rule("/v1/tasks", endpoint=self._list, methods=["GET"]),
                 Rule("/v1/tasks/<task_id>", endpoint=self._run, methods=["PUT"]),
                 Rule("/v1/tasks/<task_id>", endpoint=self._get, methods=["GET"]),
+                Rule(
+                    "/v1/tasks/<task_id>/result",
+                    endpoint=self._result,
+                    methods=["GET"],
+                ),
                 Rule(
                     "/v1/tasks/<task_id>/<any(lease,stop,checkpoint,throttle):action>",
                     endpoint=self._act,
@@ -160,10 +165,10 @@
         with self.worker.changed:
             if faults.lose_answers > 0:
                 faults.lose_answers -= 1
-                request.environ[WIRE_FAULT] = DROP
+                request.environ[WIRE_FAULT].append(DROP)
             elif faults.truncate > 0:
                 faults.truncate -= 1
-                request.environ[WIRE_FAULT] = TRUNCATE
+                request.environ[WIRE_FAULT].append(TRUNCATE)
             elif faults.cross > 0 and (other := self.worker.find_other(task)):
                 faults.cross -= 1
                 return other
@@ -192,6 +197,12 @@
     def _get(self, request: werkzeug.Request, task_id: str) -> werkzeug.Response:
         return _json(self._row(self._find(task_id)))
 
+    def _result(self, request: werkzeug.Request, task_id: str) -> werkzeug.Response:
+        task = self._find(task_id)
+        if task.state == "running":
+            return _json({"kind": "running"}, 409)
+        return self._answer(request, task)
+
     def _act(
         self, request: werkzeug.Request, task_id: str, action: str
     ) -> werkzeug.Response:
--- /dev/null
+++ b/tests/test_target_client.py
@@ -0,0 +1,164 @@
+import queue
+import socket
+import threading
+
+import testtools
+
+from cranberrywheel.clock import Clock
+from cranberrywheel.connection.target_client import (
+    AttemptEnd,
+    AttemptFinished,
+    ControlFinished,
+    ControlTask,
+    FetchToken,
+    QueryTask,
+    StartAttempt,
+    TargetClient,
+)
+from cranberrywheel_standin.serving import Server
+from cranberrywheel_standin.worker import Worker, WorkerConfig, WorkerFaults
+from cranberrywheel_standin.worker_app import WorkerApp
+
+WAIT_S = 20
+BAD_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTask-Id: other\r\n\r\nok"
+
+
+def start_message(address, task_id, token="", **changes):
+    fields = dict(
+        task_id=task_id,
+        worker="w1",
+        address=address,
+        token=token,
+        lease_ms=5_000,
+        timeout_ms=10_000,
+        team="t",
+        queue="q",
+        cores=1.0,
+        memory_mb=1,
+        run_ms=10,
+        idempotent=True,
+        content_type="text/plain",
+        traceparent="",
+        body=b"payload",
+    )
+    return StartAttempt(**{**fields, **changes})
+
+
+class ScriptedServer:
+    """Answers the requests of each connection with given bytes, then closes."""
+
+    def __init__(self, answers_by_connection):
+        self.requests = queue.SimpleQueue()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self._listener.getsockname())
+        self._answers = answers_by_connection
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        for answers in self._answers:
+            connection, _ = self._listener.accept()
+            work = (connection, answers)
+            threading.Thread(target=self._serve, args=work, daemon=True).start()
+        self._listener.close()
+
+    def _serve(self, connection, answers):
+        with connection:
+            for answer in answers:
+                self.requests.put(connection.recv(65536))
+                connection.sendall(answer)
+
+
+class TargetClientTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.results = queue.SimpleQueue()
+        self.client = TargetClient(Clock(), self.results.put, 1_000)
+        self.client.start()
+        self.addCleanup(self.client.stop)
+
+    def ask(self, message):
+        self.client.post(message)
+        return self.results.get(timeout=WAIT_S)
+
+    def start_worker(self, **faults):
+        worker = Worker(WorkerConfig(name="w1", zone="z1", rack="r1"))
+        worker.faults = WorkerFaults(**faults)
+        server = Server("127.0.0.1", 0, WorkerApp(worker))
+        server.start()
+        self.addCleanup(server.stop)
+        return worker, server.address
+
+    def run_task(self, address, task_id, **changes):
+        token = self.ask(FetchToken(worker="w1", address=address)).token
+        return self.ask(start_message(address, task_id, token, **changes))
+
+    def test_whole_answer_is_passed_on(self):
+        _, address = self.start_worker()
+        result = self.run_task(address, "a")
+        self.assertEqual(AttemptEnd.RAN, result.end)
+        self.assertIn(b'"task": "a"', result.body)
+        self.assertNotEqual("", result.next_token)
+
+    def test_truncated_answer_never_counts_as_whole(self):
+        _, address = self.start_worker(truncate=1)
+        self.assertEqual(AttemptEnd.BROKEN, self.run_task(address, "a").end)
+
+    def test_answer_of_another_task_is_dropped(self):
+        server = ScriptedServer([[BAD_ANSWER]])
+        result = self.ask(start_message(server.address, "a"))
+        self.assertEqual(AttemptEnd.BROKEN, result.end)
+
+    def test_answer_over_the_limit_is_dropped(self):
+        answer = b"HTTP/1.1 200 OK\r\nTask-Id: a\r\nContent-Length: 2000\r\n\r\n"
+        server = ScriptedServer([[answer + b"x" * 2000]])
+        result = self.ask(start_message(server.address, "a"))
+        self.assertEqual(AttemptEnd.BROKEN, result.end)
+
+    def test_stale_token_is_a_certain_refusal(self):
+        _, address = self.start_worker()
+        result = self.ask(start_message(address, "a", token="old"))
+        self.assertEqual((AttemptEnd.REFUSED, "stale-token"), (result.end, result.kind))
+
+    def test_duplicate_refusal_does_not_claim_that_nothing_ran(self):
+        _, address = self.start_worker()
+        self.run_task(address, "a")
+        result = self.run_task(address, "a")
+        self.assertEqual((AttemptEnd.BROKEN, "duplicate"), (result.end, result.kind))
+
+    def test_refused_connection_counts_as_not_sent(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = "{}:{}".format(*listener.getsockname())
+        result = self.ask(start_message(address, "a"))
+        self.assertEqual(AttemptEnd.NOT_SENT, result.end)
+
+    def test_lost_answer_is_broken_and_can_be_queried(self):
+        _, address = self.start_worker(lose_answers=1)
+        self.assertEqual(AttemptEnd.BROKEN, self.run_task(address, "a").end)
+        found = self.ask(QueryTask(task_id="a", worker="w1", address=address))
+        self.assertEqual("finished", found.state)
+        self.assertIn(b'"task": "a"', found.body)
+
+    def test_non_idempotent_start_is_sent_once_when_a_reused_connection_dies(self):
+        whole = BAD_ANSWER.replace(b"other", b"a")
+        server = ScriptedServer([[whole, b""], [b""], [b""]])
+        first = self.ask(start_message(server.address, "a"))
+        self.assertEqual(AttemptEnd.RAN, first.end)
+        second = self.ask(start_message(server.address, "b", idempotent=False))
+        self.assertEqual(AttemptEnd.BROKEN, second.end)
+        sent = []
+        while not server.requests.empty():
+            sent.append(server.requests.get())
+        self.assertEqual(1, sum(b"/tasks/b" in request for request in sent))
+
+    def test_stop_is_confirmed_by_the_worker(self):
+        _, address = self.start_worker()
+        token = self.ask(FetchToken(worker="w1", address=address)).token
+        self.client.post(start_message(address, "a", token, run_ms=60_000))
+        stop = ControlTask(task_id="a", worker="w1", address=address, action="stop")
+        ends = {}
+        while not (ControlFinished in ends and ends[ControlFinished].confirmed):
+            result = self.ask(stop)
+            ends[type(result)] = result
+        if AttemptFinished not in ends:
+            ends[AttemptFinished] = self.results.get(timeout=WAIT_S)
+        self.assertEqual(AttemptEnd.STOPPED, ends[AttemptFinished].end)
