--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,220 @@
+import testtools
+from dispatcher_fakes import DispatcherBench
+
+from cranberrywheel.connection.target_client import (
+    AttemptEnd,
+    ControlFinished,
+    ControlTask,
+    QueryTask,
+    TaskQueried,
+)
+from cranberrywheel.process import messages as m
+from cranberrywheel.request.model import Outcome
+
+
+class DispatcherTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.bench = DispatcherBench()
+
+    def assert_refused(self, future, kind, outcome=Outcome.NOT_RUN):
+        answer = future.result(0)
+        self.assertEqual((kind, outcome), (answer.kind, answer.outcome))
+        self.assertNotEqual("", answer.remedy)
+
+    def test_whole_answer_goes_to_its_own_caller(self):
+        first, second = self.bench.submit("a"), self.bench.submit("b")
+        start_a, start_b = self.bench.starts()
+        self.bench.end(start_b, body=b"for b")
+        self.bench.end(start_a, body=b"for a")
+        self.assertEqual(b"for a", first.result(0).body)
+        self.assertEqual(b"for b", second.result(0).body)
+
+    def test_limit_holds_while_more_requests_wait(self):
+        futures = [self.bench.submit(f"r{i}") for i in range(5)]
+        starts = self.bench.starts()
+        self.assertEqual(2, len(starts))
+        self.bench.end(starts[0])
+        self.assertEqual(1, len(self.bench.starts()))
+        self.assertEqual(1, sum(future.done() for future in futures))
+
+    def test_unit_that_expired_while_the_token_was_fetched_is_not_used(self):
+        bench = DispatcherBench(long_units=0, short_units=2)
+        for worker in ("w1", "w2", "w3"):
+            bench.state.workers.set_token(worker, "", 0)
+        bench.give_tokens = lambda: None
+        bench.submit("a")
+        bench.clock.advance(bench.settings.limits.short_hold_ms + 1)
+        DispatcherBench.give_tokens(bench)
+        self.assertEqual([], bench.starts())
+
+    def test_unit_of_a_cancelled_task_returns_when_the_stop_is_confirmed(self):
+        self.bench.submit("a")
+        self.bench.submit("b")
+        waiting = self.bench.submit("c")
+        start, _ = self.bench.starts()
+        self.bench.post(m.CancelRequest("a"))
+        (stop,) = self.bench.take(ControlTask)
+        self.assertEqual([], self.bench.starts())
+        self.bench.post(
+            ControlFinished(
+                task_id=stop.task_id,
+                worker=stop.worker,
+                action="stop",
+                confirmed=True,
+                gone=False,
+            )
+        )
+        self.bench.give_tokens()
+        (started,) = self.bench.starts()
+        self.bench.end(started)
+        self.assertEqual(Outcome.OK, waiting.result(0).outcome)
+        self.assertEqual(start.task_id, stop.task_id)
+
+    def test_unit_of_an_unreachable_worker_returns_only_after_its_lease(self):
+        self.bench.submit("a")
+        self.bench.submit("b")
+        self.bench.submit("c")
+        self.bench.starts()
+        self.bench.post(m.CancelRequest("a"))
+        limits = self.bench.settings.limits
+        self.bench.advance(limits.task_lease_ms + limits.start_token_ms)
+        self.bench.give_tokens()
+        self.assertEqual([], [s for s in self.bench.starts() if "c." in s.task_id])
+        self.bench.advance(1_000)
+        self.bench.give_tokens()
+        self.assertEqual(1, self.bench.state.ledger.in_use_by_team()["red"])
+
+    def test_queued_request_of_a_caller_that_left_is_never_started(self):
+        self.bench.submit("a")
+        self.bench.submit("b")
+        queued = self.bench.submit("c")
+        starts = self.bench.starts()
+        self.bench.post(m.CancelRequest("c"))
+        self.assert_refused(queued, "cancelled")
+        for start in starts:
+            self.bench.end(start)
+        self.assertEqual([], self.bench.starts())
+
+    def test_refused_start_is_retried_on_another_worker(self):
+        future = self.bench.submit("a")
+        (start,) = self.bench.starts()
+        self.bench.end(start, AttemptEnd.REFUSED, "busy")
+        self.bench.advance(2_000)
+        self.bench.give_tokens()
+        (again,) = self.bench.starts()
+        self.assertNotEqual(start.worker, again.worker)
+        self.bench.end(again)
+        self.assertEqual(Outcome.OK, future.result(0).outcome)
+
+    def test_broken_non_idempotent_attempt_is_queried_and_never_started_again(self):
+        ticket = self.bench.ticket()
+        future = self.bench.submit("a", "payments", ticket)
+        (start,) = self.bench.starts()
+        self.bench.end(start, AttemptEnd.BROKEN)
+        (query,) = self.bench.take(QueryTask)
+        self.assertFalse(future.done())
+        self.bench.post(
+            TaskQueried(
+                task_id=query.task_id,
+                worker=query.worker,
+                state="finished",
+                body=b"paid",
+            )
+        )
+        again = self.bench.submit("b", "payments", ticket)
+        self.assertEqual(b"paid", future.result(0).body)
+        self.assertEqual(b"paid", again.result(0).body)
+        self.assertEqual([], self.bench.starts())
+
+    def test_retry_of_a_running_ticket_waits_for_the_same_answer(self):
+        ticket = self.bench.ticket()
+        first = self.bench.submit("a", "payments", ticket)
+        second = self.bench.submit("b", "payments", ticket)
+        (start,) = self.bench.starts()
+        self.bench.end(start, body=b"paid")
+        self.assertEqual(b"paid", first.result(0).body)
+        self.assertEqual(b"paid", second.result(0).body)
+
+    def test_payment_runs_on_after_its_caller_left_and_is_reported_later(self):
+        ticket = self.bench.ticket()
+        self.bench.submit("a", "payments", ticket)
+        (start,) = self.bench.starts()
+        self.bench.post(m.CancelRequest("a"))
+        self.assertEqual([], self.bench.take(ControlTask))
+        self.bench.end(start, body=b"paid")
+        later = self.bench.submit("b", "payments", ticket)
+        self.assertEqual(b"paid", later.result(0).body)
+
+    def test_worker_that_never_answers_a_payment_gives_unknown(self):
+        ticket = self.bench.ticket()
+        future = self.bench.submit("a", "payments", ticket)
+        (start,) = self.bench.starts()
+        self.bench.end(start, AttemptEnd.BROKEN)
+        self.bench.advance(30_000)
+        self.assert_refused(future, "unknown-outcome", Outcome.UNKNOWN)
+        again = self.bench.submit("b", "payments", ticket)
+        self.assert_refused(again, "unknown-outcome", Outcome.UNKNOWN)
+        self.assertEqual([], self.bench.starts())
+
+    def test_ticket_of_a_process_that_is_gone_gives_unknown(self):
+        other = DispatcherBench()
+        ticket = other.ticket().replace("z1.e1.x", "z1.e1.y")
+        future = self.bench.submit("a", "payments", ticket)
+        self.assert_refused(future, "unknown-outcome", Outcome.UNKNOWN)
+
+    def test_ticket_of_a_peer_is_forwarded_and_a_lost_forward_is_unknown(self):
+        report = m.PeerReport("z1.e1.y", "z1", "h:1", "h:2", False, (), {}, ())
+        self.bench.post(report)
+        ticket = self.bench.ticket().replace("z1.e1.x", "z1.e1.y")
+        future = self.bench.submit("a", "payments", ticket)
+        ((address, incoming, forward),) = self.bench.forwarded
+        self.assertEqual(("h:2", True), (address, incoming.forwarded))
+        forward.set_exception(ConnectionError())
+        self.assert_refused(future, "unknown-outcome", Outcome.UNKNOWN)
+
+    def test_non_idempotent_queue_needs_a_ticket(self):
+        for ticket in ("", "my-own-key"):
+            future = self.bench.submit("a", "payments", ticket)
+            self.assert_refused(future, "ticket-required")
+        self.assertEqual([], self.bench.starts())
+
+    def test_withdrawn_key_stops_at_once(self):
+        self.bench.post(m.MarkWithdrawn(self.bench.key_id))
+        self.assert_refused(self.bench.submit("a"), "unauthorized")
+
+    def test_keys_that_are_not_fresh_pause_keyed_queues_but_not_open_ones(self):
+        self.bench.clock.advance(self.bench.settings.key_freshness_ms + 1)
+        self.assert_refused(self.bench.submit("a"), "keys-not-fresh")
+        self.assertFalse(self.bench.submit("b", "public", key="").done())
+        self.assertFalse(self.bench.submit("c", "patient").done())
+        self.bench.clock.advance(30_000)
+        self.assert_refused(self.bench.submit("d", "patient"), "keys-not-fresh")
+
+    def test_missing_and_wrong_keys_are_refused(self):
+        for key in ("", "wrong", self.bench.key + "x", self.bench.key[:-1]):
+            self.assert_refused(self.bench.submit("a", key=key), "unauthorized")
+
+    def test_deadline_in_the_queue_is_not_run_and_while_running_is_unknown(self):
+        running = [self.bench.submit("a"), self.bench.submit("b")]
+        queued = self.bench.submit("c")
+        self.bench.advance(10_100)
+        self.assert_refused(queued, "deadline-exceeded")
+        for future in running:
+            self.assert_refused(future, "unknown-outcome", Outcome.UNKNOWN)
+
+    def test_late_answer_is_dropped(self):
+        future = self.bench.submit("a")
+        (start,) = self.bench.starts()
+        self.bench.end(start, body=b"first")
+        self.bench.end(start, body=b"second")
+        self.assertEqual(b"first", future.result(0).body)
+
+    def test_bad_message_does_not_end_the_task(self):
+        self.bench.post(object(), m.SubmitRequest(None, None))
+        self.assertFalse(self.bench.submit("a").done())
+        self.assertEqual(1, len(self.bench.starts()))
+
+    def test_drained_process_refuses_truthfully(self):
+        self.bench.state.drained = True
+        self.assert_refused(self.bench.submit("a"), "not-ready")
