Add the state-sharing side of an entry process

Cause: an entry process needs the store session, the units of team limits, key freshness and the exchange with its peers before it can be wired.

--- /dev/null
+++ b/src/cranberrywheel/connection/peer_service.py
@@ -0,0 +1,360 @@
+"""Calls between entry processes: a grpclib server and client on one thread."""
+
+import asyncio
+import collections.abc
+import concurrent.futures
+import random
+import threading
+import typing as t
+
+import grpclib.client
+import grpclib.exceptions
+import grpclib.server
+from grpclib.const import Status
+
+from cranberrywheel.clock import Clock
+from cranberrywheel.errors import PeerError, UnknownOutcomeError
+from cranberrywheel.generated import peer_pb2
+from cranberrywheel.generated.peer_grpc import PeerBase, PeerStub
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.process.exchange import PeerExchange
+from cranberrywheel.process.messages import IncomingRequest, LoadReport
+from cranberrywheel.request.model import Answer, Outcome
+from cranberrywheel.settings import EntrySettings
+
+#: Longest wait for a connection to a peer.
+CONNECT_TIMEOUT_MS = 1_000
+#: Longest wait for the answer to an exchange or a fetched record.
+CALL_TIMEOUT_MS = 2_000
+#: Time beyond the request's timeout in which its answer may still arrive.
+FORWARD_GRACE_MS = 500
+START_TIMEOUT_MS = 10_000
+
+Results = collections.abc.Sequence[tuple[str, Answer]]
+_log = PartLogger("peer")
+
+
+def encode_answer(answer: Answer) -> peer_pb2.ForwardAnswer:
+    """Build the message for an answer."""
+    return peer_pb2.ForwardAnswer(
+        request_id=answer.request_id,
+        outcome=str(answer.outcome),
+        status=answer.status,
+        content_type=answer.content_type,
+        body=answer.body,
+        kind=answer.kind,
+        remedy=answer.remedy,
+        retry_after_s=answer.retry_after_s or 0,
+    )
+
+
+def decode_answer(message: peer_pb2.ForwardAnswer) -> Answer:
+    """Read an answer.
+
+    :raises PeerError: if a field is malformed.
+    """
+    try:
+        outcome = Outcome(message.outcome)
+    except ValueError:
+        raise PeerError(
+            f"A peer sent the unknown outcome {message.outcome!r}.",
+            "Check the peer's version.",
+        ) from None
+    if not 100 <= message.status <= 599:
+        raise PeerError("A peer sent no HTTP status.", "Check the peer's version.")
+    return Answer(
+        request_id=message.request_id,
+        outcome=outcome,
+        status=message.status,
+        body=message.body,
+        content_type=message.content_type,
+        kind=message.kind,
+        remedy=message.remedy,
+        retry_after_s=message.retry_after_s or None,
+    )
+
+
+class _Handlers(PeerBase):
+    """Server side of the calls; runs on the asyncio thread."""
+
+    def __init__(
+        self,
+        exchange: PeerExchange,
+        submit_forwarded: t.Callable[
+            [IncomingRequest], "concurrent.futures.Future[Answer]"
+        ],
+        import_results: t.Callable[[str, Results], None],
+        note_malformed: t.Callable[[str, PeerError], None],
+    ) -> None:
+        self._exchange = exchange
+        self._submit_forwarded = submit_forwarded
+        self._import_results = import_results
+        self._note_malformed = note_malformed
+
+    def _refuse(self, call: str, error: PeerError) -> grpclib.exceptions.GRPCError:
+        self._note_malformed(call, error)
+        return grpclib.exceptions.GRPCError(Status.INVALID_ARGUMENT, error.message)
+
+    async def Exchange(self, stream: t.Any) -> None:
+        try:
+            self._exchange.merge_state(await stream.recv_message(), None)
+        except PeerError as error:
+            raise self._refuse("Exchange", error) from None
+        await stream.send_message(self._exchange.build_state())
+
+    async def FetchConfiguration(self, stream: t.Any) -> None:
+        request = await stream.recv_message()
+        await stream.send_message(self._exchange.record_for_peer(request.newer_than))
+
+    async def Forward(self, stream: t.Any) -> None:
+        message = await stream.recv_message()
+        incoming = IncomingRequest(
+            request_id=message.request_id,
+            queue=message.queue,
+            authorization=message.authorization,
+            idempotency_key=message.ticket,
+            body=message.body,
+            content_type=message.content_type,
+            timeout_ms=message.timeout_ms,
+            traceparent=message.traceparent,
+            forwarded=True,
+        )
+        # Shielded, so that a peer that hangs up does not cancel the future that
+        # the dispatcher sets.
+        answer = await asyncio.shield(
+            asyncio.wrap_future(self._submit_forwarded(incoming))
+        )
+        await stream.send_message(encode_answer(answer))
+
+    async def HandOver(self, stream: t.Any) -> None:
+        message = await stream.recv_message()
+        try:
+            results = [(r.ticket, decode_answer(r.answer)) for r in message.results]
+        except PeerError as error:
+            raise self._refuse("HandOver", error) from None
+        for mark in message.marks:
+            self._exchange.add_mark(mark.key_id)
+        self._import_results(message.process_id, results)
+        await stream.send_message(peer_pb2.HandOverAnswer(accepted=len(results)))
+
+
+class PeerService:
+    """Owns the connections to other entries and runs the periodic exchange.
+
+    :param settings: address, interval and fan-out.
+    :param clock: own clock.
+    :param exchange: state to send and to merge into.
+    :param submit_forwarded: runs a request that a peer forwarded; its future
+        gets an answer, also for refusals.
+    :param import_results: takes the process id and ticket results of a peer that
+        shuts down; called on the asyncio thread and must not block.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        exchange: PeerExchange,
+        submit_forwarded: t.Callable[
+            [IncomingRequest], "concurrent.futures.Future[Answer]"
+        ],
+        import_results: t.Callable[[str, Results], None] = lambda peer, results: None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._exchange = exchange
+        self._loop = asyncio.new_event_loop()
+        self._handlers = _Handlers(
+            exchange, submit_forwarded, import_results, self._note_malformed
+        )
+        self._thread = threading.Thread(target=self._run, name="peer", daemon=True)
+        self._started: concurrent.futures.Future[None] = concurrent.futures.Future()
+        self._channels_by_address: dict[str, grpclib.client.Channel] = {}
+        self._busy_addresses: set[str] = set()
+        self._stop_event = asyncio.Event()
+        self._random = random.Random()
+        #: Messages dropped because they were malformed.
+        self.malformed_count = 0
+
+    def start(self) -> None:
+        """Listen and start the exchange.
+
+        Returns when the port is bound. The registration in the store must come
+        after this, because it tells others that the address is taken.
+
+        :raises OSError: if the port cannot be bound.
+        """
+        self._thread.start()
+        self._started.result(START_TIMEOUT_MS / 1000)
+
+    def stop(self) -> None:
+        """Close the connections and end the thread."""
+        if self._thread.is_alive():
+            self._loop.call_soon_threadsafe(self._stop_event.set)
+            self._thread.join()
+
+    def report_load(self, load: LoadReport) -> None:
+        """Take the dispatcher's load for the next exchanges."""
+        self._exchange.set_load(load)
+
+    def forward(
+        self, peer_address: str, incoming: IncomingRequest, timeout_ms: int
+    ) -> "concurrent.futures.Future[Answer]":
+        """Send a request to a peer.
+
+        :param peer_address: address of the peer's service.
+        :param timeout_ms: time that the request may take.
+        :returns: gets the answer; or :class:`PeerError` if the request was not
+            sent, or :class:`UnknownOutcomeError` if the peer may have run it.
+        """
+        message = peer_pb2.ForwardRequest(
+            queue=incoming.queue,
+            authorization=incoming.authorization,
+            ticket=incoming.idempotency_key,
+            content_type=incoming.content_type,
+            body=incoming.body,
+            timeout_ms=timeout_ms,
+            traceparent=incoming.traceparent,
+            request_id=incoming.request_id,
+        )
+        return self._submit(self._forward(peer_address, message, timeout_ms))
+
+    def hand_over(
+        self, peer_address: str, results: Results
+    ) -> "concurrent.futures.Future[int]":
+        """Hand ticket results and withdrawal marks to a peer at shutdown.
+
+        :returns: gets the number of accepted results, or :class:`PeerError`.
+        """
+        message = peer_pb2.HandOverRequest(process_id=self._exchange.process_id)
+        for ticket, answer in results:
+            message.results.add(ticket=ticket, answer=encode_answer(answer))
+        for key_id in self._exchange.unwritten_marks():
+            message.marks.add(key_id=key_id)
+        return self._submit(self._hand_over(peer_address, message))
+
+    def _submit(self, work: t.Coroutine) -> t.Any:
+        return asyncio.run_coroutine_threadsafe(work, self._loop)
+
+    def _note_malformed(self, call: str, error: PeerError) -> None:
+        self.malformed_count += 1
+        _log.warning("dropped malformed message", call=call, cause=error.message)
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        try:
+            self._loop.run_until_complete(self._serve())
+        finally:
+            self._loop.close()
+
+    async def _serve(self) -> None:
+        server = grpclib.server.Server([self._handlers])
+        try:
+            await server.start(self._settings.host, self._settings.peer_port)
+        except OSError as error:
+            self._started.set_exception(error)
+            return
+        self._started.set_result(None)
+        rounds = asyncio.ensure_future(self._run_exchanges())
+        await self._stop_event.wait()
+        rounds.cancel()
+        server.close()
+        for channel in self._channels_by_address.values():
+            channel.close()
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+
+    async def _run_exchanges(self) -> None:
+        while True:
+            for address in self._choose_addresses():
+                asyncio.ensure_future(self._exchange_with(address))
+            self._exchange.drop_silent_peers()
+            await asyncio.sleep(self._settings.exchange_interval_ms / 1000)
+
+    def _choose_addresses(self) -> list[str]:
+        addresses = sorted({peer.peer_address for peer in self._exchange.peers()})
+        fanout = self._settings.exchange_fanout
+        if fanout and len(addresses) > fanout:
+            addresses = self._random.sample(addresses, fanout)
+        return [a for a in addresses if a not in self._busy_addresses]
+
+    async def _exchange_with(self, address: str) -> None:
+        self._busy_addresses.add(address)
+        try:
+            stub = PeerStub(await self._connect(address))
+            sent_ms = self._clock.now_ms()
+            timeout = CALL_TIMEOUT_MS / 1000
+            state = await stub.Exchange(self._exchange.build_state(), timeout=timeout)
+            if not self._exchange.merge_state(state, sent_ms):
+                request = peer_pb2.FetchRequest(
+                    newer_than=self._exchange.holder.version
+                )
+                fetched = await stub.FetchConfiguration(request, timeout=timeout)
+                self._exchange.adopt_fetched(fetched)
+                self._exchange.merge_state(state, sent_ms)
+        except PeerError as error:
+            if address in self._channels_by_address:
+                self._note_malformed("Exchange", error)
+        except (OSError, TimeoutError, grpclib.exceptions.GRPCError) as error:
+            _log.event("exchange failed", peer=address, cause=type(error).__name__)
+            self._drop_channel(address)
+        except grpclib.exceptions.StreamTerminatedError:
+            self._drop_channel(address)
+        finally:
+            self._busy_addresses.discard(address)
+
+    async def _connect(self, address: str) -> grpclib.client.Channel:
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(":")
+            channel = grpclib.client.Channel(host.strip("[]"), int(port))
+            self._channels_by_address[address] = channel
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                await channel.__connect__()
+        except (OSError, TimeoutError) as error:
+            self._drop_channel(address)
+            raise PeerError(
+                f"No connection to peer {address}: {type(error).__name__}.",
+                "Check the peer and the network between the zones.",
+            ) from None
+        return channel
+
+    def _drop_channel(self, address: str) -> None:
+        channel = self._channels_by_address.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    async def _forward(
+        self, address: str, message: peer_pb2.ForwardRequest, timeout_ms: int
+    ) -> Answer:
+        stub = PeerStub(await self._connect(address))
+        try:
+            reply = await stub.Forward(
+                message, timeout=(timeout_ms + FORWARD_GRACE_MS) / 1000
+            )
+            return decode_answer(reply)
+        except Exception as error:
+            raise UnknownOutcomeError(
+                f"Peer {address} did not answer a forwarded request: "
+                f"{type(error).__name__}.",
+                "Query the ticket later, or send an idempotent request again.",
+            ) from None
+
+    async def _hand_over(self, address: str, message: peer_pb2.HandOverRequest) -> int:
+        stub = PeerStub(await self._connect(address))
+        try:
+            reply = await stub.HandOver(message, timeout=CALL_TIMEOUT_MS / 1000)
+        except (
+            OSError,
+            TimeoutError,
+            grpclib.exceptions.GRPCError,
+            grpclib.exceptions.StreamTerminatedError,
+        ) as error:
+            raise PeerError(
+                f"Peer {address} did not accept the hand-over: {type(error).__name__}.",
+                "Its tickets answer 'unknown'.",
+            ) from None
+        return reply.accepted
--- /dev/null
+++ b/src/cranberrywheel/process/record_writer.py
@@ -0,0 +1,137 @@
+"""Compare-and-swap writes whose lost answers are read back."""
+
+import random
+
+from cranberrywheel.connection.store_client import Record, StoreClient
+from cranberrywheel.errors import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.version.records import (
+    PreparedWrite,
+    StoredRecord,
+    WriteOutcome,
+    parse_record,
+    prepare_write,
+    resolve_lost_write,
+)
+
+FIRST_BACKOFF_MS = 100
+#: Longer pauses would delay the first key proof after an outage beyond the
+#: freshness bound of 5 s.
+MAX_BACKOFF_MS = 2_000
+#: Times that a lost write is sent again in one attempt to resolve it.
+RESOLVE_ROUNDS = 3
+
+_log = PartLogger("store")
+
+
+class Backoff:
+    """Exponential backoff with full jitter."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._random = rng
+        self._failures = 0
+        self._until_ms = 0
+
+    def failed(self, now_ms: int) -> None:
+        """Note a failure."""
+        longest = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(self._failures, 10))
+        self._failures += 1
+        self._until_ms = now_ms + self._random.randint(FIRST_BACKOFF_MS // 2, longest)
+
+    def succeeded(self) -> None:
+        """Note a success."""
+        self._failures = 0
+
+    def allows(self, now_ms: int) -> bool:
+        """Tell whether the next attempt is due."""
+        return self._failures == 0 or now_ms >= self._until_ms
+
+
+class RecordWriter:
+    """Reads and writes records; one write of a record is open at a time.
+
+    :param client: store client of the calling thread.
+    :param writer: process id that the records name.
+    """
+
+    def __init__(self, client: StoreClient, writer: str) -> None:
+        self._client = client
+        self._writer = writer
+        self._lost_by_key: dict[str, PreparedWrite] = {}
+
+    def is_lost(self, key: str) -> bool:
+        """Tell whether the last write of a record has an unknown outcome."""
+        return key in self._lost_by_key
+
+    def read(self, key: str) -> StoredRecord | None:
+        """Read a record.
+
+        :returns: the record, or ``None`` if there is none.
+        :raises StoreError: if it is malformed or the store is unavailable.
+        """
+        record = self._client.get(key)
+        return parse_record(record) if isinstance(record, Record) else None
+
+    def write(
+        self, key: str, base: StoredRecord | None, body: dict
+    ) -> tuple[StoredRecord, Record]:
+        """Write a record over a known state.
+
+        :returns: the new state, parsed and as stored.
+        :raises StoreConflictError: if the record has changed.
+        :raises StoreUnavailableError: if the outcome is unknown; call
+            :meth:`resolve` before the next write of this record.
+        """
+        if key in self._lost_by_key:
+            raise StoreUnavailableError(
+                f"An earlier write of {key} is not resolved.", "Retry later."
+            )
+        return self._send(prepare_write(key, base, self._writer, body))
+
+    def _send(self, write: PreparedWrite) -> tuple[StoredRecord, Record]:
+        self._lost_by_key[write.key] = write
+        try:
+            revision = self._client.put(write.key, write.value, write.expected_revision)
+        except (KeyError, TypeError, ValueError):
+            raise StoreUnavailableError(
+                f"Writing {write.key} was answered without a revision.",
+                "Check the platform's key-value service.",
+            ) from None
+        except StoreUnavailableError:
+            raise
+        except StoreError:
+            del self._lost_by_key[write.key]
+            raise
+        del self._lost_by_key[write.key]
+        record = Record(write.key, write.value, revision)
+        return parse_record(record), record
+
+    def resolve(self, key: str) -> tuple[WriteOutcome, StoredRecord | None]:
+        """Find out whether a lost write took effect.
+
+        A write that the store has not seen may still arrive late, so it is sent
+        again until either it or another write has changed the record.
+
+        :returns: the outcome and the record as it is now.
+        :raises StoreUnavailableError: if it is still not known.
+        """
+        write = self._lost_by_key[key]
+        for _ in range(RESOLVE_ROUNDS):
+            current = self.read(key)
+            outcome = resolve_lost_write(write, current)
+            if outcome is not WriteOutcome.PENDING:
+                del self._lost_by_key[key]
+                _log.event("resolved lost write", key=key, outcome=outcome.value)
+                return outcome, current
+            try:
+                stored, _ = self._send(write)
+                return WriteOutcome.WRITTEN, stored
+            except StoreConflictError:
+                self._lost_by_key[key] = write
+        raise StoreUnavailableError(
+            f"The outcome of a write of {key} is still unknown.", "Retry later."
+        )
--- /dev/null
+++ b/src/cranberrywheel/process/store_session.py
@@ -0,0 +1,259 @@
+"""The task that owns the store client of an entry process."""
+
+import dataclasses
+import queue
+import random
+import threading
+import typing as t
+
+from cranberrywheel.clock import Clock
+from cranberrywheel.connection.store_client import Record, StoreClient
+from cranberrywheel.errors import (
+    LeaseLostError,
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.process.configuration_writer import ConfigurationWriter, settle
+from cranberrywheel.process.exchange import PeerExchange
+from cranberrywheel.process.membership import ENTRIES_PREFIX, dump_registration
+from cranberrywheel.process.messages import (
+    ApplyText,
+    GrantKey,
+    HoldRenewed,
+    Stop,
+    UnitsWanted,
+    WithdrawKey,
+)
+from cranberrywheel.process.record_writer import Backoff, RecordWriter
+from cranberrywheel.process.store_reader import LimitsListed, StoreReader
+from cranberrywheel.process.unit_keeper import UnitKeeper
+from cranberrywheel.settings import EntrySettings, PlatformSettings
+
+#: Longest wait for a message before the session looks for due work.
+TICK_MS = 100
+UNIT_INTERVAL_MS = 1_000
+#: Attempts at shutdown to return the units to a store that does not answer.
+STOP_ATTEMPTS = 3
+
+_log = PartLogger("store")
+
+
+class Lease:
+    """Registration of this process under a store lease.
+
+    :param settings: the lease's TTL is the short hold time.
+    :param clock: own clock.
+    :param client: store client of the session's thread.
+    :param peers: has the registration of this process.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        client: StoreClient,
+        peers: PeerExchange,
+    ) -> None:
+        self._ttl_ms = settings.limits.short_hold_ms
+        self._clock = clock
+        self._client = client
+        self._own = peers.registration
+        self._lease = ""
+        #: Store revision of the registration; 0 while there is none.
+        self.revision = 0
+        #: Own clock reading before the last grant or renewal was sent.
+        self.started_ms = 0
+
+    def is_due(self, now_ms: int) -> bool:
+        """Tell whether the registration or a renewal should be sent."""
+        return not self.revision or now_ms - self.started_ms >= self._ttl_ms // 3
+
+    def keep(self) -> None:
+        """Register, or renew the lease.
+
+        :raises LeaseLostError: if the lease has lapsed; the next call registers.
+        :raises StoreUnavailableError: if the store gives no answer.
+        """
+        started_ms = self._clock.now_ms()
+        try:
+            if self._lease:
+                self._client.renew_lease(self._lease)
+            else:
+                self._lease = self._client.grant_lease(self._ttl_ms)
+            if not self.revision:
+                self.revision = self._register()
+        except LeaseLostError:
+            self._lease, self.revision = "", 0
+            raise
+        self.started_ms = started_ms
+
+    def _register(self) -> int:
+        key = ENTRIES_PREFIX + self._own.process_id
+        value = dump_registration(self._own)
+        try:
+            return self._client.put(key, value, 0, self._lease)
+        except StoreConflictError:
+            # An earlier attempt under this lease took effect unanswered.
+            record = self._client.get(key)
+            if not isinstance(record, Record):
+                raise LeaseLostError(
+                    "The registration has lapsed.", "Register again."
+                ) from None
+            return record.revision
+
+    def revoke(self) -> None:
+        """End the lease and with it the registration."""
+        if self._lease:
+            self._client.revoke_lease(self._lease)
+            self._lease, self.revision = "", 0
+
+
+class StoreSession:
+    """Keeps the lease, the units and the configuration of one entry.
+
+    Writes and reads run on two threads with a connection each.
+
+    :param settings: of this process.
+    :param clock: own clock.
+    :param to_dispatcher: takes messages for the dispatcher.
+    :param peers: knowledge shared with the peer service.
+    :param make_client: creates the store client of a thread.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        to_dispatcher: t.Callable[[object], None],
+        peers: PeerExchange,
+        make_client: t.Callable[[PlatformSettings], StoreClient] = StoreClient,
+    ) -> None:
+        #: Takes ApplyText, GrantKey, WithdrawKey, UnitsWanted and Stop.
+        self.inbox: queue.SimpleQueue[object] = queue.SimpleQueue()
+        self._clock = clock
+        self._to_dispatcher = to_dispatcher
+        self._peers = peers
+        self._client = make_client(settings.platform)
+        self._reader_client = make_client(settings.platform)
+        self._random = random.Random()
+        self._backoff = Backoff(self._random)
+        writer = RecordWriter(self._client, peers.process_id)
+        self._lease = Lease(settings, clock, self._client, peers)
+        self._changes = ConfigurationWriter(settings, peers, writer, self._random)
+        self._units = UnitKeeper(
+            settings.limits,
+            peers.registration,
+            self._client,
+            writer,
+            peers,
+            to_dispatcher,
+        )
+        self.reader = StoreReader(
+            settings, clock, self._reader_client, peers, to_dispatcher, self.inbox.put
+        )
+        self._joined_revision = 0
+        self._units_due_ms = clock.now_ms()
+        self._stopping = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, name="store", daemon=True),
+            threading.Thread(target=self._run_reader, name="store-reader", daemon=True),
+        ]
+
+    def start(self) -> None:
+        """Start both threads; the peer port must be bound before."""
+        for thread in self._threads:
+            thread.start()
+
+    def _run(self) -> None:
+        while True:
+            try:
+                message = self.inbox.get(timeout=TICK_MS / 1000)
+            except queue.Empty:
+                message = None
+            if isinstance(message, Stop):
+                self.stop(message)
+                return
+            self.step(message)
+
+    def _run_reader(self) -> None:
+        while not self._stopping.wait(TICK_MS / 1000):
+            self.reader.step()
+        self._reader_client.close()
+
+    def step(self, message: object = None) -> None:
+        """Handle one message and do the work that is due.
+
+        :param message: from the inbox, or ``None``.
+        """
+        try:
+            self._handle(message)
+            self._work()
+        except StoreUnavailableError as error:
+            self._backoff.failed(self._clock.now_ms())
+            _log.event("store unavailable", cause=error.message)
+        except StoreError as error:
+            _log.warning("store call refused", cause=error.message)
+
+    def _handle(self, message: object) -> None:
+        now_ms = self._clock.now_ms()
+        if isinstance(message, ApplyText):
+            self._changes.apply_text(message, now_ms)
+        elif isinstance(message, GrantKey):
+            self._changes.grant_key(message, now_ms)
+        elif isinstance(message, WithdrawKey):
+            registered = self._lease.revision > 0
+            self._changes.withdraw_key(message, now_ms, registered)
+        elif isinstance(message, UnitsWanted):
+            self._units.want(message)
+        elif isinstance(message, LimitsListed):
+            self._units.listed(message.records, message.registrations, now_ms)
+
+    def _work(self) -> None:
+        now_ms = self._clock.now_ms()
+        allowed = self._backoff.allows(now_ms)
+        if allowed:
+            self._keep_lease(now_ms)
+        self._changes.step(now_ms, allowed)
+        snapshot = self._peers.holder.snapshot
+        joined = self._joined_revision == self._lease.revision > 0
+        if allowed and joined and snapshot and now_ms >= self._units_due_ms:
+            self._units_due_ms = now_ms + UNIT_INTERVAL_MS
+            self._units.step(snapshot, now_ms)
+        if allowed:
+            self._backoff.succeeded()
+
+    def _keep_lease(self, now_ms: int) -> None:
+        renewed = False
+        if self._lease.is_due(now_ms):
+            try:
+                self._lease.keep()
+                renewed = True
+            except LeaseLostError:
+                _log.warning("lease lapsed, registering again")
+                self._lease.keep()
+        revision = self._lease.revision
+        if self._joined_revision != revision:
+            own = dataclasses.replace(self._peers.registration, revision=revision)
+            self._units.rejoin(own)
+            self._joined_revision = revision
+            renewed = True
+            _log.event("registered", process=own.process_id, revision=revision)
+        if renewed:
+            self._to_dispatcher(HoldRenewed(self._lease.started_ms))
+
+    def stop(self, message: Stop) -> None:
+        """Return the units and the lease, then end both threads."""
+        self._stopping.set()
+        for _ in range(STOP_ATTEMPTS):
+            try:
+                self._units.return_all()
+                self._lease.revoke()
+                break
+            except StoreUnavailableError:
+                self._clock.sleep_ms(self._random.randint(50, 500))
+            except StoreError as error:
+                _log.warning("could not return units", cause=error.message)
+        self._client.close()
+        settle(message.done)
--- /dev/null
+++ b/src/cranberrywheel/process/unit_keeper.py
@@ -0,0 +1,328 @@
+"""Keeps this process's units in the ``limits/<team>`` records."""
+
+import concurrent.futures
+import dataclasses
+import random
+import typing as t
+
+from cranberrywheel.connection.store_client import Record, StoreClient
+from cranberrywheel.errors import StoreConflictError, StoreError, StoreUnavailableError
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.process import limit_record, limit_units
+from cranberrywheel.process.exchange import PeerExchange
+from cranberrywheel.process.limit_record import HolderRow, LimitRecord
+from cranberrywheel.process.membership import (
+    ENTRIES_PREFIX,
+    MissingHolders,
+    Registration,
+)
+from cranberrywheel.process.messages import (
+    ConfigurationSnapshot,
+    ReleaseUnits,
+    UnitsHeld,
+    UnitsWanted,
+)
+from cranberrywheel.process.record_writer import RecordWriter
+from cranberrywheel.settings import LimitSettings
+from cranberrywheel.version.records import StoredRecord, parse_record
+
+LIMITS_PREFIX = "limits/"
+#: Longest wait for the dispatcher to release units. A late release is undone by
+#: the ``UnitsHeld`` that follows it.
+RELEASE_TIMEOUT_MS = 1_000
+
+_log = PartLogger("units")
+
+
+@dataclasses.dataclass
+class _TeamState:
+    stored: StoredRecord | None = None
+    record: LimitRecord | None = None
+
+
+class UnitKeeper:
+    """Owns the unit records of one process; used by the store session only.
+
+    :param settings: hold times and long fraction.
+    :param registration: of this process; its revision is replaced on each
+        registration.
+    :param client: store client of the session's thread.
+    :param writer: writes the records.
+    :param peers: the configuration in force and the peers heard lately.
+    :param to_dispatcher: takes messages for the dispatcher.
+    """
+
+    def __init__(
+        self,
+        settings: LimitSettings,
+        registration: Registration,
+        client: StoreClient,
+        writer: RecordWriter,
+        peers: PeerExchange,
+        to_dispatcher: t.Callable[[object], None],
+    ) -> None:
+        self._settings = settings
+        self._own = registration
+        self._client = client
+        self._writer = writer
+        self._peers = peers
+        self._to_dispatcher = to_dispatcher
+        self._states_by_team: dict[str, _TeamState] = {}
+        self._told_by_team: dict[str, tuple[int, int]] = {}
+        self._missing = MissingHolders()
+        self._random = random.Random(registration.process_id)
+        self._registered_count = 1
+        self._wanted = UnitsWanted({}, {})
+
+    def want(self, wanted: UnitsWanted) -> None:
+        """Take the dispatcher's use and demand."""
+        self._wanted = wanted
+
+    def listed(
+        self,
+        records: list[Record],
+        registrations: list[Registration],
+        now_ms: int,
+    ) -> None:
+        """Take all limit records and the registrations read after them."""
+        for record in records:
+            try:
+                self._adopt(parse_record(record))
+            except StoreError as error:
+                _log.warning("ignored limit record", cause=error.message)
+        self._registered_count = max(1, len(registrations))
+        known = [s.record for s in self._states_by_team.values() if s.record]
+        self._missing.observe(known, registrations, now_ms)
+
+    def _adopt(self, stored: StoredRecord, force: bool = False) -> None:
+        """Take a newer state of a record and tell the dispatcher its units.
+
+        While a write is lost, the dispatcher keeps the lower count.
+
+        :param force: tell the dispatcher also if the state is not newer.
+        """
+        team = stored.key.removeprefix(LIMITS_PREFIX)
+        state = self._states_by_team.setdefault(team, _TeamState())
+        if state.stored is not None and stored.revision <= state.stored.revision:
+            if not force:
+                return
+        elif not self._writer.is_lost(stored.key):
+            state.record = limit_record.parse(stored.body)
+            state.stored = stored
+        else:
+            return
+        self._tell_held(team)
+
+    def _tell_held(self, team: str) -> None:
+        record = self._states_by_team[team].record
+        row = record.holders.get(self._own.process_id) if record else None
+        held = (row.long, row.short) if row else (0, 0)
+        told = self._told_by_team.get(team, (0, 0))
+        lower = held[0] < told[0] or held[1] < told[1]
+        if record is not None and self._awaits_shrink(team, record) and not lower:
+            return
+        self._told_by_team[team] = held
+        self._to_dispatcher(UnitsHeld(team, *held))
+
+    def _awaits_shrink(self, team: str, record: LimitRecord) -> bool:
+        """Tell whether a lowered limit is known but not yet met by own units.
+
+        The dispatcher has scaled its units down by itself then and must not be
+        told the higher count of the record.
+        """
+        row = record.holders.get(self._own.process_id)
+        if row is not None and row.target is not None and row.total > row.target:
+            return True
+        snapshot = self._peers.holder.snapshot
+        if snapshot is None or snapshot.version <= record.limit_version:
+            return False
+        known = snapshot.configuration.teams_by_name.get(team)
+        return known is not None and known.limit < record.limit
+
+    def rejoin(self, registration: Registration) -> None:
+        """Enter a new registration in each record that names this process.
+
+        Units count again only after this, because a reclaim prepared while the
+        registration was missing must fail first.
+
+        :raises StoreError: if a record could not be rewritten.
+        """
+        self._own = registration
+        for team in list(self._states_by_team):
+            key = LIMITS_PREFIX + team
+            if self._writer.is_lost(key):
+                self._writer.resolve(key)
+            stored = self._writer.read(key)
+            if stored is None:
+                continue
+            record = limit_record.parse(stored.body)
+            if self._own.process_id in record.holders:
+                changed = limit_units.rejoin(
+                    record, self._own.process_id, self._own_row()
+                )
+                stored, _ = self._writer.write(key, stored, limit_record.dump(changed))
+            self._adopt(stored)
+
+    def _own_row(self) -> HolderRow:
+        return HolderRow(
+            registration=self._own.revision,
+            instance=self._own.instance,
+            zone=self._own.zone,
+            address=self._own.peer_address,
+        )
+
+    def step(self, snapshot: ConfigurationSnapshot, now_ms: int) -> None:
+        """Adapt the units of every team and reclaim those of missing holders.
+
+        :raises StoreUnavailableError: if the store gives no answer.
+        """
+        limits_by_team = {
+            name: team.limit
+            for name, team in snapshot.configuration.teams_by_name.items()
+        }
+        teams = sorted(limits_by_team.keys() | self._states_by_team.keys())
+        # Entries in different order conflict less when all start at once.
+        self._random.shuffle(teams)
+        for team in teams:
+            try:
+                self._resolve(team)
+                if team in limits_by_team:
+                    self._keep_team(team, limits_by_team[team], snapshot.version)
+                self._reclaim(team, now_ms)
+            except StoreUnavailableError:
+                raise
+            except StoreError as error:
+                _log.warning("could not keep units", team=team, cause=error.message)
+
+    def _resolve(self, team: str) -> None:
+        if self._writer.is_lost(LIMITS_PREFIX + team):
+            _, current = self._writer.resolve(LIMITS_PREFIX + team)
+            if current is not None:
+                self._adopt(current, force=True)
+
+    def _keep_team(self, team: str, limit: int, version: int) -> None:
+        key = LIMITS_PREFIX + team
+        state = self._states_by_team.setdefault(team, _TeamState())
+        before = state.record
+        following = self._plan(team, before, limit, version)
+        if following == before:
+            return
+        if not self._release(team, before, following):
+            self._tell_held(team)
+            return
+        try:
+            stored, _ = self._writer.write(
+                key, state.stored, limit_record.dump(following)
+            )
+        except StoreConflictError:
+            stored = self._writer.read(key)
+        if stored is not None:
+            self._adopt(stored, force=True)
+
+    def _plan(
+        self, team: str, before: LimitRecord | None, limit: int, version: int
+    ) -> LimitRecord:
+        holder = self._own.process_id
+        record = before or LimitRecord(limit=limit, limit_version=version)
+        record = limit_units.set_limit(record, limit, version)
+        row = record.holders.get(holder)
+        if row is None or row.registration != self._own.revision:
+            record = limit_units.rejoin(record, holder, self._own_row())
+        in_use = self._wanted.in_use_by_team.get(team, 0)
+        waiting = self._wanted.waiting_by_team.get(team, 0)
+        base = record.limit // self._registered_count
+        return limit_units.rebalance(
+            record,
+            holder,
+            limit_units.Need(in_use, waiting),
+            base,
+            self._settings.long_fraction,
+            self._peers.seen_ids(),
+        )
+
+    def _release(
+        self, team: str, before: LimitRecord | None, following: LimitRecord
+    ) -> bool:
+        """Let the dispatcher stop using what the next state takes away.
+
+        :returns: whether all of it is released.
+        """
+        holder = self._own.process_id
+        old = before.holders.get(holder) if before else None
+        new = following.holders.get(holder)
+        if old is None:
+            return True
+        long_out = max(0, old.long - (new.long if new else 0))
+        short_out = max(0, old.short - (new.short if new else 0))
+        if not long_out and not short_out:
+            return True
+        released: concurrent.futures.Future[tuple[int, int]]
+        released = concurrent.futures.Future()
+        self._to_dispatcher(ReleaseUnits(team, long_out, short_out, released))
+        try:
+            given = released.result(RELEASE_TIMEOUT_MS / 1000)
+        except TimeoutError:
+            return False
+        return given == (long_out, short_out)
+
+    def _reclaim(self, team: str, now_ms: int) -> None:
+        state = self._states_by_team.get(team)
+        record = state.record if state else None
+        if record is None:
+            return
+        for holder, row in record.holders.items():
+            absence = self._missing.get(holder, row.registration)
+            if absence is None:
+                continue
+            expected = limit_units.reclaim(
+                record, holder, absence, now_ms, self._settings
+            )
+            if expected != record:
+                self._reclaim_holder(team, holder, row, absence, now_ms)
+
+    def _reclaim_holder(
+        self,
+        team: str,
+        holder: str,
+        row: HolderRow,
+        absence: limit_units.Absence,
+        now_ms: int,
+    ) -> None:
+        key = LIMITS_PREFIX + team
+        stored = self._writer.read(key)
+        # The registration is read after the record: if the holder registers
+        # later, it rewrites the record before it uses units.
+        if stored is None or self._client.get(ENTRIES_PREFIX + holder) is not None:
+            return
+        record = limit_record.parse(stored.body)
+        present = record.holders.get(holder)
+        if present is None or present.registration != row.registration:
+            return
+        changed = limit_units.reclaim(record, holder, absence, now_ms, self._settings)
+        try:
+            written, _ = self._writer.write(key, stored, limit_record.dump(changed))
+        except StoreConflictError:
+            return
+        _log.event("reclaimed units", team=team, holder=holder, free=changed.free)
+        self._adopt(written)
+
+    def return_all(self) -> None:
+        """Return all units at shutdown; units in use stay until reclaimed."""
+        holder = self._own.process_id
+        for team, state in self._states_by_team.items():
+            key = LIMITS_PREFIX + team
+            if self._writer.is_lost(key):
+                self._writer.resolve(key)
+            stored = self._writer.read(key)
+            if stored is None:
+                continue
+            record = limit_record.parse(stored.body)
+            if holder not in record.holders:
+                continue
+            following = limit_units.leave(record, holder)
+            if self._release(team, record, following):
+                state.stored, _ = self._writer.write(
+                    key, stored, limit_record.dump(following)
+                )
+                state.record = following
+                self._tell_held(team)
--- /dev/null
+++ b/src/cranberrywheel/version/keys.py
@@ -0,0 +1,64 @@
+"""Team keys: creation, hashing and checking in constant time."""
+
+import collections.abc
+import hashlib
+import hmac
+import secrets
+
+from cranberrywheel.errors import UnauthorizedError
+from cranberrywheel.process.messages import KeyEntry
+
+KEY_ID_BYTES = 6
+SECRET_BYTES = 24
+
+
+def hash_secret(secret: str) -> str:
+    """Hash the secret part of a key.
+
+    The secret is random and long, so a plain hash cannot be searched.
+
+    :param secret: the part after the dot.
+    :returns: hexadecimal SHA-256.
+    """
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def create_key(team: str) -> tuple[str, KeyEntry]:
+    """Create a key for a team.
+
+    :param team: name of the team.
+    :returns: the whole key ``<key id>.<secret>``, to be shown once, and its entry.
+    """
+    key_id = secrets.token_hex(KEY_ID_BYTES)
+    secret = secrets.token_urlsafe(SECRET_BYTES)
+    return f"{key_id}.{secret}", KeyEntry(key_id, team, hash_secret(secret))
+
+
+def authorize(
+    authorization: str,
+    keys_by_id: collections.abc.Mapping[str, KeyEntry],
+    withdrawn_ids: collections.abc.Collection[str],
+) -> KeyEntry:
+    """Check the ``Authorization`` header of a request.
+
+    :param authorization: value of the header, or ``""``.
+    :param keys_by_id: granted keys.
+    :param withdrawn_ids: keys that must not be used, also if granted.
+    :returns: the entry of the key.
+    :raises UnauthorizedError: if the key is missing, wrong or withdrawn.
+    """
+    scheme, _, key = authorization.partition(" ")
+    key_id, dot, secret = key.strip().partition(".")
+    if scheme.lower() != "bearer" or not dot:
+        raise UnauthorizedError(
+            "The request has no team key.",
+            "Send 'Authorization: Bearer <key>' with a key that operators granted.",
+        )
+    entry = keys_by_id.get(key_id)
+    expected = entry.secret_sha256 if entry else ""
+    matches = hmac.compare_digest(hash_secret(secret), expected)
+    if entry is None or not matches or key_id in withdrawn_ids:
+        raise UnauthorizedError(
+            "The team key is not valid.", "Ask the operators for a granted key."
+        )
+    return entry
