--- a/src/cranberrywheel/connection/http_server.py
+++ b/src/cranberrywheel/connection/http_server.py
@@ -1,5 +1,6 @@
 """A bounded HTTP/1.1 server for callers and operators, on werkzeug."""
 
+import io
 import select
 import socket
 import threading
@@ -91,6 +92,53 @@
     disable_nagle_algorithm = True
     wbufsize = -1
 
+    server_version = "cranberrywheel"
+    sys_version = ""
+
+    def run_wsgi(self) -> None:
+        """Answer one request and keep the connection for the next one.
+
+        werkzeug's own handler closes the connection after each answer.
+        """
+        environ = self.make_environ()
+        length = self.headers.get("Content-Length") or "0"
+        if not length.isdecimal():
+            self.send_error(400, "Content-Length is not a number")
+            self.close_connection = True
+            return
+        limit = t.cast(HttpServer, self.server).max_body_bytes
+        if int(length) <= limit:
+            if not environ.get("wsgi.input_terminated"):
+                environ["wsgi.input"] = io.BytesIO(self.rfile.read(int(length)))
+        # The rest of a chunked or oversized body would be taken for a request.
+        unread = "Transfer-Encoding" in self.headers or int(length) > limit
+        self._send(environ, unread)
+
+    def _send(self, environ: t.Any, close: bool) -> None:
+        head: list[t.Any] = []
+
+        def start_response(
+            status: str, headers: t.Any, exc_info: t.Any = None
+        ) -> t.Any:
+            head[:] = [status, headers]
+            return lambda data: None
+
+        body = b"".join(self.server.app(environ, start_response))
+        code, _, reason = head[0].partition(" ")
+        self.send_response(int(code), reason)
+        for name, value in head[1]:
+            if name.lower() == "connection":
+                close = close or value.lower() == "close"
+            else:
+                self.send_header(name, value)
+        if close:
+            self.send_header("Connection", "close")
+            self.close_connection = True
+        self.end_headers()
+        if self.command != "HEAD":
+            self.wfile.write(body)
+        self.wfile.flush()
+
     def log_request(self, code: t.Any = "-", size: t.Any = "-") -> None:
         """Requests are logged where they are decided."""
 
@@ -105,12 +153,17 @@
     :param port: TCP port; 0 picks a free one.
     :param app: the WSGI application.
     :param threads: connections served at once.
+    :param max_body_bytes: largest request body that is read before the
+        application runs.
     """
 
     request_queue_size = 512
 
-    def __init__(self, host: str, port: int, app: t.Any, threads: int) -> None:
+    def __init__(
+        self, host: str, port: int, app: t.Any, threads: int, max_body_bytes: int
+    ) -> None:
         super().__init__(host, port, app, handler=_Handler)
+        self.max_body_bytes = max_body_bytes
         self._pool = ThreadPoolExecutor(threads, thread_name_prefix="http")
         self._room = threading.BoundedSemaphore(threads * (1 + WAITING_PER_THREAD))
         self._lock = threading.Lock()
--- a/src/cranberrywheel/process/dispatcher.py
+++ b/src/cranberrywheel/process/dispatcher.py
@@ -36,6 +36,7 @@
         self._ticks = 0
         self._running = True
         self._handlers = self._build_handlers()
+        state.timers.add(state.clock.now_ms() + TICK_MS, self._tick)
         self._thread = threading.Thread(
             target=self._run, name="dispatcher", daemon=True
         )
@@ -73,7 +74,6 @@
 
     def start(self) -> None:
         """Start the task."""
-        self._state.timers.add(self._now_ms() + TICK_MS, self._tick)
         self._thread.start()
 
     def post(self, message: t.Any) -> None:
--- a/src/cranberrywheel/process/entry.py
+++ b/src/cranberrywheel/process/entry.py
@@ -90,7 +90,11 @@
         )
         callers = CallerApi(settings, post, self.is_ready, operators)
         self._http = HttpServer(
-            settings.host, settings.http_port, callers, settings.http_threads
+            settings.host,
+            settings.http_port,
+            callers,
+            settings.http_threads,
+            settings.max_body_bytes,
         )
 
     def _submit_forwarded(self, incoming: m.IncomingRequest) -> "Future[Answer]":
