Add local clusters with relays, and record histories of the platform

Cause: fault experiments need several processes on loopback that can be killed, paused and partitioned.

The platform stand-in records limits, pool records and instance states. The worker stand-in returns the result of a finished task with its state, and a throttled task runs on the slots that others leave.

--- /dev/null
+++ b/src/cranberrywheel_load/cluster.py
@@ -0,0 +1,361 @@
+"""A deployment on loopback: stand-ins, entry instances and planners."""
+
+import configparser
+import dataclasses
+import json
+import pathlib
+import socket
+import typing as t
+
+from cranberrywheel.version.configuration import Configuration, parse_configuration
+from cranberrywheel_load.processes import (
+    ManagedProcess,
+    free_ports,
+    stop_all,
+    wait_until,
+)
+from cranberrywheel_standin.history import HistoryWriter
+from cranberrywheel_standin.http_call import NoAnswerError, call_json
+
+HOST = "127.0.0.1"
+#: generous, because the tests of a busy machine start many interpreters.
+READY_TIMEOUT_S = 60.0
+#: name of the platform's side in partitions.
+PLATFORM_ZONE = "platform"
+OPERATOR_TOKEN = "operator-token-of-a-local-run"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ClusterPlan:
+    """What to start.
+
+    :param text: the operators' text; its workers are started as stand-ins.
+    :param entry_zones: zone of each entry instance.
+    :param planner_zones: zones that get a planner.
+    :param entry_settings: settings by section and key that differ from the
+        defaults, for example ``{"limits": {"short_hold_ms": 9000}}``.
+    :param planner_settings: the same for planners.
+    :param worker_fields: fields of all worker stand-ins, such as ``stop_ms``.
+    :param with_relays: put relays before workers, platform and peer ports, so
+        that zones can be partitioned.
+    """
+
+    text: str
+    entry_zones: tuple[str, ...]
+    planner_zones: tuple[str, ...] = ()
+    entry_settings: t.Mapping[str, t.Mapping[str, t.Any]] = dataclasses.field(
+        default_factory=dict
+    )
+    planner_settings: t.Mapping[str, t.Mapping[str, t.Any]] = dataclasses.field(
+        default_factory=dict
+    )
+    worker_fields: t.Mapping[str, t.Any] = dataclasses.field(default_factory=dict)
+    with_relays: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryPlace:
+    """Where an entry instance listens.
+
+    :param advertised_peer_port: the port that peers learn; a relay's, if there
+        are relays.
+    """
+
+    name: str
+    zone: str
+    http_port: int
+    peer_port: int
+    advertised_peer_port: int
+
+    @property
+    def url(self) -> str:
+        """Return the base URL for callers and operators."""
+        return f"http://{HOST}:{self.http_port}"
+
+
+class Cluster:
+    """Starts and stops the processes of a plan.
+
+    Use it as a context manager: leaving it stops every process.
+
+    :param plan: what to start.
+    :param folder: temporary folder for settings, logs and histories.
+    """
+
+    def __init__(self, plan: ClusterPlan, folder: pathlib.Path) -> None:
+        self.plan = plan
+        self.folder = folder
+        self.configuration: Configuration = parse_configuration(plan.text)
+        self.history = HistoryWriter(str(folder / "load.history"))
+        self.processes: dict[str, ManagedProcess] = {}
+        self.places: dict[str, EntryPlace] = {}
+        self.worker_addresses: dict[str, str] = {}
+        self.platform_url = ""
+        self._entry_platform_url = ""
+        self._relay: socket.socket | None = None
+
+    def __enter__(self) -> "Cluster":
+        try:
+            self._start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *details: t.Any) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop every process, planners and entry instances first."""
+        last = ("platform", "workers", "relay")
+        first = [p for n, p in self.processes.items() if n not in last]
+        stop_all(first)
+        if self._relay is not None:
+            self._relay.close()
+        stop_all([p for n, p in self.processes.items() if n in last])
+
+    def _start(self) -> None:
+        if self.plan.with_relays:
+            self._start_relay()
+        self._start_platform()
+        self._start_workers()
+        names = [f"entry-{i + 1}" for i in range(len(self.plan.entry_zones))]
+        for name, zone in zip(names, self.plan.entry_zones, strict=True):
+            self.add_entry(name, zone)
+        for zone in self.plan.planner_zones:
+            self.add_planner(zone)
+        for name in names:
+            self.wait_alive(name)
+
+    # Stand-ins
+
+    def _run(self, name: str, *arguments: str) -> ManagedProcess:
+        process = ManagedProcess(name, arguments, self.folder)
+        self.processes[name] = process
+        process.start()
+        return process
+
+    def _start_platform(self) -> None:
+        (port,) = free_ports(1)
+        history = str(self.folder / "platform.history")
+        module = "cranberrywheel_standin.main"
+        self._run(
+            "platform", module, "platform", "--port", str(port), "--history", history
+        )
+        self.platform_url = f"http://{HOST}:{port}"
+        self._entry_platform_url = f"http://{HOST}:{self._relayed(port, PLATFORM_ZONE)}"
+        self._wait_answer(f"{self.platform_url}/v1/counters", "platform")
+
+    def _start_workers(self) -> None:
+        workers = list(self.configuration.workers_by_name.values())
+        rows = []
+        for worker, port in zip(workers, free_ports(len(workers)), strict=True):
+            self.worker_addresses[worker.name] = f"{HOST}:{port}"
+            rows.append(
+                {
+                    "name": worker.name,
+                    "zone": worker.zone,
+                    "rack": worker.rack,
+                    "port": port,
+                    "advertised_port": self._relayed(port, worker.zone),
+                    "slots": worker.slots,
+                    "cores": worker.cores,
+                    "memory_mb": worker.memory_mb,
+                    **self.plan.worker_fields,
+                }
+            )
+        config = self.folder / "workers.json"
+        config.write_text(json.dumps(rows))
+        process = self._run(
+            "workers",
+            "cranberrywheel_standin.main",
+            "worker",
+            "--config",
+            str(config),
+            "--platform",
+            self.platform_url,
+            "--history",
+            str(self.folder / "workers.history"),
+        )
+        wait_until(
+            lambda: "workers ready" in process.read_log(),
+            READY_TIMEOUT_S,
+            "workers listen",
+        )
+
+    # Entry instances and planners
+
+    def add_entry(self, name: str, zone: str) -> EntryPlace:
+        """Start an entry instance on new ports."""
+        http_port, peer_port = free_ports(2)
+        place = EntryPlace(
+            name=name,
+            zone=zone,
+            http_port=http_port,
+            peer_port=peer_port,
+            advertised_peer_port=self._relayed(peer_port, zone),
+        )
+        self.places[name] = place
+        token_file = self.folder / "operator-token"
+        token_file.write_text(OPERATOR_TOKEN)
+        values = {
+            "instance": name,
+            "zone": zone,
+            "host": HOST,
+            "http_port": http_port,
+            "peer_port": peer_port,
+            "operator_token_file": token_file,
+        }
+        if place.advertised_peer_port != peer_port:
+            values["advertised_peer_port"] = place.advertised_peer_port
+        self._write_settings(name, "entry", values, self.plan.entry_settings)
+        self.restart(name)
+        return place
+
+    def add_planner(self, zone: str) -> ManagedProcess:
+        """Start the planner of a zone."""
+        name = f"planner-{zone}"
+        values = {"instance": name, "zone": zone}
+        self._write_settings(name, "planner", values, self.plan.planner_settings)
+        return self._run_program(name, "planner")
+
+    def _write_settings(
+        self,
+        name: str,
+        section: str,
+        values: t.Mapping[str, t.Any],
+        changed: t.Mapping[str, t.Mapping[str, t.Any]],
+    ) -> None:
+        parser = configparser.ConfigParser(interpolation=None)
+        platform = {"url": self._entry_platform_url}
+        for title, part in {section: values, "platform": platform, **changed}.items():
+            known = dict(parser[title]) if parser.has_section(title) else {}
+            parser[title] = {**known, **{k: str(v) for k, v in part.items()}}
+        for key, value in values.items():
+            parser[section][key] = str(value)
+        parser["platform"]["url"] = self._entry_platform_url
+        with (self.folder / f"{name}.ini").open("w") as file:
+            parser.write(file)
+
+    def _run_program(self, name: str, program: str) -> ManagedProcess:
+        settings = str(self.folder / f"{name}.ini")
+        process = self._run(
+            name, f"cranberrywheel.programs.{program}", "--settings", settings
+        )
+        self._tell_owners()
+        return process
+
+    def restart(self, name: str) -> None:
+        """Start an entry instance again on its ports, as a new process."""
+        self._run_program(name, "entry")
+
+    def entry_urls(self) -> list[str]:
+        """Return the base URLs of all entry instances."""
+        return [place.url for place in self.places.values()]
+
+    def wait_alive(self, name: str) -> None:
+        """Wait until an entry instance answers."""
+        self._wait_answer(f"{self.places[name].url}/healthz", name)
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until an entry instance is ready for the load balancer."""
+        url = f"{self.places[name].url}/readyz"
+        wait_until(
+            lambda: self._status(url) == 200, READY_TIMEOUT_S, f"{name} is ready"
+        )
+
+    def _wait_answer(self, url: str, name: str) -> None:
+        process = self.processes[name]
+
+        def answered() -> bool:
+            if not process.is_running():
+                raise RuntimeError(f"{name} exited:\n{process.read_log()[-4000:]}")
+            return self._status(url) == 200
+
+        wait_until(answered, READY_TIMEOUT_S, f"{name} answers")
+
+    @staticmethod
+    def _status(url: str) -> int:
+        try:
+            return call_json("GET", url)[0]
+        except NoAnswerError:
+            return 0
+
+    # Operators
+
+    def operate(
+        self,
+        method: str,
+        path: str,
+        body: t.Any = None,
+        headers: t.Sequence[str] = (),
+        entry: str = "",
+    ) -> tuple[int, t.Any]:
+        """Send an operator's call to an entry instance; default the first."""
+        place = self.places[entry] if entry else next(iter(self.places.values()))
+        token = f"Authorization: Bearer {OPERATOR_TOKEN}"
+        return call_json(
+            method, place.url + path, body, (token, *headers), timeout_ms=10_000
+        )
+
+    # Faults
+
+    def set_platform_faults(self, **faults: t.Any) -> None:
+        """Replace the faults of the platform stand-in."""
+        call_json("PUT", f"{self.platform_url}/v1/faults", faults)
+
+    def set_worker_faults(self, worker: str, **faults: t.Any) -> None:
+        """Replace the faults of one worker stand-in."""
+        url = f"http://{self.worker_addresses[worker]}/v1/faults"
+        call_json("PUT", url, faults)
+
+    def partition(self, zone: str) -> None:
+        """Cut a zone off from all other zones and from the platform."""
+        others = {*self.configuration.regions_by_zone, PLATFORM_ZONE} - {zone}
+        self._command({"cut": [[zone, other] for other in sorted(others)]})
+
+    def heal(self) -> None:
+        """End all partitions."""
+        self._command({"cut": []})
+
+    def _start_relay(self) -> None:
+        (port,) = free_ports(1)
+        self._run("relay", "cranberrywheel_load.relay", str(port))
+
+        def connect() -> socket.socket | None:
+            try:
+                return socket.create_connection((HOST, port), timeout=READY_TIMEOUT_S)
+            except OSError:
+                return None
+
+        self._relay = wait_until(connect, READY_TIMEOUT_S, "relay listens")
+
+    def _command(self, command: dict[str, t.Any]) -> None:
+        assert self._relay is not None, "the plan has no relays"
+        self._relay.sendall(json.dumps(command).encode() + b"\n")
+        answer = self._relay.recv(100)
+        assert answer.endswith(b"\n"), f"relay answered {answer!r}"
+
+    def _relayed(self, port: int, zone: str) -> int:
+        """Return the port that others use for a listening port."""
+        if self._relay is None:
+            return port
+        (relay_port,) = free_ports(1)
+        self._command({"listen": [relay_port, port, zone]})
+        return relay_port
+
+    def _tell_owners(self) -> None:
+        if self._relay is None:
+            return
+        zones = {place.name: place.zone for place in self.places.values()}
+        zones |= {f"planner-{zone}": zone for zone in self.plan.planner_zones}
+        zones["platform"] = PLATFORM_ZONE
+        self._command(
+            {
+                "owners": {
+                    process.pid: zones[name]
+                    for name, process in self.processes.items()
+                    if name in zones and process.is_running()
+                }
+            }
+        )
--- /dev/null
+++ b/src/cranberrywheel_load/processes.py
@@ -0,0 +1,133 @@
+"""Processes that the load tool starts, and bounded waits."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing as t
+
+POLL_S = 0.05
+#: how long a process may take to exit after SIGTERM before it is killed.
+EXIT_WAIT_S = 20.0
+
+
+class WaitTimeoutError(Exception):
+    """A condition did not become true within its bound."""
+
+
+def wait_until(condition: t.Callable[[], t.Any], timeout_s: float, what: str) -> t.Any:
+    """Poll a condition until it is true.
+
+    :param what: the condition in words, for the error.
+    :returns: the condition's first true value.
+    :raises WaitTimeoutError: after ``timeout_s``.
+    """
+    end_s = time.monotonic() + timeout_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() >= end_s:
+            raise WaitTimeoutError(f"not within {timeout_s:g} s: {what}")
+        time.sleep(POLL_S)
+
+
+def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Return distinct ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind((host, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+class ManagedProcess:
+    """A Python module run as a process, with its output in a log file.
+
+    :param name: name in messages and of the log file.
+    :param arguments: module and its arguments.
+    :param folder: where the log goes.
+    """
+
+    def __init__(
+        self, name: str, arguments: t.Sequence[str], folder: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.log = folder / f"{name}.log"
+        self._arguments = [sys.executable, "-m", *arguments]
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Return the id of the running process."""
+        assert self._process is not None, f"{self.name} was not started"
+        return self._process.pid
+
+    def start(self) -> None:
+        """Start the process; the log is appended to."""
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(
+                self._arguments,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+            )
+
+    def is_running(self) -> bool:
+        """Return whether the process has not exited."""
+        return self._process is not None and self._process.poll() is None
+
+    def send(self, number: int) -> None:
+        """Send a signal, if the process still runs."""
+        if self.is_running():
+            os.kill(self.pid, number)
+
+    def pause(self) -> None:
+        """Stop the process with SIGSTOP."""
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self.send(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """End the process at once with SIGKILL."""
+        self.send(signal.SIGKILL)
+        self.wait()
+
+    def terminate(self) -> None:
+        """Ask for a graceful shutdown and return at once."""
+        self.send(signal.SIGTERM)
+
+    def wait(self, timeout_s: float = EXIT_WAIT_S) -> int | None:
+        """Wait for the exit.
+
+        :returns: the exit code, or ``None`` if it still runs.
+        """
+        if self._process is None:
+            return None
+        try:
+            return self._process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def read_log(self) -> str:
+        """Return the output so far."""
+        return self.log.read_text(errors="replace") if self.log.exists() else ""
+
+
+def stop_all(processes: t.Sequence[ManagedProcess]) -> None:
+    """Stop processes, gracefully first."""
+    for process in processes:
+        process.resume()
+        process.terminate()
+    for process in processes:
+        if process.wait() is None:
+            process.kill()
--- /dev/null
+++ b/src/cranberrywheel_load/relay.py
@@ -0,0 +1,160 @@
+"""TCP relays that can partition availability zones.
+
+Every target listens behind a relay whose address is the one that others learn. The
+relay finds out which process opened a connection, and so its zone, from the kernel's
+socket table. Cutting a pair of zones holds the bytes between them back, as a network
+that loses packets does: connections neither fail nor progress until the cut ends.
+
+The program reads one JSON command a line from its control connection and answers each
+with a line: ``{"listen": [port, target port, zone]}``, ``{"owners": {pid: zone}}`` and
+``{"cut": [[zone, zone], ...]}``.
+"""
+
+import asyncio
+import json
+import os
+import sys
+import typing as t
+
+HOST = "127.0.0.1"
+CHUNK_BYTES = 65_536
+#: a process's socket may appear in the tables just after the accept.
+OWNER_LOOKUPS = 20
+OWNER_POLL_S = 0.01
+
+
+def socket_inode(table: str, local_port: int, remote_port: int) -> str:
+    """Return the inode of a connection in the text of ``/proc/net/tcp``."""
+    for line in table.splitlines()[1:]:
+        fields = line.split()
+        ports = [int(fields[i].rpartition(":")[2], 16) for i in (1, 2)]
+        if ports == [local_port, remote_port]:
+            return fields[9]
+    return ""
+
+
+def owns_socket(pid: int, inode: str) -> bool:
+    """Return whether a process has a socket open."""
+    folder = f"/proc/{pid}/fd"
+    try:
+        names = os.listdir(folder)
+    except OSError:
+        return False
+    for name in names:
+        try:
+            if os.readlink(f"{folder}/{name}") == f"socket:[{inode}]":
+                return True
+        except OSError:
+            continue
+    return False
+
+
+class Relays:
+    """All relays of one process."""
+
+    def __init__(self) -> None:
+        self.zones_by_pid: dict[int, str] = {}
+        self._cut: frozenset[frozenset[str]] = frozenset()
+        self._healed = asyncio.Event()
+        self._servers: list[asyncio.Server] = []
+
+    async def listen(self, port: int, target_port: int, zone: str) -> None:
+        """Relay a port to a target in a zone."""
+
+        async def accept(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            try:
+                await self._relay(reader, writer, port, target_port, zone)
+            except OSError:
+                pass
+            finally:
+                writer.close()
+
+        self._servers.append(await asyncio.start_server(accept, HOST, port))
+
+    def set_cut(self, pairs: t.Iterable[t.Sequence[str]]) -> None:
+        """Replace the pairs of zones between which nothing passes."""
+        self._cut = frozenset(frozenset(pair) for pair in pairs)
+        self._healed.set()
+        self._healed = asyncio.Event()
+
+    async def _passable(self, source: str, zone: str) -> None:
+        while source != zone and frozenset((source, zone)) in self._cut:
+            await self._healed.wait()
+
+    async def _source_zone(self, client_port: int, port: int) -> str:
+        for _ in range(OWNER_LOOKUPS):
+            with open("/proc/net/tcp", encoding="ascii") as file:
+                inode = socket_inode(file.read(), client_port, port)
+            for pid, zone in self.zones_by_pid.items():
+                if inode and owns_socket(pid, inode):
+                    return zone
+            await asyncio.sleep(OWNER_POLL_S)
+        return ""
+
+    async def _relay(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        port: int,
+        target_port: int,
+        zone: str,
+    ) -> None:
+        client_port = writer.get_extra_info("peername")[1]
+        source = await self._source_zone(client_port, port)
+        await self._passable(source, zone)
+        target_reader, target_writer = await asyncio.open_connection(HOST, target_port)
+        try:
+            await asyncio.gather(
+                self._copy(reader, target_writer, source, zone),
+                self._copy(target_reader, writer, source, zone),
+            )
+        finally:
+            target_writer.close()
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        source: str,
+        zone: str,
+    ) -> None:
+        while data := await reader.read(CHUNK_BYTES):
+            await self._passable(source, zone)
+            writer.write(data)
+            await writer.drain()
+        await self._passable(source, zone)
+        # Closing both ways is enough: neither HTTP nor gRPC uses half-closed sockets.
+        writer.close()
+
+    async def obey(self, command: dict[str, t.Any]) -> None:
+        """Carry out one control command."""
+        if "listen" in command:
+            await self.listen(*command["listen"])
+        if "owners" in command:
+            self.zones_by_pid = {int(p): z for p, z in command["owners"].items()}
+        if "cut" in command:
+            self.set_cut(command["cut"])
+
+
+async def _serve(control_port: int) -> None:
+    relays = Relays()
+    ended = asyncio.Event()
+
+    async def control(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while line := await reader.readline():
+            await relays.obey(json.loads(line))
+            writer.write(b"{}\n")
+            await writer.drain()
+        ended.set()
+
+    async with await asyncio.start_server(control, HOST, control_port):
+        # The relays end with the control connection, that is, with the load tool.
+        await ended.wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(_serve(int(sys.argv[1])))
--- a/src/cranberrywheel_standin/history.py
+++ b/src/cranberrywheel_standin/history.py
@@ -5,6 +5,8 @@
 import time
 import typing as t
 
+from cranberrywheel_standin.worker import Task
+
 
 class HistoryWriter:
     """Appends events as JSON lines; safe to use from several threads.
@@ -28,3 +30,53 @@
             line = json.dumps({"event": event, "at_ms": at_ms, **fields})
             self._file.write(line + "\n")
             self._file.flush()
+
+
+def task_recorder(history: HistoryWriter) -> t.Callable[[str, str, Task], None]:
+    """Return a function that writes task starts and ends of workers."""
+
+    def record(event: str, worker: str, task: Task) -> None:
+        # A task id is unique per worker only: a retry elsewhere may repeat it.
+        fields = {"worker": worker, "task": f"{worker}/{task.order.task_id}"}
+        if event == "task_start":
+            order = task.order
+            fields |= {"request": order.request, "team": order.team}
+            history.write(event, queue=order.queue, **fields)
+        else:
+            how = "expired" if task.reason == "lease-expired" else task.state
+            history.write(event, how=how, **fields)
+
+    return record
+
+
+def state_recorder(history: HistoryWriter) -> t.Callable[[str, str], None]:
+    """Return a function that writes when instances leave or return."""
+
+    def record(instance: str, state: str) -> None:
+        event = "leaving" if state == "leaving" else "returned"
+        history.write(event, worker=instance)
+
+    return record
+
+
+def write_recorder(history: HistoryWriter) -> t.Callable[[str, str, int], None]:
+    """Return a function that writes unit and pool records of the store."""
+
+    def record(key: str, value: str, revision: int) -> None:
+        kind, _, name = key.partition("/")
+        if kind not in ("limits", "pools"):
+            return
+        body = json.loads(value)["body"]
+        if kind == "limits":
+            held = {h: x["long"] + x["short"] for h, x in body["holders"].items()}
+            fields = {"team": name, "limit": body["limit"], "held_by_holder": held}
+            history.write("units", revision=revision, **fields)
+            return
+        placed = {
+            instance: {"pool": row["pool"], "state": row["state"]}
+            for instance, row in body["instances"].items()
+        }
+        fields = {"zone": name, "fence": body["fence"], "instances": placed}
+        history.write("pool_record", revision=revision, **fields)
+
+    return record
--- a/src/cranberrywheel_standin/main.py
+++ b/src/cranberrywheel_standin/main.py
@@ -11,7 +11,12 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
-from cranberrywheel_standin.history import HistoryWriter
+from cranberrywheel_standin.history import (
+    HistoryWriter,
+    state_recorder,
+    task_recorder,
+    write_recorder,
+)
 from cranberrywheel_standin.http_call import NoAnswerError, call_json
 from cranberrywheel_standin.platform import Platform, PlatformApp
 from cranberrywheel_standin.serving import Server
@@ -48,10 +53,15 @@
             "host", None, "IP number to listen on.", flag=False, default="127.0.0.1"
         ),
         option("port", None, "Port; 0 picks one.", flag=False, default="0"),
+        option("history", None, "File for records and instance states.", flag=False),
     ]
 
     def handle(self) -> int:
-        app = PlatformApp(Platform(), control_worker)
+        history = HistoryWriter(self.option("history") or "")
+        platform = Platform(
+            on_write=write_recorder(history), on_state=state_recorder(history)
+        )
+        app = PlatformApp(platform, control_worker)
         server = Server(self.option("host"), int(self.option("port")), app)
         server.start()
         print(f"platform listening on {server.address}", flush=True)
@@ -59,23 +69,6 @@
         return 0
 
 
-def task_recorder(history: HistoryWriter) -> t.Callable[[str, str, Task], None]:
-    """Return a function that writes task starts and ends to a history."""
-
-    def record(event: str, worker: str, task: Task) -> None:
-        # A task id is unique per worker only: a retry elsewhere may repeat it.
-        fields = {"worker": worker, "task": f"{worker}/{task.order.task_id}"}
-        if event == "task_start":
-            order = task.order
-            fields |= {"request": order.request, "team": order.team}
-            history.write(event, queue=order.queue, **fields)
-        else:
-            how = "expired" if task.reason == "lease-expired" else task.state
-            history.write(event, how=how, **fields)
-
-    return record
-
-
 def load_configs(path: str) -> list[WorkerConfig]:
     """Read a JSON list of workers; keys are the fields of ``WorkerConfig``."""
     with open(path, encoding="utf-8") as file:
@@ -97,7 +90,7 @@
             "kind": "worker",
             "zone": config.zone,
             "rack": config.rack,
-            "address": server.address,
+            "address": f"{config.host}:{config.advertised_port or server.port}",
             "state": "live",
             "cores": config.cores,
             "memory_mb": config.memory_mb,
--- a/src/cranberrywheel_standin/platform.py
+++ b/src/cranberrywheel_standin/platform.py
@@ -43,10 +43,19 @@
     """State of the platform behind its HTTP service.
 
     :param now_s: clock reading in seconds; replaceable in tests.
+    :param on_write: called with key, value and revision of each write.
+    :param on_state: called with id and state when the list shows a new state.
     """
 
-    def __init__(self, now_s: t.Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        now_s: t.Callable[[], float] = time.monotonic,
+        on_write: t.Callable[[str, str, int], None] = lambda key, value, rev: None,
+        on_state: t.Callable[[str, str], None] = lambda instance, state: None,
+    ) -> None:
         self._now_s = now_s
+        self._on_write = on_write
+        self._on_state = on_state
         self.changed = threading.Condition()
         self.entries_by_key: dict[str, Entry] = {}
         self._lease_ends_by_id: dict[str, tuple[float, int]] = {}
@@ -129,6 +138,7 @@
                 return 412, {"revision": revision}
             self._revision += 1
             self.entries_by_key[key] = Entry(value, self._revision, lease)
+            self._on_write(key, value, self._revision)
             self.changed.notify_all()
             return 200, {"revision": self._revision}
 
@@ -184,8 +194,11 @@
                     "memory_mb": 1024,
                 },
             )
+            old_state = row["state"]
             row.update(fields)
             self._snapshot()
+            if row["state"] != old_state:
+                self._on_state(instance, row["state"])
 
     def remove_instance(self, instance: str) -> None:
         """Remove a row of the instance list."""
--- a/src/cranberrywheel_standin/worker.py
+++ b/src/cranberrywheel_standin/worker.py
@@ -36,6 +36,8 @@
     """One worker of the stand-in.
 
     :param port: listening port; 0 picks a free one.
+    :param advertised_port: port to register, if a relay listens there; 0 for
+        the listening port.
     :param run_ms: run time of tasks that do not state one.
     :param stop_ms: time that a task needs to stop.
     :param usage_lag_ms: age of the usage that is reported.
@@ -47,6 +49,7 @@
     rack: str = ""
     host: str = "127.0.0.1"
     port: int = 0
+    advertised_port: int = 0
     slots: int = 8
     cores: float = 32.0
     memory_mb: int = 131_072
@@ -106,7 +109,8 @@
     """A task that was started.
 
     :param remaining_ms: work left, at full speed, at ``updated_ms``.
-    :param speed: part of full speed, below 1 while throttled.
+    :param throttled: whether it runs only on slots that no other task needs.
+    :param speed: part of full speed since ``updated_ms``.
     :param stop_at_ms: when a requested stop takes effect.
     :param reason: why the task was stopped or failed.
     """
@@ -117,6 +121,7 @@
     lease_end_ms: int
     deadline_end_ms: int | None
     remaining_ms: float
+    throttled: bool = False
     speed: float = 1.0
     stop_at_ms: int | None = None
     state: str = "running"
@@ -184,14 +189,21 @@
         return self._now_ms() >= self._up_at_ms
 
     def slots_free(self) -> int:
-        """Return whole free slots; a throttled task uses part of one."""
+        """Return the slots that no unthrottled task uses."""
         with self.changed:
             self._settle()
             return self._slots_free()
 
     def _slots_free(self) -> int:
-        used = sum(task.speed for task in self._running_by_id.values())
-        return int(self.config.slots - used + 1e-9)
+        used = sum(not task.throttled for task in self._running_by_id.values())
+        return self.config.slots - used
+
+    def _share_slots(self) -> None:
+        """Divide the slots that are left among the throttled tasks."""
+        throttled = [x for x in self._running_by_id.values() if x.throttled]
+        for task in throttled:
+            task.speed = min(1.0, self._slots_free() / len(throttled))
+        self.changed.notify_all()
 
     def start(self, order: StartOrder) -> Task:
         """Start a task.
@@ -222,6 +234,7 @@
                 remaining_ms=work_ms * self.faults.slow_factor,
             )
             self._running_by_id[order.task_id] = task
+            self._share_slots()
             self._record("task_start", config.name, task)
             if self.faults.fail:
                 self._end(task, "failed", "fault")
@@ -235,7 +248,7 @@
         if len(self._ended_by_id) > MAX_ENDED_TASKS:
             self._ended_by_id.popitem(last=False)
         self._record("task_end", self.config.name, task)
-        self.changed.notify_all()
+        self._share_slots()
 
     def _settle(self) -> None:
         """End the tasks whose work, lease, deadline or stop time has come."""
@@ -314,12 +327,13 @@
             self._end(task, "stopped", "checkpointed")
             return True
 
-    def throttle(self, task: Task, fraction: float) -> None:
-        """Run a task at a part of its speed; the rest of its slot is free."""
+    def throttle(self, task: Task) -> None:
+        """Let a task run only on slots that no other task needs."""
         with self.changed:
             self._settle()
-            task.speed = min(max(fraction, 0.0), 1.0)
-            self.changed.notify_all()
+            if task.state == "running":
+                task.throttled = True
+                self._share_slots()
 
     def usage(self) -> list[dict[str, t.Any]]:
         """Return the use of the running tasks as it was one lag ago."""
--- a/src/cranberrywheel_standin/worker_app.py
+++ b/src/cranberrywheel_standin/worker_app.py
@@ -142,17 +142,18 @@
             time.sleep(faults.late_ms / 1000)
         shown = self._damage(request, task)
         headers = {"Task_Id": shown.order.task_id, **self._state_headers()}
-        if shown.state == "failed" or shown.state == "stopped":
-            kind = shown.reason if shown.state == "stopped" else "task-failed"
-            body = {"kind": kind, "task": shown.order.task_id}
-            return _json(body, 500, **headers)
-        body = {
-            "task": shown.order.task_id,
-            "digest": shown.order.body_digest,
-            "request": shown.order.request,
+        if shown.state == "finished":
+            return _json(self._result(shown), 200, **headers)
+        kind = shown.reason if shown.state == "stopped" else "task-failed"
+        return _json({"kind": kind, "task": shown.order.task_id}, 500, **headers)
+
+    def _result(self, task: Task) -> dict[str, t.Any]:
+        return {
+            "task": task.order.task_id,
+            "digest": task.order.body_digest,
+            "request": task.order.request,
             "worker": self.worker.config.name,
         }
-        return _json(body, 200, **headers)
 
     def _damage(self, request: werkzeug.Request, task: Task) -> Task:
         """Apply one pending answer fault; returns the task whose answer to send."""
@@ -190,7 +191,12 @@
         return task
 
     def _get(self, request: werkzeug.Request, task_id: str) -> werkzeug.Response:
-        return _json(self._row(self._find(task_id)))
+        """Return a task's state, and its result if it has finished."""
+        task = self._find(task_id)
+        headers = {"Task_State": task.state, "Task_Id": task_id}
+        finished = task.state == "finished"
+        body = self._result(task) if finished else self._row(task)
+        return _json(body, **headers)
 
     def _act(
         self, request: werkzeug.Request, task_id: str, action: str
@@ -206,8 +212,7 @@
         elif action == "checkpoint":
             self.worker.checkpoint(task)
         else:
-            stated = request.get_json(silent=True) or {}
-            self.worker.throttle(task, float(stated.get("fraction", 0)))
+            self.worker.throttle(task)
         return _json(self._row(task), **self._state_headers())
 
     def _usage(self, request: werkzeug.Request) -> werkzeug.Response:
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -4,7 +4,7 @@
 from werkzeug.test import Client
 
 from cranberrywheel.clock import ManualClock
-from cranberrywheel_standin.main import task_recorder
+from cranberrywheel_standin.history import task_recorder
 from cranberrywheel_standin.worker import (
     StartOrder,
     StartRefusedError,
@@ -85,13 +85,16 @@
     def test_throttling_and_checkpoints_free_slots_and_keep_progress(self):
         slow, saved = self.start("slow"), self.start("saved")
         self.clock.advance(400)
-        self.worker.throttle(slow, 0.0)
+        self.worker.throttle(slow)
         self.assertEqual(1, self.worker.slots_free())
         self.assertTrue(self.worker.checkpoint(saved))
         resumed = self.start("resumed", checkpoint="saved")
+        other = self.start("other", run_ms=600)
         self.clock.advance(600)
         self.assertEqual([slow], self.worker.running())
-        self.assertEqual("finished", resumed.state)
+        self.assertEqual(("finished", "finished"), (resumed.state, other.state))
+        self.clock.advance(600)
+        self.assertEqual("finished", self.worker.find("slow").state)
 
     def test_a_stop_is_confirmed_only_after_the_task_has_stopped(self):
         task = self.start("t1")
