Add the fault experiment and its figures

Cause: failures must be compared under the same load, with figures from histories and not from what the processes say of themselves.

Change: cranberrywheel-load experiment runs one local deployment for each row of faults, behind a stand-in of the load balancer, and prints useful work, closeness to share, urgent start times, runs per ticket, running counts against limits, false not-run answers, calls cut by planned stops, work sent to leaving or failing workers, and the checker's violations.

--- a/src/cranberrywheel_load/cluster.py
+++ b/src/cranberrywheel_load/cluster.py
@@ -298,6 +298,46 @@
             method, place.url + path, body, (token, *headers), timeout_ms=10_000
         )
 
+    def apply_text(self, text: str) -> int:
+        """Apply an operators' text and wait until every instance has it.
+
+        :returns: its text version.
+        """
+        _, shown = self.operate("GET", "/v1/configuration")
+        match = f'If-Match: "{shown["text_version"]}"'
+        status, answer = self.operate("PUT", "/v1/configuration", text, (match,))
+        if status != 200:
+            raise RuntimeError(f"the text was refused with {status}: {answer}")
+        for team in parse_configuration(text).teams_by_name.values():
+            self.history.write("limit", team=team.name, limit=team.limit)
+        version = int(answer["text_version"])
+        self.wait_configuration(lambda shown: shown["text_version"] >= version)
+        return version
+
+    def grant_key(self, team: str) -> str:
+        """Create a key; returns the whole key."""
+        status, answer = self.operate("POST", "/v1/keys", {"team": team})
+        if status != 201:
+            raise RuntimeError(f"no key for {team}, {status}: {answer}")
+        return str(answer["key"])
+
+    def grant_keys(self) -> dict[str, str]:
+        """Create a key for each team and wait until every instance knows them."""
+        keys = {team: self.grant_key(team) for team in self.configuration.teams_by_name}
+        self.wait_configuration(lambda shown: len(shown["keys"]) >= len(keys))
+        return keys
+
+    def wait_configuration(self, matches: t.Callable[[t.Any], bool]) -> None:
+        """Wait until what each instance shows as its configuration matches."""
+        for name in self.places:
+            wait_until(
+                lambda name=name: matches(
+                    self.operate("GET", "/v1/configuration", entry=name)[1]
+                ),
+                READY_TIMEOUT_S,
+                f"{name} has the new configuration",
+            )
+
     # Faults
 
     def set_platform_faults(self, **faults: t.Any) -> None:
--- a/src/cranberrywheel_load/driver.py
+++ b/src/cranberrywheel_load/driver.py
@@ -103,25 +103,24 @@
 class LoadDriver:
     """Sends arrivals at their times; use it from one thread.
 
-    :param entries: base URLs of the entry instances.
+    :param choose_entry: returns the base URL of an entry instance for a call.
     :param configuration: queues with their timeouts.
     :param keys_by_team: whole team keys.
-    :param rng: seeded source for the choice of entry.
+    :param rng: seeded source of request tokens.
     :param history: receives invocations and responses.
     """
 
     def __init__(
         self,
-        entries: t.Sequence[str],
+        choose_entry: t.Callable[[], str],
         configuration: Configuration,
         keys_by_team: t.Mapping[str, str],
         rng: random.Random,
         history: HistoryWriter,
     ) -> None:
-        self._entries = list(entries)
+        self._choose_entry = choose_entry
         self._configuration = configuration
         self._keys_by_team = keys_by_team
-        self._rng = rng
         self._history = history
         self._multi = pycurl.CurlMulti()
         self._calls: dict[pycurl.Curl, _Call] = {}
@@ -133,12 +132,20 @@
         self.stock = TicketStock()
         self.results: list[CallResult] = []
 
-    def run(self, arrivals: t.Sequence[Arrival], end_ms: float) -> None:
+    def run(
+        self,
+        arrivals: t.Sequence[Arrival],
+        end_ms: float,
+        waves_ms: t.Sequence[float] = (),
+    ) -> None:
         """Send all arrivals and wait for their answers.
 
         :param end_ms: reading of :func:`monotonic_ms` at which to give up.
+        :param waves_ms: times from the start at which every open call is cancelled.
         """
         start_ms = monotonic_ms()
+        for wave_ms in waves_ms:
+            self._at(start_ms + wave_ms, self._cancel_all)
         for arrival in arrivals:
             self._at(start_ms + arrival.at_ms, self._send, arrival, 1)
         while self._due or self._calls:
@@ -186,7 +193,7 @@
     def _ask_tickets(self, use: tuple[str, str]) -> None:
         self.stock.asking.add(use)
         body = json.dumps({"queue": use[1], "count": TICKET_BATCH}).encode()
-        url = self._rng.choice(self._entries) + "/v1/tickets"
+        url = self._choose_entry() + "/v1/tickets"
         curl, answer = self._prepare(url, body, use[0], CONNECT_TIMEOUT_MS * 3)
         self._ticket_calls[curl] = (use, answer)
         self._multi.add_handle(curl)
@@ -255,7 +262,7 @@
     def _invoke(
         self, arrival: Arrival, ticket: str, tries: int, work: str = ""
     ) -> None:
-        entry = self._rng.choice(self._entries)
+        entry = self._choose_entry()
         result = self._result(arrival, ticket or work, entry)
         body = json.dumps({"request": result.request, "run_ms": arrival.run_ms})
         self._digests[result.request] = hashlib.sha256(body.encode()).hexdigest()
@@ -301,6 +308,11 @@
         if call.curl in self._calls:
             self._finish(call, "cancelled")
 
+    def _cancel_all(self) -> None:
+        for call in list(self._calls.values()):
+            call.result.wanted = False
+            self._finish(call, "cancelled")
+
     def _collect(self) -> None:
         while True:
             queued, done, failed = self._multi.info_read()
--- /dev/null
+++ b/src/cranberrywheel_load/faults.py
@@ -0,0 +1,130 @@
+"""Faults of the experiment's rows, each a script that runs beside the load."""
+
+import dataclasses
+import threading
+import typing as t
+
+from cranberrywheel_load.cluster import Cluster
+from cranberrywheel_load.driver import monotonic_ms
+from cranberrywheel_load.measures import PlannedStop
+
+#: bound after which a failing or leaving target gets no new work.
+LEAVING_BOUND_MS = 5_000
+#: answers lost per second while the fault lasts.
+LOST_ANSWERS = 3
+
+
+@dataclasses.dataclass
+class FaultRun:
+    """What a fault script uses and reports.
+
+    :param outage_s: length of the store outage.
+    :param pause_s: length of the pause; longer than the short hold.
+    :param failing: worker that fails, and the time from which it does.
+    """
+
+    cluster: Cluster
+    outage_s: float
+    pause_s: float
+    stops: list[PlannedStop] = dataclasses.field(default_factory=list)
+    failing: tuple[str, float] | None = None
+    ended: threading.Event = dataclasses.field(default_factory=threading.Event)
+
+    def wait(self, seconds: float) -> None:
+        """Wait, but not beyond the end of the run."""
+        self.ended.wait(seconds)
+
+
+def no_fault(run: FaultRun) -> None:
+    """Do nothing."""
+
+
+def kill_entry(run: FaultRun) -> None:
+    """Kill an entry instance and start a new one on its address."""
+    run.cluster.processes["entry-2"].kill()
+    run.wait(3)
+    run.cluster.restart("entry-2")
+
+
+def pause_entry(run: FaultRun) -> None:
+    """Pause an entry instance for longer than its short hold."""
+    process = run.cluster.processes["entry-2"]
+    process.pause()
+    run.wait(run.pause_s)
+    process.resume()
+
+
+def partition_zone(run: FaultRun) -> None:
+    """Cut a zone off for as long as a store outage."""
+    run.cluster.partition(run.cluster.places["entry-2"].zone)
+    run.wait(run.outage_s)
+    run.cluster.heal()
+
+
+def stop_store(run: FaultRun) -> None:
+    """Let the platform answer 503 to everything."""
+    run.cluster.set_platform_faults(outage=True)
+    run.wait(run.outage_s)
+    run.cluster.set_platform_faults()
+
+
+def lose_answers(run: FaultRun) -> None:
+    """Let some writes of each second take effect unanswered."""
+    for _ in range(round(run.outage_s)):
+        run.cluster.set_platform_faults(lose_answers=LOST_ANSWERS)
+        run.wait(1)
+    run.cluster.set_platform_faults()
+
+
+def fail_worker(run: FaultRun) -> None:
+    """Let one worker fail everything, until the end of the run."""
+    worker = next(iter(run.cluster.configuration.workers_by_name))
+    run.cluster.set_worker_faults(worker, fail=True)
+    run.failing = (worker, monotonic_ms())
+
+
+def replace_entries(run: FaultRun) -> None:
+    """Replace the entry instances one after the other by graceful stops."""
+    for name, place in list(run.cluster.places.items()):
+        process, start_ms = run.cluster.processes[name], monotonic_ms()
+        process.terminate()
+        process.wait()
+        run.stops.append(PlannedStop(place.url, start_ms, monotonic_ms()))
+        run.cluster.restart(name)
+        run.cluster.wait_ready(name)
+
+
+def kill_entry_without_store(run: FaultRun) -> None:
+    """Kill an entry instance in the middle of a store outage."""
+    run.cluster.set_platform_faults(outage=True)
+    run.wait(run.outage_s / 2)
+    run.cluster.processes["entry-2"].kill()
+    run.wait(run.outage_s / 2)
+    run.cluster.set_platform_faults()
+    run.cluster.restart("entry-2")
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """One row of the experiment.
+
+    :param waves: whether all open calls are cancelled every two seconds.
+    """
+
+    name: str
+    script: t.Callable[[FaultRun], None]
+    waves: bool = False
+
+
+ROWS = (
+    Row("none", no_fault),
+    Row("entry killed", kill_entry),
+    Row("entry paused past its lease", pause_entry),
+    Row("zone partitioned", partition_zone),
+    Row("store down", stop_store),
+    Row("answers lost after the write", lose_answers),
+    Row("one worker fails everything", fail_worker),
+    Row("cancellation wave", no_fault, waves=True),
+    Row("entries replaced", replace_entries),
+    Row("store down and entry killed", kill_entry_without_store),
+)
--- a/src/cranberrywheel_load/main.py
+++ b/src/cranberrywheel_load/main.py
@@ -1,5 +1,7 @@
 """Command line of the load tool: ``cranberrywheel-load``."""
 
+import dataclasses
+import json
 import pathlib
 import random
 import typing as t
@@ -10,12 +12,15 @@
 
 from cranberrywheel.version.configuration import parse_configuration
 from cranberrywheel_load.driver import LoadDriver, monotonic_ms
+from cranberrywheel_load.experiment import ExperimentPlan, run_experiment
+from cranberrywheel_load.faults import ROWS
 from cranberrywheel_load.pattern import LoadPlan, plan_arrivals
 from cranberrywheel_load.report import queue_table, summarize, write_json
 from cranberrywheel_standin.history import HistoryWriter
 
 #: time after the last arrival in which answers are waited for.
 ANSWER_WAIT_MS = 20_000
+USAGE = 2
 
 
 def read_keys(path: str) -> dict[str, str]:
@@ -76,8 +81,9 @@
         history.write("meta", seed=seed)
         arrivals = plan_arrivals(configuration, plan, rng)
         self.line(f"seed={seed} calls={len(arrivals)}")
+        entries = self.option("entries").split(",")
         driver = LoadDriver(
-            self.option("entries").split(","), configuration, keys, rng, history
+            lambda: rng.choice(entries), configuration, keys, rng, history
         )
         driver.run(arrivals, monotonic_ms() + plan.duration_ms + ANSWER_WAIT_MS)
         summary = {"seed": seed, **summarize(driver.results)}
@@ -88,10 +94,53 @@
         return 0
 
 
+class ExperimentCommand(Command):
+    """Measures a local deployment under each fault."""
+
+    name = "experiment"
+    description = "Run the same load under each fault and print the figures."
+    options = [
+        _value("configuration", "An operators' text.", "examples/kayis-birligi.ini"),
+        _value("rows", "Row names, separated by commas; default all.", ""),
+        _value("seconds", "Length of each row's load.", "30"),
+        _value("surge-seconds", "Length of one queue's burst.", "3"),
+        _value("scale", "Factor on the mean rates.", "1"),
+        _value("time-scale", "Factor on outage and hold times.", "0.16667"),
+        _value("seed", "Seed of the random choices.", "1"),
+        _value("folder", "New folder for logs and histories.", "experiment"),
+        _value("json", "File for the figures."),
+    ]
+
+    def handle(self) -> int:
+        wanted = tuple(filter(None, self.option("rows").split(",")))
+        unknown = set(wanted) - {row.name for row in ROWS}
+        if unknown:
+            self.line_error(f"<error>unknown rows: {', '.join(unknown)}</error>")
+            return USAGE
+        plan = ExperimentPlan(
+            text=pathlib.Path(self.option("configuration")).read_text(),
+            time_scale=float(self.option("time-scale")),
+            load=LoadPlan(
+                duration_ms=round(float(self.option("seconds")) * 1000),
+                surge_ms=round(float(self.option("surge-seconds")) * 1000),
+                scale=float(self.option("scale")),
+            ),
+            seed=int(self.option("seed")),
+            folder=pathlib.Path(self.option("folder")),
+        )
+        rows = [row for row in ROWS if not wanted or row.name in wanted]
+        figures = run_experiment(plan, rows, self.line)
+        if self.option("json"):
+            data = {name: dataclasses.asdict(f) for name, f in figures.items()}
+            pathlib.Path(self.option("json")).write_text(json.dumps(data, indent=1))
+        return 1 if any(f.violations for f in figures.values()) else 0
+
+
 def main() -> None:
     """Run the command line."""
     application = Application("cranberrywheel-load")
     application.add(RunCommand())
+    application.add(ExperimentCommand())
     application.run()
 
 
--- /dev/null
+++ b/src/cranberrywheel_load/measures.py
@@ -0,0 +1,239 @@
+"""Figures of a run, from its histories."""
+
+import collections
+import dataclasses
+import pathlib
+import typing as t
+
+from cranberrywheel.version.configuration import Configuration
+from cranberrywheel_load.driver import CallResult
+from cranberrywheel_load.report import percentiles, useful_work
+from cranberrywheel_spec.history import check
+from cranberrywheel_spec.history_events import (
+    History,
+    Invoke,
+    TaskStart,
+    parse_lines,
+)
+
+#: windows in which closeness to share is measured.
+WINDOW_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True)
+class PlannedStop:
+    """A graceful shutdown of an entry instance during a run."""
+
+    entry: str
+    start_ms: float
+    end_ms: float
+
+
+def read_events(folder: pathlib.Path) -> list[t.Any]:
+    """Read all history files of a run."""
+    events: list[t.Any] = []
+    for path in sorted(folder.glob("*.history")):
+        events += parse_lines(path.read_text().splitlines(True), path.name)
+    return events
+
+
+Interval = tuple[float, float, str]
+"""Start, end and team of a running task or of a call that waits."""
+
+
+def mean_counts(
+    intervals: t.Iterable[Interval], start_ms: float, end_ms: float
+) -> dict[str, float]:
+    """Return the mean number of open intervals of each team in a window."""
+    open_ms: dict[str, float] = collections.defaultdict(float)
+    for begin, end, team in intervals:
+        open_ms[team] += max(0.0, min(end, end_ms) - max(begin, start_ms))
+    return {team: ms / (end_ms - start_ms) for team, ms in open_ms.items() if ms}
+
+
+def closeness(
+    used: t.Mapping[str, float],
+    demand: t.Mapping[str, float],
+    shares: t.Mapping[str, float],
+    capacity: float,
+) -> dict[str, float]:
+    """Return min(1, used / min(share x capacity, demand)) of teams with demand."""
+    return {
+        team: min(1.0, used.get(team, 0.0) / wanted)
+        for team, share in shares.items()
+        if (wanted := min(share * capacity, demand.get(team, 0.0))) > 0
+    }
+
+
+def _call_intervals(results: t.Sequence[CallResult]) -> dict[str, list[Interval]]:
+    """Return intervals by queue, from the first sending of a work to its last end."""
+    spans: dict[tuple[str, str, str], tuple[float, float]] = {}
+    for result in results:
+        key = (result.queue, result.team, result.work)
+        begin, end = spans.get(key, (result.sent_ms, result.done_ms))
+        spans[key] = (min(begin, result.sent_ms), max(end, result.done_ms))
+    by_queue: dict[str, list[Interval]] = collections.defaultdict(list)
+    for (queue, team, _), (begin, end) in spans.items():
+        by_queue[queue].append((begin, end, team))
+    return by_queue
+
+
+def _task_intervals(history: History) -> dict[str, list[Interval]]:
+    by_queue: dict[str, list[Interval]] = collections.defaultdict(list)
+    last_ms = history.events[-1].at_ms if history.events else 0.0
+    for start in history.of(TaskStart):
+        end = history.ends_by_task.get(start.task)
+        end_ms = end.at_ms if end else last_ms
+        by_queue[start.queue].append((start.at_ms, end_ms, start.team))
+    return by_queue
+
+
+def share_closeness(
+    history: History, results: t.Sequence[CallResult], configuration: Configuration
+) -> dict[str, float]:
+    """Return the mean closeness to share of each team over full windows.
+
+    A window of a service counts if its calls ask for at least its slots.
+    """
+    calls, tasks = _call_intervals(results), _task_intervals(history)
+    shares = {n: x.share for n, x in configuration.teams_by_name.items()}
+    found: dict[str, list[float]] = collections.defaultdict(list)
+    times = [e.at_ms for e in history.of(Invoke)] or [0.0]
+    for service in configuration.services_by_name.values():
+        pool = configuration.pools_by_name[service.pool]
+        capacity = len(pool.worker_names) * pool.slots_per_executor
+        queues = [
+            q.name
+            for q in configuration.queues_by_name.values()
+            if q.service == service.name
+        ]
+        service_calls = [i for q in queues for i in calls.get(q, [])]
+        service_tasks = [i for q in queues for i in tasks.get(q, [])]
+        start_ms = min(times)
+        while start_ms < max(times):
+            window = (start_ms, start_ms + WINDOW_MS)
+            demand = mean_counts(service_calls, *window)
+            if sum(demand.values()) >= capacity:
+                used = mean_counts(service_tasks, *window)
+                for team, value in closeness(used, demand, shares, capacity).items():
+                    found[team].append(value)
+            start_ms += WINDOW_MS
+    return {team: sum(values) / len(values) for team, values in found.items()}
+
+
+def urgent_starts(history: History, configuration: Configuration) -> dict[str, float]:
+    """Return percentiles of the time from an urgent call to its first start."""
+    waits = []
+    for invoke in history.of(Invoke):
+        work = history.work_of(invoke.request)
+        first = min(e.at_ms for e in history.invokes_by_work[work])
+        starts = history.starts_by_work.get(work)
+        if not configuration.queues_by_name[invoke.queue].urgent or not starts:
+            continue
+        if invoke.at_ms == first:
+            waits.append(starts[0].at_ms - first)
+    return percentiles(waits)
+
+
+def most_running(history: History) -> dict[str, int]:
+    """Return the greatest number of tasks that each team had running at once."""
+    changes = []
+    for intervals in _task_intervals(history).values():
+        for begin, end, team in intervals:
+            changes += [(begin, 1, team), (end, -1, team)]
+    running: dict[str, int] = collections.Counter()
+    most: dict[str, int] = collections.Counter()
+    for _, change, team in sorted(changes):
+        running[team] += change
+        most[team] = max(most[team], running[team])
+    most.pop("", None)
+    return dict(most)
+
+
+def most_runs(history: History) -> int:
+    """Return the greatest number of starts of one ticket."""
+    tickets = {e.ticket for e in history.of(Invoke) if e.ticket}
+    return max((len(history.starts_by_work.get(x, [])) for x in tickets), default=0)
+
+
+def cut_by_stops(
+    results: t.Sequence[CallResult], stops: t.Sequence[PlannedStop]
+) -> int:
+    """Return calls that a planned stop broke after they were accepted."""
+    return sum(
+        result.outcome == "broken"
+        and "refused" not in result.kind.lower()
+        and any(
+            s.entry == result.entry and s.start_ms <= result.done_ms <= s.end_ms
+            for s in stops
+        )
+        for result in results
+    )
+
+
+def starts_after(history: History, worker: str, from_ms: float) -> int:
+    """Return the tasks that started on a worker after a time."""
+    return sum(
+        start.worker == worker and start.at_ms > from_ms
+        for start in history.of(TaskStart)
+    )
+
+
+@dataclasses.dataclass
+class Figures:
+    """What an experiment prints about one run.
+
+    :param closeness: lowest mean closeness to share of any team.
+    :param urgent_ms: percentiles of urgent start times.
+    :param peak: greatest running count by team.
+    :param over_limit: teams whose peak is above their limit.
+    :param false_not_run: answers ``not-run`` whose request ran.
+    :param cut: calls that planned stops broke.
+    :param late_work: starts on a leaving or failing worker after the bound.
+    :param violations: first violation of each rule that the checker rejects.
+    """
+
+    useful: float
+    closeness: float
+    urgent_ms: dict[str, float]
+    runs_per_ticket: int
+    peak: dict[str, int]
+    over_limit: list[str]
+    false_not_run: int
+    cut: int
+    late_work: int
+    violations: list[str]
+
+
+def measure(
+    events: list[t.Any],
+    results: t.Sequence[CallResult],
+    configuration: Configuration,
+    stops: t.Sequence[PlannedStop] = (),
+    late_work: int = 0,
+) -> Figures:
+    """Compute all figures of one run.
+
+    :param late_work: starts on failing workers after the bound; those on leaving
+        ones are added from the checker.
+    """
+    history = History(events)
+    verdicts = {v.rule: v for v in check(events)}
+    by_team = share_closeness(history, results, configuration)
+    peak = most_running(history)
+    return Figures(
+        useful=useful_work(results),
+        closeness=min(by_team.values(), default=1.0),
+        urgent_ms=urgent_starts(history, configuration),
+        runs_per_ticket=most_runs(history),
+        peak=peak,
+        over_limit=sorted(
+            team
+            for team, count in peak.items()
+            if count > configuration.teams_by_name[team].limit
+        ),
+        false_not_run=len(verdicts["true-not-run"].violations),
+        cut=cut_by_stops(results, stops),
+        late_work=late_work + len(verdicts["leaving"].violations),
+        violations=[v.line() for v in verdicts.values() if v.violations],
+    )
--- /dev/null
+++ b/tests/test_measures.py
@@ -0,0 +1,66 @@
+import testtools
+
+from cranberrywheel_load.driver import CallResult
+from cranberrywheel_load.measures import (
+    PlannedStop,
+    closeness,
+    cut_by_stops,
+    mean_counts,
+    most_running,
+    most_runs,
+)
+from cranberrywheel_load.report import useful_work
+from cranberrywheel_spec.history_events import History, Invoke, TaskEnd, TaskStart
+
+
+def result(**fields):
+    values = {"request": "r", "work": "w", "queue": "q", "team": "a", "entry": "e1"}
+    return CallResult(**{**values, "run_ms": 100, "sent_ms": 0.0, **fields})
+
+
+def start(at_ms, task, request="r"):
+    fields = {"worker": "w", "task": task, "request": request, "team": "a"}
+    return TaskStart(at_ms=at_ms, event="task_start", queue="q", **fields)
+
+
+def end(at_ms, task):
+    return TaskEnd(at_ms=at_ms, event="task_end", worker="w", task=task, how="finished")
+
+
+class MeasuresTest(testtools.TestCase):
+    def test_a_work_counts_once_however_often_it_was_sent(self):
+        results = [
+            result(work="a", outcome="unknown"),
+            result(work="a", outcome="ok"),
+            result(work="b", outcome="broken"),
+            result(work="c", outcome="cancelled", wanted=False),
+        ]
+        self.assertEqual(0.5, useful_work(results))
+
+    def test_closeness_asks_no_more_than_demand_or_share(self):
+        found = closeness(
+            {"a": 3.0, "b": 1.0}, {"a": 2.0, "b": 9.0}, {"a": 0.5, "b": 0.25, "c": 1}, 8
+        )
+        self.assertEqual({"a": 1.0, "b": 0.5}, found)
+        intervals = [(0, 10, "a"), (5, 20, "a"), (12, 30, "b")]
+        self.assertEqual({"a": 1.5}, mean_counts(intervals, 0, 10))
+
+    def test_runs_and_peaks_come_from_starts(self):
+        invoke = Invoke(at_ms=0, event="invoke", request="r", queue="q", ticket="t")
+        again = invoke.model_copy(update={"request": "s"})
+        events = [invoke, again, start(1, "w/1"), start(2, "w/2", "s")]
+        history = History([*events, end(2, "w/1"), end(3, "w/2")])
+        self.assertEqual(2, most_runs(history))
+        # One task ends at the reading at which the next starts.
+        self.assertEqual({"a": 1}, most_running(history))
+
+    def test_only_accepted_calls_of_the_stopping_instance_count_as_cut(self):
+        stop = PlannedStop("e1", 10.0, 20.0)
+        results = [
+            result(outcome="broken", done_ms=15.0, kind="Empty reply from server"),
+            result(outcome="broken", done_ms=15.0, kind="Connection refused"),
+            result(outcome="broken", done_ms=15.0, entry="e2"),
+            result(outcome="broken", done_ms=25.0),
+            result(outcome="ok", done_ms=15.0),
+        ]
+        self.assertEqual(1, cut_by_stops(results, [stop]))
