Add process-level fault tests, not yet run

Cause: failures of whole processes need tests beside those of the decisions.

Change: tests/test_entry_faults.py kills, pauses and stops entry instances, breaks the store and the workers, and hangs up as a caller.

--- /dev/null
+++ b/tests/test_entry_faults.py
@@ -0,0 +1,290 @@
+"""Failures of running entry instances, on loopback with stand-ins."""
+
+import concurrent.futures
+import itertools
+import json
+import pathlib
+import tempfile
+
+import testtools
+
+from cranberrywheel_load.cluster import Cluster, ClusterPlan
+from cranberrywheel_load.measures import read_events
+from cranberrywheel_load.processes import wait_until
+from cranberrywheel_spec.history import check
+from cranberrywheel_spec.history_events import History, TaskEnd, TaskStart
+from cranberrywheel_standin.http_call import NoAnswerError, call_json
+
+TEXT = """\
+[deployment]
+name = faults
+[zone z1]
+[zone z2]
+[pool desk]
+workers = desk-1@z1/r1, desk-2@z2/r2
+cores = 4
+memory_mb = 4096
+slots_per_executor = 2
+[service desk]
+pool = desk
+min_healthy = 1
+[queue orders]
+service = desk
+run_ms = 20
+timeout_ms = 60000
+[queue prices]
+service = desk
+idempotent = yes
+run_ms = 20
+timeout_ms = 60000
+[queue browse]
+service = desk
+access = open
+idempotent = yes
+run_ms = 20
+timeout_ms = 60000
+[team north]
+share = 0.5
+limit = 8
+"""
+#: generous: a busy machine may be slow, and no verdict depends on it.
+WAIT_S = 60.0
+SHORT_HOLD_MS = 4_000
+HOLDS = {
+    "short_hold_ms": SHORT_HOLD_MS,
+    "short_hold_margin_ms": 1_000,
+    "task_lease_ms": 3_000,
+}
+
+
+class EntryFaultsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        plan = ClusterPlan(
+            text=TEXT, entry_zones=("z1", "z2"), entry_settings={"limits": HOLDS}
+        )
+        self.cluster = self.enterContext(Cluster(plan, self.folder))
+        self.cluster.apply_text(TEXT)
+        self.key = self.cluster.grant_keys()["north"]
+        self.numbers = itertools.count(1)
+        self.pool = self.enterContext(concurrent.futures.ThreadPoolExecutor(16))
+        self.wait_for_call("entry-1")
+        self.wait_for_call("entry-2")
+
+    # Callers
+
+    def call(self, entry, queue, ticket="", run_ms=20, timeout_ms=60_000):
+        """Send one call and record it; returns (request, outcome, kind)."""
+        request = f"call-{next(self.numbers)}"
+        key = "" if queue == "browse" else self.key
+        headers = [f"Authorization: Bearer {key}"] if key else []
+        headers += [f"Idempotency-Key: {ticket}"] if ticket else []
+        self.cluster.history.write(
+            "invoke",
+            request=request,
+            team="north" if key else "",
+            queue=queue,
+            ticket=ticket,
+            key_id=key.partition(".")[0],
+        )
+        url = f"{self.cluster.places[entry].url}/v1/queues/{queue}"
+        body = {"request": request, "run_ms": run_ms}
+        try:
+            status, answer = call_json("POST", url, body, headers, timeout_ms)
+        except NoAnswerError as error:
+            return request, "broken", str(error)
+        fields = {"outcome": answer.get("outcome", "none")}
+        if status == 200:
+            fields = {"outcome": "ok", "answer_to": answer.get("request", "")}
+        self.cluster.history.write("response", request=request, **fields)
+        return request, fields["outcome"], answer.get("kind", "")
+
+    def ticket(self, entry):
+        url = f"{self.cluster.places[entry].url}/v1/tickets"
+        headers = [f"Authorization: Bearer {self.key}"]
+        status, answer = call_json("POST", url, {"queue": "orders"}, headers)
+        self.assertEqual(200, status, answer)
+        return answer["tickets"][0]
+
+    def query(self, entry, ticket):
+        url = f"{self.cluster.places[entry].url}/v1/requests/{ticket}"
+        return call_json("GET", url)[1]
+
+    def wait_for_call(self, entry):
+        wait_until(
+            lambda: self.call(entry, "prices")[1] == "ok", WAIT_S, f"{entry} serves"
+        )
+
+    # Histories
+
+    def history(self):
+        return History(read_events(self.folder))
+
+    def starts(self, request):
+        return [e for e in self.history().of(TaskStart) if e.request == request]
+
+    def wait_for_start(self, request):
+        return wait_until(lambda: self.starts(request), WAIT_S, f"{request} runs")[0]
+
+    def wait_for_end(self, task):
+        def find():
+            return [e for e in self.history().of(TaskEnd) if e.task == task]
+
+        return wait_until(find, WAIT_S, f"{task} ends")[0].how
+
+    def next_request(self):
+        """Return the token of the next call, without using it up."""
+        number = next(self.numbers)
+        self.numbers = itertools.chain([number], self.numbers)
+        return f"call-{number}"
+
+    def assert_history_holds(self):
+        violated = [v.line() for v in check(read_events(self.folder)) if v.violations]
+        self.assertEqual([], violated)
+
+    # Failures of processes
+
+    def test_a_killed_owner_leaves_unknown_and_never_a_second_run(self):
+        ticket = self.ticket("entry-1")
+        request = self.next_request()
+        running = self.pool.submit(self.call, "entry-2", "orders", ticket, run_ms=2_000)
+        self.wait_for_start(request)
+        self.cluster.processes["entry-1"].kill()
+        self.assertEqual("unknown", running.result(WAIT_S)[1])
+        retried = self.call("entry-2", "orders", ticket)
+        self.assertEqual("unknown", retried[1])
+        self.assertEqual("unknown", self.query("entry-2", ticket)["outcome"])
+        self.assertEqual([], self.starts(retried[0]))
+        self.cluster.restart("entry-1")
+        self.wait_for_call("entry-1")
+        self.assertEqual("unknown", self.call("entry-1", "orders", ticket)[1])
+        self.assert_history_holds()
+
+    def test_a_paused_entry_starts_nothing_that_its_lease_no_longer_covers(self):
+        ticket = self.ticket("entry-1")
+        request = self.next_request()
+        running = self.pool.submit(
+            self.call, "entry-1", "orders", ticket, run_ms=60_000
+        )
+        task = self.wait_for_start(request).task
+        self.cluster.processes["entry-1"].pause()
+        self.addCleanup(self.cluster.processes["entry-1"].resume)
+        # The task must end by its own lease while its entry instance is silent.
+        self.assertEqual("expired", self.wait_for_end(task))
+        self.assertEqual("ok", self.call("entry-2", "prices")[1])
+        self.cluster.processes["entry-1"].resume()
+        self.assertEqual("unknown", running.result(WAIT_S)[1])
+        self.wait_for_call("entry-1")
+        self.assertEqual(1, len(self.starts(request)))
+        self.assert_history_holds()
+
+    def test_a_stop_by_sigterm_cuts_no_request(self):
+        requests = [self.next_request()]
+        ticket = self.ticket("entry-1")
+        calls = [self.pool.submit(self.call, "entry-1", "orders", ticket, run_ms=2_000)]
+        self.wait_for_start(requests[0])
+        calls += [
+            self.pool.submit(self.call, "entry-1", "browse", run_ms=1_000)
+            for _ in range(6)
+        ]
+        wait_until(
+            lambda: len(self.history().invokes_by_request) >= 7, WAIT_S, "calls sent"
+        )
+        self.cluster.processes["entry-1"].terminate()
+        outcomes = {call.result(WAIT_S)[1] for call in calls}
+        # A call that arrives after the listener closed is refused, never cut.
+        self.assertEqual(0, self.cluster.processes["entry-1"].wait(WAIT_S))
+        self.assertEqual({"ok"}, outcomes)
+        self.assert_history_holds()
+
+    # Failures of the store
+
+    def test_calls_go_on_during_a_store_outage(self):
+        self.cluster.set_platform_faults(outage=True)
+        for entry in ("entry-1", "entry-2"):
+            self.assertEqual("ok", self.call(entry, "browse")[1])
+            self.assertIn(
+                self.call(entry, "prices")[1:],
+                [("ok", ""), ("not-run", "keys-not-fresh")],
+            )
+        status, answer = self.cluster.operate("POST", "/v1/keys", {"team": "north"})
+        self.assertEqual(503, status, answer)
+        self.cluster.set_platform_faults()
+        self.wait_for_call("entry-1")
+        self.wait_for_call("entry-2")
+        self.assert_history_holds()
+
+    def test_a_lost_store_answer_neither_loses_nor_doubles_a_write(self):
+        _, before = self.cluster.operate("GET", "/v1/configuration")
+        self.cluster.set_platform_faults(lose_answers=1)
+        key = self.cluster.grant_key("north")
+        self.cluster.set_platform_faults()
+        self.cluster.wait_configuration(
+            lambda shown: len(shown["keys"]) > len(before["keys"])
+        )
+        _, after = self.cluster.operate("GET", "/v1/configuration")
+        self.assertEqual(len(before["keys"]) + 1, len(after["keys"]))
+        self.key = key
+        self.wait_for_call("entry-2")
+
+    # Failures of workers
+
+    def set_all_workers(self, **faults):
+        for worker in self.cluster.worker_addresses:
+            self.cluster.set_worker_faults(worker, **faults)
+
+    def test_a_lost_answer_of_a_worker_is_no_second_run(self):
+        self.set_all_workers(lose_answers=1)
+        calls = [
+            self.call("entry-1", "orders", self.ticket("entry-1")) for _ in range(8)
+        ]
+        self.assertEqual(
+            set(), {outcome for _, outcome, _ in calls} - {"ok", "unknown"}
+        )
+        self.assertTrue(all(len(self.starts(c[0])) == 1 for c in calls))
+        self.assert_history_holds()
+
+    def test_no_caller_gets_a_crossed_or_truncated_answer(self):
+        for fault in ("cross", "truncate"):
+            self.set_all_workers(**{fault: 3})
+            for queue in ("orders", "prices") * 8:
+                ticket = self.ticket("entry-1") if queue == "orders" else ""
+                _, outcome, kind = self.call("entry-1", queue, ticket)
+                self.assertIn(outcome, ("ok", "unknown"), kind)
+        self.assert_history_holds()
+
+    # Callers that hang up
+
+    def test_a_caller_that_hangs_up_frees_its_place(self):
+        first = self.next_request()
+        long = self.pool.submit(
+            self.call, "entry-1", "prices", run_ms=60_000, timeout_ms=3_000
+        )
+        task = self.wait_for_start(first).task
+        self.assertEqual("broken", long.result(WAIT_S)[1])
+        self.assertEqual("stopped", self.wait_for_end(task))
+
+    def test_a_caller_that_hangs_up_in_the_queue_never_runs(self):
+        blockers = [
+            self.pool.submit(self.call, "entry-1", "browse", run_ms=5_000)
+            for _ in range(4)
+        ]
+        wait_until(
+            lambda: (
+                len([s for s in self.history().of(TaskStart) if s.queue == "browse"])
+                >= 4
+            ),
+            WAIT_S,
+            "all slots are taken",
+        )
+        request, outcome, _ = self.call("entry-1", "browse", timeout_ms=1_000)
+        self.assertEqual("broken", outcome)
+        for blocker in blockers:
+            self.assertEqual("ok", blocker.result(WAIT_S)[1])
+        self.wait_for_call("entry-1")
+        self.assertEqual([], self.starts(request))
+        status = self.cluster.operate("GET", "/v1/status")[1]
+        self.assertEqual(0, status["queued_by_service"]["desk"], json.dumps(status))
