Test the request decisions; bound a team's part of a queue

Cause: the tests for the failures that each decision is meant for found two faults. A team that offers ten times what others do filled the queue, and the others got 145 to 161 of about 400 places because their requests were refused. The probes of a dead worker went back to the first backoff after 5 min. Change: a team may queue four times the free places; urgent requests may use all. Only a worker that was healthy for 5 min starts again at the first backoff.

--- a/src/cranberrywheel/process/worker_table.py
+++ b/src/cranberrywheel/process/worker_table.py
@@ -341,13 +341,13 @@
             ):
                 self._eject(worker, now_ms)
         elif worker.probing:
-            worker.probing = False
             if failed or is_slow_run(duration_ms, rest):
                 self._eject(worker, now_ms)
             elif verdict is AttemptVerdict.OK:
                 worker.reinstated_ms = now_ms
                 self._reinstate(worker)
             else:
+                worker.probing = False
                 pool.probes.add(worker)
 
     def _service_ms(self, worker: WorkerState, pool: PoolState) -> float:
@@ -362,7 +362,8 @@
             heapq.heappush(self._penalty_ends, (end_ms, next(self._sequence), worker))
 
     def _eject(self, worker: WorkerState, now_ms: int) -> None:
-        if worker.ejections and now_ms - worker.reinstated_ms > BACKOFF_RESET_MS:
+        healthy_ms = now_ms - worker.reinstated_ms
+        if not worker.probing and healthy_ms > BACKOFF_RESET_MS:
             worker.ejections = 0
         backoff_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2**worker.ejections)
         until_ms = now_ms + backoff_ms
--- a/src/cranberrywheel/request/fair_queue.py
+++ b/src/cranberrywheel/request/fair_queue.py
@@ -10,6 +10,10 @@
 #: Share assumed for teams without one, so that open queues are not starved.
 MIN_SHARE = 0.01
 
+#: A team may queue this many times the free places. A bursting team then leaves room
+#: for the others: one takes four fifths of the queue, five take 95% between them.
+PLACES_PER_FREE_PLACE = 4
+
 _Requests = collections.OrderedDict[str, Request]
 
 
@@ -41,11 +45,13 @@
         :meth:`take_expired` returns them.
 
         :param request: its id must not be queued.
-        :raises OverloadedError: if the queue is full.
+        :raises OverloadedError: if the queue is full, or if the team holds so much
+            of it that the rest must be left to others; urgent requests may use the
+            rest.
         """
-        if len(self._requests_by_id) >= self._max_queued:
+        if not self._has_place(request):
             self._evict_expired(request.arrived_ms)
-        if len(self._requests_by_id) >= self._max_queued:
+        if not self._has_place(request):
             raise OverloadedError(
                 f"The queue of service {request.service!r} is full.", "Retry later."
             )
@@ -118,6 +124,13 @@
                 counts[team] += len(requests)
         return dict(counts)
 
+    def _has_place(self, request: Request) -> bool:
+        free = self._max_queued - len(self._requests_by_id)
+        if free <= 0 or request.urgent:
+            return free > 0
+        held = len(self._normal_by_team.get(request.team, ()))
+        return held < PLACES_PER_FREE_PLACE * free
+
     def _requests_by_team(self, request: Request) -> dict[str, _Requests]:
         return self._urgent_by_team if request.urgent else self._normal_by_team
 
--- /dev/null
+++ b/tests/test_estimates.py
@@ -0,0 +1,45 @@
+import testtools
+
+from cranberrywheel.request.estimates import RECHECK_INTERVAL, RunTimeEstimates
+
+
+class RunTimeEstimatesTest(testtools.TestCase):
+    def learned(self, count, duration_ms=1_000, cores=2.0, memory_mb=100):
+        estimates = RunTimeEstimates()
+        for _ in range(count):
+            estimates.record("q", duration_ms, cores, memory_mb)
+        return estimates
+
+    def test_declared_time_that_is_far_off_is_corrected(self):
+        self.assertEqual(10, RunTimeEstimates().run_ms("q", 10))
+        self.assertTrue(900 < self.learned(50).run_ms("q", 10) < 1_000)
+        self.assertTrue(900 < self.learned(50).run_ms("q", 1_000_000 // 500) < 1_100)
+
+    def test_changed_run_time_is_followed(self):
+        estimates = self.learned(1_000, 100)
+        for _ in range(150):
+            estimates.record("q", 1_000, 1.0, 1)
+        self.assertTrue(estimates.run_ms("q", 100) > 850)
+
+    def test_wait_grows_with_the_queue_and_falls_with_slots(self):
+        estimates = RunTimeEstimates()
+        self.assertEqual(0, estimates.wait_ms("q", 100, 0, 8))
+        self.assertEqual(250, estimates.wait_ms("q", 100, 20, 8))
+        self.assertEqual(float("inf"), estimates.wait_ms("q", 100, 1, 0))
+
+    def test_jobs_that_can_never_run_are_refused(self):
+        self.assertFalse(RunTimeEstimates().never_fits("q", 1, 1))
+        self.assertTrue(self.learned(8).never_fits("q", 1.0, 1_000))
+        self.assertTrue(self.learned(8).never_fits("q", 4.0, 99))
+        self.assertFalse(self.learned(8).never_fits("q", 2.0, 100))
+
+    def test_one_oversized_request_does_not_block_its_queue(self):
+        estimates = self.learned(8, cores=1.0)
+        estimates.record("q", 100, 50.0, 100)
+        self.assertFalse(estimates.never_fits("q", 2.0, 1_000))
+
+    def test_refused_queue_is_measured_again(self):
+        # Guards against a refusal that lasts for ever, because it stops the records.
+        estimates = self.learned(8)
+        refused = [estimates.never_fits("q", 1.0, 1_000) for _ in range(100)]
+        self.assertEqual(100 // RECHECK_INTERVAL, refused.count(False))
--- /dev/null
+++ b/tests/test_fair_queue.py
@@ -0,0 +1,116 @@
+import collections
+import random
+
+import testtools
+from decision_data import SEED, request
+
+from cranberrywheel.errors import OverloadedError
+from cranberrywheel.request.fair_queue import FairQueue
+
+
+def always(_team):
+    return True
+
+
+class FairQueueTest(testtools.TestCase):
+    def queue(self, *requests, max_queued=100):
+        queue = FairQueue(max_queued)
+        for item in requests:
+            queue.push(item)
+        return queue
+
+    def pop_ids(self, queue, shares, use, may_start=always, now_ms=0):
+        ids = []
+        while found := queue.pop(now_ms, shares, use, may_start):
+            ids.append(found.request_id)
+        return ids
+
+    def test_urgent_goes_before_teams_that_are_further_below_their_share(self):
+        queue = self.queue(request("a1"), request("b1", "b", urgent=True))
+        self.assertEqual(["b1", "a1"], self.pop_ids(queue, {}, {"b": 50}))
+
+    def test_urgent_work_of_a_team_at_its_limit_does_not_block_others(self):
+        queue = self.queue(request("a1", urgent=True), request("b1", "b"))
+        ids = self.pop_ids(queue, {}, {}, lambda team: team != "a")
+        self.assertEqual(["b1"], ids)
+        self.assertEqual({"a": 1}, queue.queued_by_team())
+
+    def test_team_farthest_below_its_share_goes_first(self):
+        queue = self.queue(request("a1"), request("b1", "b"), request("c1", "c"))
+        shares = {"a": 0.6, "b": 0.3, "c": 0.1}
+        self.assertEqual(
+            "b1", queue.pop(0, shares, {"a": 6, "b": 2, "c": 2}, always).request_id
+        )
+
+    def test_idle_share_is_lent_to_the_team_with_work(self):
+        queue = self.queue(*(request(f"a{n}") for n in range(5)))
+        ids = self.pop_ids(queue, {"a": 0.1, "b": 0.9}, {"a": 50})
+        self.assertEqual(["a0", "a1", "a2", "a3", "a4"], ids)
+
+    def test_use_that_fell_since_the_last_pop_counts_at_once(self):
+        # Guards against ranks that are cached when the team's tasks have ended.
+        queue = self.queue(*(request(f"{t}{n}", t) for n in range(9) for t in "ab"))
+        shares = {"a": 0.5, "b": 0.5}
+        for _ in range(3):
+            self.assertEqual("b", queue.pop(0, shares, {"a": 9}, always).team)
+        self.assertEqual("a", queue.pop(0, shares, {"b": 9}, always).team)
+
+    def test_full_queue_refuses_but_evicts_expired_requests_first(self):
+        queue = self.queue(request("old", deadline_ms=5), request("r2"), max_queued=2)
+        self.assertRaises(OverloadedError, queue.push, request("r3", arrived_ms=4))
+        queue.push(request("r4", arrived_ms=5))
+        self.assertEqual(2, len(queue))
+        self.assertEqual(["old"], [r.request_id for r in queue.take_expired(5)])
+        self.assertEqual([], queue.take_expired(5))
+
+    def test_expired_request_is_never_started(self):
+        queue = self.queue(request("old", deadline_ms=5, urgent=True), request("r2"))
+        self.assertEqual("r2", queue.pop(5, {}, {}, always).request_id)
+        self.assertEqual(["old"], [r.request_id for r in queue.take_expired(5)])
+
+    def test_cancelled_request_leaves_nothing_behind(self):
+        queue = self.queue(request("r1"), request("r2"))
+        self.assertEqual("r1", queue.remove("r1").request_id)
+        self.assertIs(None, queue.remove("r1"))
+        self.assertEqual(["r2"], self.pop_ids(queue, {}, {}))
+        self.assertEqual({}, queue.queued_by_team())
+        self.assertEqual([], queue.take_expired(99_999))
+
+    def test_waves_of_cancellation_do_not_grow_the_queue(self):
+        # Guards against entries of cancelled requests that stay in a heap.
+        queue = FairQueue(10)
+        for number in range(5_000):
+            queue.push(request(f"r{number}"))
+            queue.remove(f"r{number}")
+        self.assertTrue(len(queue._deadlines) < 200)
+
+    def test_no_team_starves_when_another_bursts_to_five_times_its_mean(self):
+        # Team "a" offers ten times what the others do; all have the same share.
+        shares = dict.fromkeys("abcde", 0.2)
+        served, offered = self.run_burst(shares, {"a": 10.0} | dict.fromkeys("bcde", 1))
+        for team in "bcde":
+            self.assertTrue(
+                served[team] >= 0.9 * min(offered[team], 0.2 * 2_000), (team, served)
+            )
+
+    def run_burst(self, shares, weights, slots=8, steps=2_000):
+        rng = random.Random(SEED)
+        queue, running = FairQueue(100), collections.deque()
+        served, offered = collections.Counter(), collections.Counter()
+        for step in range(steps):
+            for number in range(5):
+                team = rng.choices(list(weights), list(weights.values()))[0]
+                offered[team] += 1
+                item = request(f"{step}.{number}", team, step, deadline_ms=step + 200)
+                try:
+                    queue.push(item)
+                except OverloadedError:
+                    continue
+            if len(running) == slots:
+                running.popleft()
+            use = collections.Counter(running)
+            if found := queue.pop(step, shares, use, always):
+                running.append(found.team)
+                served[found.team] += 1
+            queue.take_expired(step)
+        return served, offered
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,68 @@
+import collections
+import random
+
+import testtools
+from decision_data import SEED
+
+from cranberrywheel.request.routing import SamplingList, choose_worker
+
+
+def group(*items):
+    found = SamplingList()
+    for item in items:
+        found.add(item)
+    return found
+
+
+class RoutingTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.rng = random.Random(SEED)
+
+    def test_own_zone_first_then_spill_over(self):
+        view = {"near": 0.9, "far": 0.0}.get
+        for near, expected in ((group("near"), "near"), (group(), "far")):
+            chosen = choose_worker(
+                (near, group("far")), lambda w, _now: view(w), self.rng, 0
+            )
+            self.assertEqual(expected, chosen)
+
+    def test_unusable_group_spills_over(self):
+        chosen = choose_worker(
+            (group(*"abc"), group("d")),
+            lambda w, _now: 0.0 if w == "d" else None,
+            self.rng,
+            0,
+        )
+        self.assertEqual("d", chosen)
+
+    def test_single_usable_worker_among_many_is_found(self):
+        items = group(*range(100))
+        chosen = choose_worker(
+            (items,), lambda w, _now: 0.0 if w == 77 else None, self.rng, 0
+        )
+        self.assertEqual(77, chosen)
+        self.assertIs(None, choose_worker((items,), lambda *_: None, self.rng, 0))
+
+    def test_most_loaded_worker_is_chosen_least(self):
+        # Guards against herding: one sample ignores load, a full scan picks one only.
+        items = group(*range(10))
+        counts = collections.Counter(
+            choose_worker((items,), lambda w, _now: float(w), self.rng, 0)
+            for _ in range(2_000)
+        )
+        self.assertTrue(counts[9] < 60, counts)
+        self.assertTrue(200 < counts[0] < 600, counts)
+
+    def test_sampling_list_stays_consistent(self):
+        items, expected = SamplingList(), set()
+        for _ in range(2_000):
+            item = self.rng.randrange(30)
+            if self.rng.random() < 0.5:
+                items.add(item)
+                expected.add(item)
+            else:
+                items.discard(item)
+                expected.discard(item)
+            self.assertEqual(expected, {items[i] for i in range(len(items))})
+            self.assertEqual(len(expected), len(items))
