Separate store reads from other key proofs, return units of a replaced entry early

Cause: with one proof age, the constant exchange kept proofs young and no entry read the configuration again, so a write whose writer died stayed unseen. The units of a replaced entry waited for its lease although its death was proven. A replaced holder's units return after token and task lease. Exchanges and forwarded requests use connections of their own. A renewal that is refused with another status than 404 counts as unanswered. Records keep their stored form. Conclusion: interfaces unchanged except PeerUnreachableError for 'not sent'.

--- a/src/cranberrywheel/connection/peer_service.py
+++ b/src/cranberrywheel/connection/peer_service.py
@@ -13,13 +13,23 @@
 from grpclib.const import Status
 
 from cranberrywheel.clock import Clock
-from cranberrywheel.errors import PeerError, UnknownOutcomeError
+from cranberrywheel.connection.peer_codec import (
+    decode_answer,
+    encode_answer,
+    error_answer,
+)
+from cranberrywheel.errors import (
+    CranberrywheelError,
+    PeerError,
+    PeerUnreachableError,
+    UnknownOutcomeError,
+)
 from cranberrywheel.generated import peer_pb2
 from cranberrywheel.generated.peer_grpc import PeerBase, PeerStub
 from cranberrywheel.logs import PartLogger
 from cranberrywheel.process.exchange import PeerExchange
 from cranberrywheel.process.messages import IncomingRequest, LoadReport
-from cranberrywheel.request.model import Answer, Outcome
+from cranberrywheel.request.model import Answer
 from cranberrywheel.settings import EntrySettings
 
 #: Longest wait for a connection to a peer.
@@ -30,50 +40,21 @@
 FORWARD_GRACE_MS = 500
 START_TIMEOUT_MS = 10_000
 
+#: How long requests may still run on a connection that is no longer used.
+RETIRED_CHANNEL_MS = 120_000
+CALL_ERRORS = (
+    OSError,
+    TimeoutError,
+    grpclib.exceptions.GRPCError,
+    grpclib.exceptions.StreamTerminatedError,
+    grpclib.exceptions.ProtocolError,
+)
+
+Channels = dict[str, grpclib.client.Channel]
 Results = collections.abc.Sequence[tuple[str, Answer]]
 _log = PartLogger("peer")
 
 
-def encode_answer(answer: Answer) -> peer_pb2.ForwardAnswer:
-    """Build the message for an answer."""
-    return peer_pb2.ForwardAnswer(
-        request_id=answer.request_id,
-        outcome=str(answer.outcome),
-        status=answer.status,
-        content_type=answer.content_type,
-        body=answer.body,
-        kind=answer.kind,
-        remedy=answer.remedy,
-        retry_after_s=answer.retry_after_s or 0,
-    )
-
-
-def decode_answer(message: peer_pb2.ForwardAnswer) -> Answer:
-    """Read an answer.
-
-    :raises PeerError: if a field is malformed.
-    """
-    try:
-        outcome = Outcome(message.outcome)
-    except ValueError:
-        raise PeerError(
-            f"A peer sent the unknown outcome {message.outcome!r}.",
-            "Check the peer's version.",
-        ) from None
-    if not 100 <= message.status <= 599:
-        raise PeerError("A peer sent no HTTP status.", "Check the peer's version.")
-    return Answer(
-        request_id=message.request_id,
-        outcome=outcome,
-        status=message.status,
-        body=message.body,
-        content_type=message.content_type,
-        kind=message.kind,
-        remedy=message.remedy,
-        retry_after_s=message.retry_after_s or None,
-    )
-
-
 class _Handlers(PeerBase):
     """Server side of the calls; runs on the asyncio thread."""
 
@@ -119,11 +100,14 @@
             traceparent=message.traceparent,
             forwarded=True,
         )
-        # Shielded, so that a peer that hangs up does not cancel the future that
-        # the dispatcher sets.
-        answer = await asyncio.shield(
-            asyncio.wrap_future(self._submit_forwarded(incoming))
-        )
+        try:
+            # Shielded, so that a peer that hangs up does not cancel the future
+            # that the dispatcher sets.
+            answer = await asyncio.shield(
+                asyncio.wrap_future(self._submit_forwarded(incoming))
+            )
+        except CranberrywheelError as error:
+            answer = error_answer(incoming.request_id, error)
         await stream.send_message(encode_answer(answer))
 
     async def HandOver(self, stream: t.Any) -> None:
@@ -145,7 +129,7 @@
     :param clock: own clock.
     :param exchange: state to send and to merge into.
     :param submit_forwarded: runs a request that a peer forwarded; its future
-        gets an answer, also for refusals.
+        gets an answer or an error.
     :param import_results: takes the process id and ticket results of a peer that
         shuts down; called on the asyncio thread and must not block.
     """
@@ -169,7 +153,11 @@
         )
         self._thread = threading.Thread(target=self._run, name="peer", daemon=True)
         self._started: concurrent.futures.Future[None] = concurrent.futures.Future()
-        self._channels_by_address: dict[str, grpclib.client.Channel] = {}
+        # Exchanges have connections of their own: they are closed when an exchange
+        # fails, which must not end a forwarded request.
+        self._exchange_channels: dict[str, grpclib.client.Channel] = {}
+        self._forward_channels: dict[str, grpclib.client.Channel] = {}
+        self._exchanges: set[asyncio.Task[None]] = set()
         self._busy_addresses: set[str] = set()
         self._stop_event = asyncio.Event()
         self._random = random.Random()
@@ -204,8 +192,8 @@
 
         :param peer_address: address of the peer's service.
         :param timeout_ms: time that the request may take.
-        :returns: gets the answer; or :class:`PeerError` if the request was not
-            sent, or :class:`UnknownOutcomeError` if the peer may have run it.
+        :returns: gets the answer; or :class:`PeerUnreachableError` if the request
+            was not sent, or :class:`UnknownOutcomeError` if the peer may have run it.
         """
         message = peer_pb2.ForwardRequest(
             queue=incoming.queue,
@@ -259,8 +247,9 @@
         await self._stop_event.wait()
         rounds.cancel()
         server.close()
-        for channel in self._channels_by_address.values():
-            channel.close()
+        for channels in (self._exchange_channels, self._forward_channels):
+            for channel in channels.values():
+                channel.close()
         others = asyncio.all_tasks() - {asyncio.current_task()}
         for task in others:
             task.cancel()
@@ -269,7 +258,9 @@
     async def _run_exchanges(self) -> None:
         while True:
             for address in self._choose_addresses():
-                asyncio.ensure_future(self._exchange_with(address))
+                task = asyncio.ensure_future(self._exchange_with(address))
+                self._exchanges.add(task)
+                task.add_done_callback(self._exchanges.discard)
             self._exchange.drop_silent_peers()
             await asyncio.sleep(self._settings.exchange_interval_ms / 1000)
 
@@ -283,7 +274,7 @@
     async def _exchange_with(self, address: str) -> None:
         self._busy_addresses.add(address)
         try:
-            stub = PeerStub(await self._connect(address))
+            stub = PeerStub(await self._connect(address, self._exchange_channels))
             sent_ms = self._clock.now_ms()
             timeout = CALL_TIMEOUT_MS / 1000
             state = await stub.Exchange(self._exchange.build_state(), timeout=timeout)
@@ -294,43 +285,50 @@
                 fetched = await stub.FetchConfiguration(request, timeout=timeout)
                 self._exchange.adopt_fetched(fetched)
                 self._exchange.merge_state(state, sent_ms)
+        except PeerUnreachableError as error:
+            _log.event("exchange failed", peer=address, cause=error.message)
         except PeerError as error:
-            if address in self._channels_by_address:
-                self._note_malformed("Exchange", error)
-        except (OSError, TimeoutError, grpclib.exceptions.GRPCError) as error:
+            self._note_malformed("Exchange", error)
+        except CALL_ERRORS as error:
             _log.event("exchange failed", peer=address, cause=type(error).__name__)
-            self._drop_channel(address)
-        except grpclib.exceptions.StreamTerminatedError:
-            self._drop_channel(address)
+            self._close_channel(address, self._exchange_channels)
+            self._retire_forward_channel(address)
         finally:
             self._busy_addresses.discard(address)
 
-    async def _connect(self, address: str) -> grpclib.client.Channel:
-        channel = self._channels_by_address.get(address)
+    async def _connect(self, address: str, channels: Channels) -> t.Any:
+        channel = channels.get(address)
         if channel is None:
             host, _, port = address.rpartition(":")
             channel = grpclib.client.Channel(host.strip("[]"), int(port))
-            self._channels_by_address[address] = channel
+            channels[address] = channel
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
                 await channel.__connect__()
         except (OSError, TimeoutError) as error:
-            self._drop_channel(address)
-            raise PeerError(
+            self._close_channel(address, channels)
+            raise PeerUnreachableError(
                 f"No connection to peer {address}: {type(error).__name__}.",
                 "Check the peer and the network between the zones.",
             ) from None
         return channel
 
-    def _drop_channel(self, address: str) -> None:
-        channel = self._channels_by_address.pop(address, None)
+    @staticmethod
+    def _close_channel(address: str, channels: Channels) -> None:
+        channel = channels.pop(address, None)
         if channel is not None:
             channel.close()
 
+    def _retire_forward_channel(self, address: str) -> None:
+        """Use a new connection for further requests; running ones may finish."""
+        channel = self._forward_channels.pop(address, None)
+        if channel is not None:
+            self._loop.call_later(RETIRED_CHANNEL_MS / 1000, channel.close)
+
     async def _forward(
         self, address: str, message: peer_pb2.ForwardRequest, timeout_ms: int
     ) -> Answer:
-        stub = PeerStub(await self._connect(address))
+        stub = PeerStub(await self._connect(address, self._forward_channels))
         try:
             reply = await stub.Forward(
                 message, timeout=(timeout_ms + FORWARD_GRACE_MS) / 1000
@@ -344,15 +342,10 @@
             ) from None
 
     async def _hand_over(self, address: str, message: peer_pb2.HandOverRequest) -> int:
-        stub = PeerStub(await self._connect(address))
+        stub = PeerStub(await self._connect(address, self._forward_channels))
         try:
             reply = await stub.HandOver(message, timeout=CALL_TIMEOUT_MS / 1000)
-        except (
-            OSError,
-            TimeoutError,
-            grpclib.exceptions.GRPCError,
-            grpclib.exceptions.StreamTerminatedError,
-        ) as error:
+        except CALL_ERRORS as error:
             raise PeerError(
                 f"Peer {address} did not accept the hand-over: {type(error).__name__}.",
                 "Its tickets answer 'unknown'.",
--- a/src/cranberrywheel/connection/store_client.py
+++ b/src/cranberrywheel/connection/store_client.py
@@ -215,17 +215,30 @@
         :param ttl_ms: time to live without renewal.
         :returns: the lease id.
         """
-        _, answer = self._call("POST", "/v1/leases", {"ttl_ms": ttl_ms})
-        return str(answer["lease"])
+        status, answer = self._call("POST", "/v1/leases", {"ttl_ms": ttl_ms})
+        try:
+            return str(answer["lease"])
+        except (KeyError, TypeError):
+            raise StoreUnavailableError(
+                f"Granting a lease was answered with status {status} and no lease.",
+                "Check the platform's key-value service.",
+            ) from None
 
     def renew_lease(self, lease: str) -> None:
         """Renew a lease; count its time from before this call.
 
         :raises LeaseLostError: if it has lapsed.
+        :raises StoreUnavailableError: without a usable answer.
         """
         status, _ = self._call("POST", f"/v1/leases/{lease}/renewal", {})
         if status == 404:
             raise LeaseLostError("The lease has lapsed.", "Grant a new one.")
+        if status != 200:
+            # Counting units from a refused renewal would use them too long.
+            raise StoreUnavailableError(
+                f"Renewing the lease was answered with status {status}.",
+                "Check the platform's key-value service.",
+            )
 
     def revoke_lease(self, lease: str) -> None:
         """End a lease and the records under it."""
--- a/src/cranberrywheel/errors.py
+++ b/src/cranberrywheel/errors.py
@@ -89,6 +89,12 @@
     http_status = 502
 
 
+class PeerUnreachableError(PeerError):
+    """No connection to the peer was opened; nothing was sent."""
+
+    kind = "peer-unreachable"
+
+
 class RequestError(CranberrywheelError):
     """A caller's request was not answered by a target."""
 
--- a/src/cranberrywheel/process/configuration_writer.py
+++ b/src/cranberrywheel/process/configuration_writer.py
@@ -244,7 +244,7 @@
             self._finish(operation, error=error)
             return
         try:
-            _, record = self._writer.write(CONFIGURATION_KEY, base, body)
+            stored = self._writer.write(CONFIGURATION_KEY, base, body)
         except StoreConflictError as error:
             operation.conflicts += 1
             if operation.conflicts > MAX_CONFLICTS:
@@ -255,7 +255,7 @@
         except StoreError as error:
             self._finish(operation, error=error)
         else:
-            self._peers.holder.adopt(record)
+            self._peers.holder.adopt(stored.record)
             self._finish(operation, result)
 
     def _resolve_lost(self) -> None:
@@ -264,6 +264,8 @@
             return
         outcome, current = self._writer.resolve(CONFIGURATION_KEY)
         self._lost = None
+        if current is not None:
+            self._peers.holder.adopt(current.record)
         if outcome is WriteOutcome.WRITTEN:
             self._finish(operation, self._lost_result)
         elif outcome is WriteOutcome.UNKNOWN:
--- a/src/cranberrywheel/process/exchange.py
+++ b/src/cranberrywheel/process/exchange.py
@@ -34,6 +34,9 @@
 #: Ages above this are not sent: no bound in use is that long.
 MAX_AGE_MS = 3_600_000
 MAX_ITEMS = 100_000
+#: Age of the newest store read, relative to the freshness bound, from which the
+#: store counts as down. Entries read at 0.4 to 0.6 of the bound.
+STORE_DOWN_FRACTION = 0.7
 _ID = re.compile(r"[A-Za-z0-9_.:-]{1,200}")
 
 _log = PartLogger("exchange")
@@ -90,7 +93,7 @@
         self._lock = threading.RLock()
         self._membership = Membership(process_id)
         self._proof = FreshnessTracker()
-        self._proof_ms: int | None = None
+        self._store_read = FreshnessTracker()
         self._marks: set[str] = set()
         self._states_by_id: dict[str, PeerState] = {}
         self._seen_ms_by_id: dict[str, int] = {}
@@ -111,22 +114,38 @@
         with self._lock:
             self._membership.set_instances(listed)
 
-    def prove(self, taken_ms: int) -> None:
-        """Note that every accepted withdrawal up to a time is known here.
+    def store_read(self, taken_ms: int) -> None:
+        """Note that the configuration was read from the store and adopted.
 
-        :param taken_ms: own clock reading.
+        :param taken_ms: own clock reading before the read was sent.
         """
         with self._lock:
-            if self._proof_ms is not None and taken_ms <= self._proof_ms:
-                return
-            self._proof_ms = taken_ms
-            self._proof.proven(taken_ms)
-        self._to_dispatcher(ProofTaken(taken_ms))
+            self._store_read.proven(taken_ms)
+        self._prove(taken_ms)
+
+    def store_read_age_ms(self) -> int | None:
+        """Return the age of the newest store read by this entry or a peer.
+
+        :returns: milliseconds, or ``None`` if there was none.
+        """
+        with self._lock:
+            return self._store_read.age_ms(self._clock.now_ms())
 
-    def proof_age_ms(self) -> int | None:
-        """Return the age of the newest proof, or ``None`` without one."""
+    def _prove(self, taken_ms: int) -> None:
+        """Note that every accepted withdrawal up to a time is known here."""
         with self._lock:
-            return self._proof.age_ms(self._clock.now_ms())
+            if self._proof.proven(taken_ms):
+                self._to_dispatcher(ProofTaken(taken_ms))
+
+    def _is_store_down(self) -> bool:
+        """Tell whether no entry seems to have read the store lately.
+
+        Only then proofs from the messages of all entries are used: the roster
+        may lack an entry that registered since this process read the store.
+        """
+        age_ms = self.store_read_age_ms()
+        bound_ms = self._settings.key_freshness_ms
+        return age_ms is None or age_ms >= bound_ms * STORE_DOWN_FRACTION
 
     def add_mark(self, key_id: str) -> None:
         """Take a withdrawal that may not be in the store yet."""
@@ -194,8 +213,9 @@
             now_ms = self._clock.now_ms()
             # Everything that proves something is read before what it is about:
             # the version and the marks can only be newer than the proof.
-            proof_age_ms = self.proof_age_ms()
-            heard = self._membership.heard_ms_by_id()
+            proof_age_ms = self._proof.age_ms(now_ms)
+            read_age_ms = self._store_read.age_ms(now_ms)
+            heard = self._membership.heard_ms_by_id() if self._is_store_down() else {}
             marks = self.unwritten_marks()
             own, load = self.registration, self._load
             state = PeerState(
@@ -210,6 +230,8 @@
             )
             if state.has_proof:
                 state.proof_age_ms = t.cast(int, proof_age_ms)
+            if read_age_ms is not None and read_age_ms < MAX_AGE_MS:
+                state.has_store_read, state.store_read_age_ms = True, read_age_ms
             for process_id, heard_ms in heard.items():
                 if now_ms - heard_ms < MAX_AGE_MS:
                     state.words.add(process_id=process_id, age_ms=now_ms - heard_ms)
@@ -269,11 +291,14 @@
             for word in state.words:
                 if word.process_id != self.process_id:
                     self._membership.heard(word.process_id, sent_ms - word.age_ms)
+            if state.has_store_read:
+                self._store_read.proven(sent_ms - state.store_read_age_ms)
             all_heard_ms = self._membership.all_heard_ms()
+            use_messages = self._is_store_down()
         if state.has_proof:
-            self.prove(sent_ms - state.proof_age_ms)
-        if all_heard_ms is not None:
-            self.prove(all_heard_ms)
+            self._prove(sent_ms - state.proof_age_ms)
+        if all_heard_ms is not None and use_messages:
+            self._prove(all_heard_ms)
 
     @staticmethod
     def _report(state: PeerState) -> PeerReport:
--- a/src/cranberrywheel/process/limit_units.py
+++ b/src/cranberrywheel/process/limit_units.py
@@ -336,12 +336,13 @@
 class Absence:
     """Since when a holder is known to be gone, on the observer's clock.
 
-    :param missing_ms: when its registration was first seen missing.
+    :param missing_ms: when its registration was first seen missing; ``None``
+        while it is there.
     :param replaced_ms: when another process was first seen registered with its
         instance, zone and address; ``None`` if that was not seen.
     """
 
-    missing_ms: int
+    missing_ms: int | None
     replaced_ms: int | None = None
 
 
@@ -352,9 +353,10 @@
     now_ms: int,
     settings: LimitSettings,
 ) -> LimitRecord:
-    """Free the units of a missing holder whose hold times have passed.
+    """Free the units of a missing or replaced holder after its hold times.
 
-    The caller must see the registration missing after it read the record.
+    Unless the holder is replaced, the caller must see the registration missing
+    after it read the record.
 
     :param absence: since when the holder is missing.
     :param now_ms: the observer's clock reading.
@@ -372,6 +374,8 @@
         replaced_wait_ms = fence_ms * (1 + CLOCK_RATE_MARGIN)
         if now_ms - absence.replaced_ms >= replaced_wait_ms:
             return leave(record, holder)
+    if absence.missing_ms is None:
+        return record
     if now_ms - absence.missing_ms >= long_wait_ms:
         return leave(record, holder)
     if row.short and now_ms - absence.missing_ms >= short_wait_ms:
--- a/src/cranberrywheel/process/membership.py
+++ b/src/cranberrywheel/process/membership.py
@@ -9,7 +9,7 @@
 
 from cranberrywheel.connection.store_client import InstanceList, Record
 from cranberrywheel.errors import StoreError
-from cranberrywheel.process.limit_record import LimitRecord
+from cranberrywheel.process.limit_record import HolderRow, LimitRecord
 from cranberrywheel.process.limit_units import Absence
 from cranberrywheel.settings import EntrySettings
 
@@ -200,8 +200,21 @@
         return min(time for time in times if time is not None)
 
 
+def replaces_holder(registration: Registration, holder: str, row: HolderRow) -> bool:
+    """Tell whether a registered process proves that a holder of units is dead."""
+    old = Registration(
+        process_id=holder,
+        instance=row.instance,
+        zone=row.zone,
+        http_address="",
+        peer_address=row.address,
+        revision=row.registration,
+    )
+    return registration.replaces(old)
+
+
 class MissingHolders:
-    """Tracks since when holders of units have no registration."""
+    """Tracks since when holders of units are unregistered or replaced."""
 
     def __init__(self) -> None:
         # The registration is part of the key: a holder that came back and was
@@ -219,20 +232,20 @@
         seen: dict[tuple[str, int], Absence] = {}
         for record in records:
             for holder, row in record.holders.items():
-                if holder in registered:
-                    continue
                 key = (holder, row.registration)
-                absence = self._absences.get(key, Absence(now_ms))
-                if absence.replaced_ms is None and any(
-                    r.revision > row.registration
-                    and (r.instance, r.zone, r.peer_address)
-                    == (row.instance, row.zone, row.address)
-                    for r in registrations
-                ):
-                    absence = dataclasses.replace(absence, replaced_ms=now_ms)
-                seen[key] = absence
+                before = self._absences.get(key, Absence(None))
+                missing_ms = replaced_ms = None
+                if holder not in registered:
+                    missing_ms = before.missing_ms
+                    missing_ms = now_ms if missing_ms is None else missing_ms
+                if any(replaces_holder(r, holder, row) for r in registrations):
+                    replaced_ms = now_ms
+                if before.replaced_ms is not None:
+                    replaced_ms = before.replaced_ms
+                if missing_ms is not None or replaced_ms is not None:
+                    seen[key] = Absence(missing_ms, replaced_ms)
         self._absences = seen
 
     def get(self, holder: str, registration: int) -> Absence | None:
-        """Return since when a holder is missing, or ``None`` if it is not."""
+        """Return since when a holder is gone, or ``None`` if it is not."""
         return self._absences.get((holder, registration))
--- a/src/cranberrywheel/process/record_writer.py
+++ b/src/cranberrywheel/process/record_writer.py
@@ -76,12 +76,10 @@
         record = self._client.get(key)
         return parse_record(record) if isinstance(record, Record) else None
 
-    def write(
-        self, key: str, base: StoredRecord | None, body: dict
-    ) -> tuple[StoredRecord, Record]:
+    def write(self, key: str, base: StoredRecord | None, body: dict) -> StoredRecord:
         """Write a record over a known state.
 
-        :returns: the new state, parsed and as stored.
+        :returns: the new state.
         :raises StoreConflictError: if the record has changed.
         :raises StoreUnavailableError: if the outcome is unknown; call
             :meth:`resolve` before the next write of this record.
@@ -92,7 +90,7 @@
             )
         return self._send(prepare_write(key, base, self._writer, body))
 
-    def _send(self, write: PreparedWrite) -> tuple[StoredRecord, Record]:
+    def _send(self, write: PreparedWrite) -> StoredRecord:
         self._lost_by_key[write.key] = write
         try:
             revision = self._client.put(write.key, write.value, write.expected_revision)
@@ -107,8 +105,7 @@
             del self._lost_by_key[write.key]
             raise
         del self._lost_by_key[write.key]
-        record = Record(write.key, write.value, revision)
-        return parse_record(record), record
+        return parse_record(Record(write.key, write.value, revision))
 
     def resolve(self, key: str) -> tuple[WriteOutcome, StoredRecord | None]:
         """Find out whether a lost write took effect.
@@ -128,8 +125,7 @@
                 _log.event("resolved lost write", key=key, outcome=outcome.value)
                 return outcome, current
             try:
-                stored, _ = self._send(write)
-                return WriteOutcome.WRITTEN, stored
+                return WriteOutcome.WRITTEN, self._send(write)
             except StoreConflictError:
                 self._lost_by_key[key] = write
         raise StoreUnavailableError(
--- a/src/cranberrywheel/process/store_reader.py
+++ b/src/cranberrywheel/process/store_reader.py
@@ -27,8 +27,8 @@
 #: Time between two readings of the lists. A leaving target must get no new work
 #: after a few seconds.
 LIST_INTERVAL_MS = 2_000
-#: Age of the key proof, relative to its bound, from which this entry reads the
-#: configuration itself.
+#: Age of the newest store read, relative to the freshness bound, from which this
+#: entry reads the configuration itself.
 READ_PROOF_FRACTION = 0.4
 #: Largest random addition to that age. It is more than an exchange interval, so
 #: that after one entry has read, its peers usually hear before they read too.
@@ -119,7 +119,7 @@
         if not self._backoff.allows(now_ms):
             return
         try:
-            age_ms = self._peers.proof_age_ms()
+            age_ms = self._peers.store_read_age_ms()
             if age_ms is None or age_ms >= self._read_age_ms:
                 self.read_configuration()
                 self._choose_read_age()
@@ -146,7 +146,7 @@
             except StoreError as error:
                 self._note_malformed(answer, error)
                 return
-        self._peers.prove(taken_ms)
+        self._peers.store_read(taken_ms)
 
     def read_lists(self) -> None:
         """Read limits, roster, pools and instances, one call each.
--- a/src/cranberrywheel/process/unit_keeper.py
+++ b/src/cranberrywheel/process/unit_keeper.py
@@ -160,7 +160,7 @@
                 changed = limit_units.rejoin(
                     record, self._own.process_id, self._own_row()
                 )
-                stored, _ = self._writer.write(key, stored, limit_record.dump(changed))
+                stored = self._writer.write(key, stored, limit_record.dump(changed))
             self._adopt(stored)
 
     def _own_row(self) -> HolderRow:
@@ -211,9 +211,7 @@
             self._tell_held(team)
             return
         try:
-            stored, _ = self._writer.write(
-                key, state.stored, limit_record.dump(following)
-            )
+            stored = self._writer.write(key, state.stored, limit_record.dump(following))
         except StoreConflictError:
             stored = self._writer.read(key)
         if stored is not None:
@@ -230,7 +228,9 @@
             record = limit_units.rejoin(record, holder, self._own_row())
         in_use = self._wanted.in_use_by_team.get(team, 0)
         waiting = self._wanted.waiting_by_team.get(team, 0)
-        base = record.limit // self._registered_count
+        # Right after an outage few entries are registered again, but all of them
+        # still hold units.
+        base = record.limit // max(self._registered_count, len(record.holders))
         return limit_units.rebalance(
             record,
             holder,
@@ -272,7 +272,7 @@
             return
         for holder, row in record.holders.items():
             absence = self._missing.get(holder, row.registration)
-            if absence is None:
+            if absence is None or holder == self._own.process_id:
                 continue
             expected = limit_units.reclaim(
                 record, holder, absence, now_ms, self._settings
@@ -290,9 +290,12 @@
     ) -> None:
         key = LIMITS_PREFIX + team
         stored = self._writer.read(key)
+        if stored is None:
+            return
         # The registration is read after the record: if the holder registers
-        # later, it rewrites the record before it uses units.
-        if stored is None or self._client.get(ENTRIES_PREFIX + holder) is not None:
+        # later, it rewrites the record before it uses units. A replaced holder
+        # is dead, whether or not its lease has lapsed yet.
+        if absence.replaced_ms is None and self._client.get(ENTRIES_PREFIX + holder):
             return
         record = limit_record.parse(stored.body)
         present = record.holders.get(holder)
@@ -300,7 +303,7 @@
             return
         changed = limit_units.reclaim(record, holder, absence, now_ms, self._settings)
         try:
-            written, _ = self._writer.write(key, stored, limit_record.dump(changed))
+            written = self._writer.write(key, stored, limit_record.dump(changed))
         except StoreConflictError:
             return
         _log.event("reclaimed units", team=team, holder=holder, free=changed.free)
@@ -321,7 +324,7 @@
                 continue
             following = limit_units.leave(record, holder)
             if self._release(team, record, following):
-                state.stored, _ = self._writer.write(
+                state.stored = self._writer.write(
                     key, stored, limit_record.dump(following)
                 )
                 state.record = following
--- a/src/cranberrywheel/version/adoption.py
+++ b/src/cranberrywheel/version/adoption.py
@@ -45,7 +45,7 @@
         raise StoreError(
             f"The configuration at revision {stored.revision} is not usable: "
             f"{str(error).splitlines()[0]}",
-            "Apply a valid text.",
+            "Restore the record from the version shown by an entry.",
         ) from None
     return ConfigurationSnapshot(
         version=stored.revision,
--- a/src/cranberrywheel/version/freshness.py
+++ b/src/cranberrywheel/version/freshness.py
@@ -7,13 +7,16 @@
     def __init__(self) -> None:
         self._taken_ms: int | None = None
 
-    def proven(self, taken_ms: int) -> None:
+    def proven(self, taken_ms: int) -> bool:
         """Note a proof; older ones than the newest change nothing.
 
         :param taken_ms: own clock reading at which the keys were current.
+        :returns: whether it is newer than all before.
         """
-        if self._taken_ms is None or taken_ms > self._taken_ms:
-            self._taken_ms = taken_ms
+        if self._taken_ms is not None and taken_ms <= self._taken_ms:
+            return False
+        self._taken_ms = taken_ms
+        return True
 
     def is_fresh(self, now_ms: int, bound_ms: int) -> bool:
         """Tell whether the newest proof is younger than a bound.
--- a/src/cranberrywheel/version/records.py
+++ b/src/cranberrywheel/version/records.py
@@ -29,21 +29,29 @@
 class StoredRecord:
     """A record of the store with its envelope.
 
-    :param key: key in the store.
-    :param revision: store revision of this state.
+    :param record: as stored.
     :param write_id: identifies the write that made this state.
     :param writer: process id of the writer.
     :param recent_write_ids: earlier writes, the newest first.
     :param body: JSON-ready content.
     """
 
-    key: str
-    revision: int
+    record: Record
     write_id: str
     writer: str
     recent_write_ids: tuple[str, ...]
     body: dict[str, t.Any]
 
+    @property
+    def key(self) -> str:
+        """Key in the store."""
+        return self.record.key
+
+    @property
+    def revision(self) -> int:
+        """Store revision of this state."""
+        return self.record.revision
+
 
 @dataclasses.dataclass(frozen=True)
 class PreparedWrite:
@@ -90,8 +98,7 @@
             "Find out which program wrote it and restore the record.",
         ) from None
     return StoredRecord(
-        key=record.key,
-        revision=record.revision,
+        record=record,
         write_id=envelope.write_id,
         writer=envelope.writer,
         recent_write_ids=envelope.recent_write_ids,
--- a/tests/store_fakes.py
+++ b/tests/store_fakes.py
@@ -1,13 +1,11 @@
-"""In-process store client over the platform stand-in, with faults, for tests."""
+"""A few entries on the platform stand-in and a manual clock, for tests."""
 
+import concurrent.futures
+import dataclasses
 import json
 
 from cranberrywheel.clock import ManualClock
-from cranberrywheel.connection.store_client import (
-    Instance,
-    InstanceList,
-    Record,
-)
+from cranberrywheel.connection.store_client import Instance, InstanceList, Record
 from cranberrywheel.errors import (
     LeaseLostError,
     StoreConflictError,
@@ -18,14 +16,16 @@
 from cranberrywheel.process.messages import (
     ApplyText,
     ConfigurationAdopted,
+    GrantKey,
     HoldRenewed,
     ProofTaken,
     ReleaseUnits,
     UnitsHeld,
     UnitsWanted,
+    WithdrawKey,
 )
 from cranberrywheel.process.store_session import StoreSession
-from cranberrywheel.settings import EntrySettings, PlatformSettings
+from cranberrywheel.settings import EntrySettings, LimitSettings, PlatformSettings
 from cranberrywheel.version.freshness import FreshnessTracker
 from cranberrywheel_standin.platform import Platform
 
@@ -47,22 +47,23 @@
 share = 0.5
 limit = 12
 """
+TOKEN_MS, TASK_LEASE_MS = 2_000, 10_000
 
 
 class FakeStoreClient:
     """Calls a platform directly.
 
-    :param lose: counts down; each write while above 0 takes effect unanswered.
-    :param late: writes that are held back while ``hold_writes`` is set, as if
-        delayed in the network; call them to deliver.
+    :param lose: number of writes that take effect without an answer.
+    :param delay_writes: if set, writes get no answer and wait in ``delayed``, as
+        if held up in the network; call an item to deliver it.
     """
 
     def __init__(self, platform):
         self.platform = platform
         self.down = False
         self.lose = 0
-        self.hold_writes = False
-        self.late = []
+        self.delay_writes = False
+        self.delayed = []
 
     def _check(self):
         if self.down:
@@ -88,8 +89,8 @@
     def put(self, key, value, expected_revision, lease=""):
         self._check()
         send = lambda: self.platform.put(key, value, expected_revision, lease)
-        if self.hold_writes:
-            self.late.append(send)
+        if self.delay_writes:
+            self.delayed.append(send)
             raise StoreUnavailableError("no answer", "wait")
         status, answer = send()
         if self.lose > 0:
@@ -117,16 +118,12 @@
     def instances(self):
         self._check()
         listed = self.platform.instance_list()
+        names = {f.name for f in dataclasses.fields(Instance)}
         rows = tuple(
             Instance(
-                r["id"],
-                r["kind"],
-                r["zone"],
-                r["rack"],
-                r["address"],
-                r["state"] == "leaving",
-                r["cores"],
-                r["memory_mb"],
+                instance_id=r["id"],
+                leaving=r["state"] == "leaving",
+                **{k: v for k, v in r.items() if k in names},
             )
             for r in listed["instances"]
         )
@@ -134,32 +131,33 @@
 
 
 class FakeEntry:
-    """One entry: exchange, session and a dispatcher that only keeps a ledger."""
+    """The tested parts of an entry, with a minimal dispatcher.
+
+    :param tasks: end of the task lease per running request, as its worker sees it.
+    """
 
-    def __init__(self, fleet, number, zone, start, port=0):
-        self.fleet = fleet
+    def __init__(self, fleet, number, zone, start):
+        self.fleet, self.clock = fleet, fleet.clock
         self.settings = EntrySettings(
             instance=f"e{number}",
             zone=zone,
             host="127.0.0.1",
-            http_port=port or 8000 + number,
-            peer_port=port or 9000 + number,
+            http_port=8000 + number,
+            peer_port=9000 + number,
             operator_token_file="unused",
             platform=PlatformSettings(url="http://127.0.0.1:1"),
+            limits=fleet.limits,
         )
-        self.clock = fleet.clock
         self.ledger = UnitLedger(self.settings.limits)
         self.freshness = FreshnessTracker()
-        self.versions = []
-        self.messages = []
-        self.waiting = 0
-        self.running = []
-        self.reachable = True
-        self.paused = False
-        process_id = f"{zone}.e{number}.{start}"
+        self.versions, self.messages = [], []
+        self.tasks, self.waiting, self._started = {}, 0, 0
+        #: A paused entry does nothing; one that is cut off reaches no peer.
+        self.paused = self.cut_off = False
         self.exchange = PeerExchange(
-            self.settings, self.clock, process_id, self.dispatch
+            self.settings, self.clock, f"{zone}.e{number}.{start}", self.dispatch
         )
+        self.process_id = self.exchange.process_id
         self.clients = []
         self.session = StoreSession(
             self.settings, self.clock, self.dispatch, self.exchange, self._make_client
@@ -169,30 +167,20 @@
         self.clients.append(FakeStoreClient(self.fleet.platform))
         return self.clients[-1]
 
-    @property
-    def process_id(self):
-        return self.exchange.process_id
-
     def dispatch(self, message):
         self.messages.append(message)
         match message:
-            case UnitsHeld():
-                self.ledger.set_held(
-                    message.team, message.long_units, message.short_units
-                )
-            case HoldRenewed():
-                self.ledger.renewed(message.started_ms)
-            case ReleaseUnits():
-                message.released.set_result(
-                    self.ledger.release(
-                        message.team, message.long_units, message.short_units
-                    )
-                )
-            case ProofTaken():
-                self.freshness.proven(message.taken_ms)
-            case ConfigurationAdopted():
-                self.versions.append(message.snapshot.version)
-                for name, team in message.snapshot.configuration.teams_by_name.items():
+            case UnitsHeld(team, long_units, short_units):
+                self.ledger.set_held(team, long_units, short_units)
+            case HoldRenewed(started_ms):
+                self.ledger.renewed(started_ms)
+            case ReleaseUnits(team, long_units, short_units, released):
+                released.set_result(self.ledger.release(team, long_units, short_units))
+            case ProofTaken(taken_ms):
+                self.freshness.proven(taken_ms)
+            case ConfigurationAdopted(snapshot):
+                self.versions.append(snapshot.version)
+                for name, team in snapshot.configuration.teams_by_name.items():
                     self.ledger.set_limit(name, team.limit)
 
     def set_down(self, down):
@@ -202,13 +190,47 @@
     def step(self):
         if self.paused:
             return
-        self.session.step(
-            UnitsWanted(self.ledger.in_use_by_team(), {"t": self.waiting})
-        )
+        self._run_tasks()
+        wanted = UnitsWanted(self.ledger.in_use_by_team(), {"t": self.waiting})
+        self.session.step(wanted)
         self.session.reader.step()
         while not self.session.inbox.empty():
             self.session.step(self.session.inbox.get())
 
+    def _run_tasks(self):
+        now_ms = self.clock.now_ms()
+        for request_id, end_ms in list(self.tasks.items()):
+            if end_ms <= now_ms:
+                self.finish(request_id)
+            elif self.ledger.may_renew(request_id, now_ms):
+                self.tasks[request_id] = now_ms + TOKEN_MS + TASK_LEASE_MS
+        while self.waiting:
+            request_id = f"{self.process_id}/{self._started}"
+            if not self.ledger.take("t", request_id, now_ms):
+                break
+            self._started += 1
+            self.waiting -= 1
+            self.tasks[request_id] = now_ms + TOKEN_MS + TASK_LEASE_MS
+
+    def finish(self, request_id):
+        del self.tasks[request_id]
+        self.ledger.give_back(request_id)
+
+    def ask(self, kind, *fields):
+        """Send an operator's request; its future is the last field."""
+        future = concurrent.futures.Future()
+        self.session.step(kind(*fields, future))
+        return future
+
+    def apply(self, text, expected):
+        return self.ask(ApplyText, text, expected)
+
+    def grant(self, team="t"):
+        return self.ask(GrantKey, team)
+
+    def withdraw(self, key_id):
+        return self.ask(WithdrawKey, key_id)
+
     def usable(self):
         return self.ledger.usable("t", self.clock.now_ms())
 
@@ -220,35 +242,52 @@
 class FakeFleet:
     """Entries on one store and one manual clock."""
 
-    def __init__(self, count=3, zones=("z1", "z2")):
+    def __init__(self, count=3, limits=None):
+        self.limits = limits or LimitSettings()
         self.clock = ManualClock(1_000_000)
         self.platform = Platform(lambda: self.clock.now_ms() / 1000)
-        self.entries = [
-            FakeEntry(self, n, zones[n % len(zones)], "a") for n in range(count)
-        ]
-
-    def exchange(self):
-        alive = [e for e in self.entries if not e.paused and e.reachable]
-        for caller in alive:
-            for peer in alive:
-                if peer is not caller:
-                    exchange_once(caller, peer)
-
-    def run(self, duration_ms, step_ms=500):
+        self.entries = []
+        for _ in range(count):
+            self.add()
+        self.dead = []
+
+    def add(self):
+        number = len(self.entries)
+        self.entries.append(FakeEntry(self, number, f"z{number % 2 + 1}", "a"))
+        return self.entries[-1]
+
+    def replace(self, index, start):
+        """Kill an entry and start a new process on its address."""
+        old = self.entries[index]
+        self.dead.append(old)
+        self.entries[index] = FakeEntry(self, index, old.settings.zone, start)
+        return self.entries[index]
+
+    def run(self, duration_ms, step_ms=500, check=lambda: None):
         for _ in range(duration_ms // step_ms):
             for entry in self.entries:
                 entry.step()
-            self.exchange()
+            alive = [e for e in self.entries if not e.paused and not e.cut_off]
+            for caller in alive:
+                for peer in alive:
+                    if peer is not caller:
+                        exchange_once(caller, peer)
+                if not caller.paused:
+                    caller.exchange.drop_silent_peers()
+            check()
             self.clock.advance(step_ms)
 
-    def apply(self, text, expected, entry=None):
-        message = ApplyText(text, expected, _future())
-        (entry or self.entries[0]).session.step(message)
-        return message.version
+    def set_down(self, down):
+        for entry in self.entries:
+            entry.set_down(down)
 
     def record(self):
         return json.loads(self.platform.get("limits/t").value)["body"]
 
+    def held(self, entry):
+        row = self.record()["holders"].get(entry.process_id, {})
+        return row.get("long", 0), row.get("short", 0)
+
     def held_total(self):
         rows = self.record()["holders"].values()
         return sum(r.get("long", 0) + r.get("short", 0) for r in rows)
@@ -256,6 +295,11 @@
     def usable_total(self):
         return sum(e.usable() for e in self.entries)
 
+    def running_total(self):
+        now_ms = self.clock.now_ms()
+        everyone = self.entries + self.dead
+        return sum(end > now_ms for e in everyone for end in e.tasks.values())
+
 
 def exchange_once(caller, peer, delay_ms=0):
     """Let one entry call another; the answer takes ``delay_ms``."""
@@ -267,9 +311,3 @@
         known = caller.exchange.holder.version
         caller.exchange.adopt_fetched(peer.exchange.record_for_peer(known))
         caller.exchange.merge_state(state, sent_ms)
-
-
-def _future():
-    import concurrent.futures
-
-    return concurrent.futures.Future()
