Add capacity, budget, wave and move decisions

Cause: the planner needs decisions that do not depend on sockets or the store. Change: pure functions from the configuration, instances, usage and records to pool sizes, wave members, quarantines, recalls and steps of one instance. Budgets count every member of a wave as lost, and any one worker, rack or zone.

--- /dev/null
+++ b/src/cranberrywheel/process/moves.py
@@ -0,0 +1,124 @@
+"""State machine of one instance: drain, confirm empty, change pool or reboot, admit.
+
+Each function is pure. The planner writes the new row by compare-and-swap before it
+acts at the platform, so that any later planner can finish a recorded step.
+"""
+
+import collections
+import dataclasses
+import enum
+import typing as t
+
+from cranberrywheel.process.fleet_model import (
+    Fleet,
+    FleetInstance,
+    InstanceState,
+    PoolRow,
+    Sizing,
+    WorkerReport,
+)
+
+#: A reboot is over at the earliest after this time; before, the worker may still
+#: answer because the platform has not stopped it yet.
+MIN_REBOOT_MS = 5_000
+
+
+class PlatformAction(enum.StrEnum):
+    """What the platform is asked to do with an instance."""
+
+    DRAIN = "drain"
+    UNDRAIN = "undrain"
+    REBOOT = "reboot"
+
+
+def action_of(state: InstanceState) -> PlatformAction:
+    """Return the platform's action that makes a recorded state true.
+
+    Repeating it does no harm except for ``reboot``, which is asked for once.
+    """
+    if state is InstanceState.SERVING:
+        return PlatformAction.UNDRAIN
+    if state is InstanceState.REBOOTING:
+        return PlatformAction.REBOOT
+    return PlatformAction.DRAIN
+
+
+def begin_drain(row: PoolRow, target_pool: str, now_ms: int) -> PoolRow:
+    """Start maintenance, or a move if ``target_pool`` is not empty."""
+    return dataclasses.replace(
+        row,
+        state=InstanceState.DRAINING,
+        target_pool=target_pool,
+        since_ms=now_ms,
+    )
+
+
+def recall(row: PoolRow, now_ms: int) -> PoolRow:
+    """Return a drained instance to its present pool."""
+    return PoolRow(pool=row.pool, since_ms=now_ms)
+
+
+def quarantine(row: PoolRow, now_ms: int) -> PoolRow:
+    """Take a worker that fails everything out of its pool's service."""
+    return PoolRow(pool=row.pool, state=InstanceState.QUARANTINED, since_ms=now_ms)
+
+
+def begin_repair(row: PoolRow, now_ms: int) -> PoolRow:
+    """Reboot a quarantined instance."""
+    return PoolRow(pool=row.pool, state=InstanceState.REBOOTING, since_ms=now_ms)
+
+
+def advance(
+    row: PoolRow, report: WorkerReport, live: bool, now_ms: int
+) -> PoolRow | None:
+    """Return the next row of an instance that is out, or ``None`` to wait.
+
+    :param report: the worker's answer, asked for after the state began.
+    :param live: whether the instance list shows the instance.
+    """
+    if row.state is InstanceState.DRAINING:
+        # Only the worker's own answer shows that no task runs.
+        if report.reachable and report.running == 0:
+            return dataclasses.replace(row, state=InstanceState.EMPTY, since_ms=now_ms)
+        return None
+    if row.state is InstanceState.EMPTY:
+        if row.target_pool and row.target_pool != row.pool:
+            return PoolRow(pool=row.target_pool, since_ms=now_ms)
+        return PoolRow(pool=row.pool, state=InstanceState.REBOOTING, since_ms=now_ms)
+    if row.state is InstanceState.REBOOTING:
+        back = live and report.reachable
+        if back and now_ms - row.since_ms >= MIN_REBOOT_MS:
+            return PoolRow(pool=row.pool, since_ms=now_ms)
+    return None
+
+
+def choose_transfers(
+    fleet: Fleet, sizing: Sizing, free: t.Iterable[FleetInstance]
+) -> list[tuple[FleetInstance, str]]:
+    """Choose instances whose move brings pools closer to their decided sizes.
+
+    Instances whose work ends soonest go first; moves already recorded count.
+
+    :param free: instances that may be taken.
+    :returns: pairs of instance and target pool, within each zone.
+    """
+    present: collections.Counter[tuple[str, str]] = collections.Counter(
+        (i.row.target_pool or i.pool, i.zone) for i in fleet.instances_by_name.values()
+    )
+    wanted = {
+        (pool, zone): count
+        for pool, zones in sizing.counts.items()
+        for zone, count in zones.items()
+    }
+    lacking: dict[str, list[str]] = {}
+    for (pool, zone), count in sorted(wanted.items()):
+        lack = count - present[pool, zone]
+        lacking.setdefault(zone, []).extend([pool] * max(0, lack))
+    surplus = {key: n - wanted.get(key, 0) for key, n in present.items()}
+    chosen = []
+    for instance in sorted(free, key=lambda i: (i.report.drain_ms, i.name)):
+        key = (instance.pool, instance.zone)
+        if surplus.get(key, 0) > 0 and lacking.get(instance.zone):
+            chosen.append((instance, lacking[instance.zone].pop(0)))
+            surplus[key] -= 1
+    return chosen
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,68 @@
+import pathlib
+
+import testtools
+from planner_fixtures import configuration, fleet
+
+from cranberrywheel.connection.store_client import InstanceList
+from cranberrywheel.process.capacity import (
+    build_problem,
+    choose_sizes,
+    cost_of,
+    pool_needs,
+    wave_limit,
+)
+from cranberrywheel.process.fleet_model import QueueUsage
+from cranberrywheel.process.waves import plan_preview
+from cranberrywheel.version.configuration import parse_configuration
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+
+
+def example(name):
+    return parse_configuration((EXAMPLES / f"{name}.ini").read_text())
+
+
+class CapacityTest(testtools.TestCase):
+    def test_learned_usage_replaces_declared_sizes(self):
+        # Guards against plans from declared sizes that are far off.
+        config = configuration()
+        usage = {"qa": QueueUsage(busy=16, cores=4, memory_mb=10)}
+        need = pool_needs(config, usage)["a"]
+        self.assertEqual((8, 40), (need.mean, need.surge))
+
+    def test_buffer_of_a_pool_covers_one_burst_at_a_time(self):
+        config = example("maclachlan-rennie")
+        need = pool_needs(config, {})["administration"]
+        self.assertAlmostEqual((8 * 4.95 + 16 * 0.05) / 8, need.surge)
+
+    def test_wave_limit_survives_any_zone(self):
+        # Guards against wave sizes that a zone loss would turn into a breach.
+        self.assertEqual(2, wave_limit({"x": 4, "y": 4}, 3))
+        self.assertEqual(4, wave_limit({"x": 4, "y": 2}, 1))
+        self.assertEqual(0, wave_limit({"x": 1, "y": 1}, 2))
+        self.assertEqual(1, wave_limit({"x": 3, "y": 1}, 2))
+
+    def test_examples_give_different_plans(self):
+        # Guards against weights that have no effect.
+        shown = {}
+        for name in ("maclachlan-rennie", "kayis-birligi"):
+            plan = plan_preview(example(name), {}, InstanceList(0, 0, ()))
+            shown[name] = plan
+        moved = {n: sum(map(bool, p.take.values())) for n, p in shown.items()}
+        self.assertEqual(0, moved["maclachlan-rennie"])
+        self.assertLess(0, moved["kayis-birligi"])
+        waves = [set(p.sizing.wave_sizes_by_pool.values()) for p in shown.values()]
+        self.assertNotEqual(*waves)
+
+    def test_search_never_raises_the_cost_and_keeps_each_zone(self):
+        config = example("kayis-birligi")
+        problem = build_problem(config, fleet(config))
+        sizing = choose_sizes(problem)
+        waves = {pool: 1 for pool in problem.counts}
+        self.assertLessEqual(sizing.cost, cost_of(problem, problem.counts, waves))
+        for zone in config.regions_by_zone:
+            before, after = (
+                sum(zones.get(zone, 0) for zones in counts.values())
+                for counts in (problem.counts, sizing.counts)
+            )
+            self.assertEqual(before, after)
