Displace work for urgent requests, borrow peers' units, never claim a false not-run

Cause: a request whose earlier attempt broke was answered not-run when its deadline passed in the queue; a cancelled caller of a forwarded request kept the peer working; urgent work had no way past long tasks; teams without local units waited while peers had idle ones. Change: pending requests remember that an attempt may have run; checkpointed tasks continue from their checkpoint; cancelled forwards are cancelled at the peer; relief.py displaces and forwards.

--- a/src/cranberrywheel/connection/peer_service.py
+++ b/src/cranberrywheel/connection/peer_service.py
@@ -64,11 +64,13 @@
         submit_forwarded: t.Callable[
             [IncomingRequest], "concurrent.futures.Future[Answer]"
         ],
+        cancel_forwarded: t.Callable[[str], None],
         import_results: t.Callable[[str, Results], None],
         note_malformed: t.Callable[[str, PeerError], None],
     ) -> None:
         self._exchange = exchange
         self._submit_forwarded = submit_forwarded
+        self._cancel_forwarded = cancel_forwarded
         self._import_results = import_results
         self._note_malformed = note_malformed
 
@@ -106,6 +108,9 @@
             answer = await asyncio.shield(
                 asyncio.wrap_future(self._submit_forwarded(incoming))
             )
+        except asyncio.CancelledError:
+            self._cancel_forwarded(incoming.request_id)
+            raise
         except CranberrywheelError as error:
             answer = error_answer(incoming.request_id, error)
         await stream.send_message(encode_answer(answer))
@@ -130,6 +135,7 @@
     :param exchange: state to send and to merge into.
     :param submit_forwarded: runs a request that a peer forwarded; its future
         gets an answer or an error.
+    :param cancel_forwarded: takes the id of a forwarded request whose peer hung up.
     :param import_results: takes the process id and ticket results of a peer that
         shuts down; called on the asyncio thread and must not block.
     """
@@ -142,6 +148,7 @@
         submit_forwarded: t.Callable[
             [IncomingRequest], "concurrent.futures.Future[Answer]"
         ],
+        cancel_forwarded: t.Callable[[str], None] = lambda request_id: None,
         import_results: t.Callable[[str, Results], None] = lambda peer, results: None,
     ) -> None:
         self._settings = settings
@@ -149,7 +156,11 @@
         self._exchange = exchange
         self._loop = asyncio.new_event_loop()
         self._handlers = _Handlers(
-            exchange, submit_forwarded, import_results, self._note_malformed
+            exchange,
+            submit_forwarded,
+            cancel_forwarded,
+            import_results,
+            self._note_malformed,
         )
         self._thread = threading.Thread(target=self._run, name="peer", daemon=True)
         self._started: concurrent.futures.Future[None] = concurrent.futures.Future()
--- a/src/cranberrywheel/connection/target_client.py
+++ b/src/cranberrywheel/connection/target_client.py
@@ -17,7 +17,11 @@
 
 #: Refusals that the worker protocol defines as "not started". A ``duplicate``
 #: is not among them: the task may run under the same id.
-NOT_STARTED_KINDS = frozenset({"stale-token", "busy", "draining", "does-not-fit"})
+NOT_STARTED_KINDS = frozenset(
+    {"stale-token", "busy", "draining", "does-not-fit", "no-checkpoint"}
+)
+#: Kind of a 500 answer for a task that can be continued from its checkpoint.
+CHECKPOINTED_KIND = "checkpointed"
 #: Kind of a 500 answer for a task that ran to its end and failed.
 TASK_FAILED_KIND = "task-failed"
 CONNECT_TIMEOUT_MS = 1_000
@@ -46,7 +50,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StartAttempt:
-    """To the target client: start a task at a worker."""
+    """To the target client: start a task at a worker.
+
+    :param checkpoint: id of the checkpointed task that it continues, or ``""``.
+    """
 
     task_id: str
     worker: str
@@ -60,6 +67,7 @@
     memory_mb: int
     run_ms: int
     idempotent: bool
+    checkpoint: str
     content_type: str
     traceparent: str
     body: bytes
@@ -382,6 +390,8 @@
         f"Memory-Mb: {message.memory_mb}",
         f"Run-Ms: {message.run_ms}",
     ]
+    if message.checkpoint:
+        headers.append(f"Checkpoint: {message.checkpoint}")
     if message.traceparent:
         headers.append(f"traceparent: {message.traceparent}")
     return headers
@@ -457,6 +467,8 @@
         )
     else:
         end = _end_of(transfer, status)
+        if end is AttemptEnd.STOPPED:
+            kind = str(transfer.json().get("kind", ""))
         detail = f"the worker answered with status {status}"
     slots_free = transfer.headers.get("slots-free", "")
     return AttemptFinished(
--- a/src/cranberrywheel/process/attempts.py
+++ b/src/cranberrywheel/process/attempts.py
@@ -50,6 +50,8 @@
 
     :param task_id: id at the worker; also names the unit it uses.
     :param lease_sent_ms: clock reading before the last lease was sent.
+    :param checkpoint: id of the checkpointed task that it continues, or ``""``.
+    :param displaced: whether it was asked to make room for urgent work.
     :param seen_running_ms: when the worker last confirmed that the task runs.
     """
 
@@ -62,6 +64,8 @@
     sent_ms: int = 0
     lease_sent_ms: int = 0
     seen_running_ms: int = 0
+    checkpoint: str = ""
+    displaced: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -126,9 +130,13 @@
         """Return all live attempts."""
         return list(self._by_task.values())
 
-    def start(self, request: Request, queue: Queue, worker: WorkerRow) -> str | None:
+    def start(
+        self, request: Request, queue: Queue, worker: WorkerRow, checkpoint: str = ""
+    ) -> str | None:
         """Start a request at a worker.
 
+        :param checkpoint: id of the checkpointed task that it continues, or ``""``.
+
         :returns: the task id, or ``None`` if the team has no unit left.
         """
         now_ms = self._clock.now_ms()
@@ -142,6 +150,7 @@
             worker=worker,
             state=AttemptState.NEEDS_TOKEN,
             created_ms=now_ms,
+            checkpoint=checkpoint,
         )
         self._by_task[task_id] = attempt
         self._workers.started(worker.name, now_ms)
@@ -184,6 +193,7 @@
                 memory_mb=attempt.queue.memory_mb,
                 run_ms=attempt.queue.run_ms,
                 idempotent=request.idempotent,
+                checkpoint=attempt.checkpoint,
                 content_type=request.content_type,
                 traceparent=request.traceparent,
                 body=request.body,
--- a/src/cranberrywheel/process/dispatcher.py
+++ b/src/cranberrywheel/process/dispatcher.py
@@ -9,6 +9,7 @@
 from cranberrywheel.process import messages as m
 from cranberrywheel.process.entry_state import EntryState
 from cranberrywheel.process.placement import Placement
+from cranberrywheel.process.relief import displace_for_urgent, forward_for_units
 from cranberrywheel.request.fair_queue import FairQueue
 
 TICK_MS = 100
@@ -46,6 +47,7 @@
         return {
             m.SubmitRequest: self._flow.submit,
             m.CancelRequest: lambda msg: self._flow.cancel(msg.request_id),
+            m.ForwardFinished: self._flow.forward_finished,
             m.IssueTickets: self._flow.issue_tickets,
             m.QueryTicket: self._flow.query_ticket,
             m.ReadStatus: lambda msg: msg.status.set_result(self._status()),
@@ -159,6 +161,9 @@
         self._state.timers.add(now_ms + TICK_MS, self._tick)
         self._ticks += 1
         self._attempts.renew_leases()
+        if self._state.snapshot is not None:
+            displace_for_urgent(self._state, self._attempts)
+            forward_for_units(self._state, self._flow)
         if self._ticks % REPORT_EVERY_TICKS == 0:
             self._state.tickets.expire(now_ms)
             self._send_reports(now_ms)
@@ -174,7 +179,7 @@
             m.UnitsWanted(dict(self._state.ledger.in_use_by_team()), waiting)
         )
         idle = {
-            team: self._state.ledger.usable(team, now_ms)
+            team: self._state.ledger.idle(team, now_ms)
             for team in self._state.fleet.shares_by_team
         }
         self._state.links.to_peers(
@@ -204,7 +209,7 @@
             "late_answers": self._attempts.late_answers,
             "units_in_use_by_team": dict(self._state.ledger.in_use_by_team()),
             "units_usable_by_team": {
-                team: self._state.ledger.usable(team, now_ms)
+                team: self._state.ledger.idle(team, now_ms)
                 for team in self._state.fleet.shares_by_team
             },
             "peers": self._state.fleet.peer_ids(),
--- a/src/cranberrywheel/process/entry.py
+++ b/src/cranberrywheel/process/entry.py
@@ -66,6 +66,7 @@
         links = Links(
             to_targets=lambda message: self._targets.post(message),
             to_store=lambda message: self._store.inbox.put(message),
+            to_self=lambda message: self._dispatcher.post(message),
             to_peers=lambda load: self._peers.report_load(load),
             forward=lambda address, incoming, timeout_ms: self._peers.forward(
                 address, incoming, timeout_ms
@@ -82,6 +83,7 @@
             clock,
             self._exchange,
             self._submit_forwarded,
+            lambda request_id: post(m.CancelRequest(request_id)),
             lambda peer, results: post(m.ResultsHandedOver(peer, tuple(results))),
         )
         self._store = StoreSession(settings, clock, post, self._exchange)
--- a/src/cranberrywheel/process/entry_state.py
+++ b/src/cranberrywheel/process/entry_state.py
@@ -10,7 +10,7 @@
 from cranberrywheel.process import messages as m
 from cranberrywheel.process.fleet_view import FleetView
 from cranberrywheel.process.limit_units import UnitLedger
-from cranberrywheel.process.pending import PendingRequests
+from cranberrywheel.process.pending import Forward, PendingRequests
 from cranberrywheel.process.timers import Timers
 from cranberrywheel.process.worker_table import WorkerTable
 from cranberrywheel.request.estimates import RunTimeEstimates
@@ -29,12 +29,14 @@
     :param to_targets: posts to the target client.
     :param to_store: posts to the store session.
     :param to_peers: posts to the peer service.
+    :param to_self: posts to the dispatcher itself.
     :param forward: sends a request to a peer: (peer address, request, timeout).
     """
 
     to_targets: t.Callable[[t.Any], None]
     to_store: t.Callable[[t.Any], None]
     to_peers: t.Callable[[t.Any], None]
+    to_self: t.Callable[[t.Any], None]
     forward: t.Callable[[str, m.IncomingRequest, int], "Future[Answer]"]
 
 
@@ -64,6 +66,7 @@
     timers: Timers = dataclasses.field(default_factory=Timers)
     estimates: RunTimeEstimates = dataclasses.field(default_factory=RunTimeEstimates)
     retry_budget: RetryBudget = dataclasses.field(default_factory=RetryBudget)
+    forwards_by_id: dict[str, Forward] = dataclasses.field(default_factory=dict)
     pending: PendingRequests = dataclasses.field(default_factory=PendingRequests)
     queues_by_service: dict[str, FairQueue] = dataclasses.field(default_factory=dict)
 
--- a/src/cranberrywheel/process/fleet_view.py
+++ b/src/cranberrywheel/process/fleet_view.py
@@ -26,6 +26,8 @@
         self._instances_by_id: dict[str, Instance] = {}
         self._refused_as_leaving: set[str] = set()
         self._peers_by_id: dict[str, m.PeerReport] = {}
+        #: Idle units by peer and team, less those used since its last report.
+        self._idle_units: dict[tuple[str, str], int] = {}
         self._own_use: dict[tuple[str, str], int] = {}
         self._slots_by_pool: dict[str, int] = {}
         self.shares_by_team: dict[str, float] = {}
@@ -127,12 +129,22 @@
         old = self._peers_by_id.get(report.process_id)
         self._peers_by_id[report.process_id] = report
         self._workers.set_peer_load(report.process_id, report.in_flight_by_worker)
+        self._forget_idle_units(report.process_id)
+        if not report.stopping:
+            for load in report.loads:
+                if load.idle_units:
+                    self._idle_units[report.process_id, load.team] = load.idle_units
         if old is None or old.leaving_instances != report.leaving_instances:
             self._set_leaving()
         self._sum_use()
 
+    def _forget_idle_units(self, process_id: str) -> None:
+        for key in [key for key in self._idle_units if key[0] == process_id]:
+            del self._idle_units[key]
+
     def drop_peer(self, process_id: str) -> None:
         """Forget a peer that is no longer heard."""
+        self._forget_idle_units(process_id)
         if self._peers_by_id.pop(process_id, None):
             self._workers.drop_peer(process_id)
             self._set_leaving()
@@ -143,14 +155,20 @@
         report = self._peers_by_id.get(process_id)
         return report.peer_address if report else ""
 
-    def peer_with_units(self, team: str) -> str:
-        """Return the address of the peer with most idle units of a team, or ``""``."""
-        best, most = "", 0
-        for report in self._peers_by_id.values():
-            idle = sum(load.idle_units for load in report.loads if load.team == team)
-            if idle > most and not report.stopping:
-                best, most = report.peer_address, idle
-        return best
+    def take_idle_unit(self, team: str) -> str:
+        """Find a peer with an idle unit of a team and count the unit as used.
+
+        :returns: the peer's address, or ``""`` if no peer reported one.
+        """
+        key = max(
+            (key for key in self._idle_units if key[1] == team),
+            key=lambda key: self._idle_units[key],
+            default=None,
+        )
+        if key is None or self._idle_units[key] <= 0:
+            return ""
+        self._idle_units[key] -= 1
+        return self.peer_address(key[0])
 
     def peer_ids(self) -> list[str]:
         """Return the ids of all peers that are heard."""
--- a/src/cranberrywheel/process/limit_units.py
+++ b/src/cranberrywheel/process/limit_units.py
@@ -88,6 +88,15 @@
         limit = self._limits_by_team.get(team, valid)
         return min(valid, limit, self._cap_by_team.get(team, valid))
 
+    def idle(self, team: str, now_ms: int) -> int:
+        """Return how many more requests may start now.
+
+        :param team: name of the team.
+        :param now_ms: own clock reading.
+        """
+        in_use = len(self._running_by_team.get(team, ()))
+        return max(0, self.usable(team, now_ms) - in_use)
+
     def take(self, team: str, request_id: str, now_ms: int) -> bool:
         """Take a unit for a request that is about to start.
 
--- a/src/cranberrywheel/process/messages.py
+++ b/src/cranberrywheel/process/messages.py
@@ -51,6 +51,14 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True)
+class ForwardFinished:
+    """To the dispatcher: a forwarded request has its answer or an error."""
+
+    request_id: str
+    answer: "Future[Answer]"
+
+
 @dataclasses.dataclass(frozen=True)
 class IssueTickets:
     """To the dispatcher: the future gets a list of tickets."""
--- a/src/cranberrywheel/process/pending.py
+++ b/src/cranberrywheel/process/pending.py
@@ -20,12 +20,22 @@
     deadline_ms: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Forward:
+    """A request that a peer handles for a caller of this process."""
+
+    waiter: Waiter
+    answer: "Future[Answer]"
+
+
 @dataclasses.dataclass(kw_only=True)
 class PendingRequest:
     """A request with the callers that wait for it and its attempts so far.
 
     :param task_id: the attempt that runs now, or ``""``.
     :param attempts: attempts so far.
+    :param may_have_run: whether an attempt was started or may have been.
+    :param checkpoint: id of the checkpointed task to continue, or ``""``.
     :param misfits: workers that said the request does not fit.
     """
 
@@ -34,6 +44,8 @@
     task_id: str = ""
     attempts: int = 0
     misfits: int = 0
+    may_have_run: bool = False
+    checkpoint: str = ""
     tried_workers: set[str] = dataclasses.field(default_factory=set)
     avoided_racks: set[str] = dataclasses.field(default_factory=set)
 
--- a/src/cranberrywheel/process/placement.py
+++ b/src/cranberrywheel/process/placement.py
@@ -1,11 +1,10 @@
 """Requests between queues and workers: placement, results, retries."""
 
-from cranberrywheel.connection.target_client import AttemptEnd
+from cranberrywheel.connection.target_client import CHECKPOINTED_KIND, AttemptEnd
 from cranberrywheel.errors import (
     NeverFitsError,
     OverloadedError,
     TargetFailedError,
-    UnknownOutcomeError,
 )
 from cranberrywheel.logs import PartLogger
 from cranberrywheel.process.attempts import AttemptResult, Attempts
@@ -56,28 +55,31 @@
                     now_ms,
                     self._state.fleet.shares_by_team,
                     self._state.fleet.use_by_team,
-                    lambda team: (
-                        not team or self._state.ledger.usable(team, now_ms) > 0
-                    ),
+                    lambda team: not team or self._state.ledger.idle(team, now_ms) > 0,
                 )
                 if request is None:
                     break
                 if not self._start(request, pool, now_ms):
                     fair_queue.push(request)
                     break
+            for request in fair_queue.take_expired(now_ms):
+                self.flow.drop_expired(request)
 
     def _start(self, request: Request, pool: str, now_ms: int) -> bool:
         pending = self._state.pending.find(request.request_id)
         if pending is None:
             return True
-        worker = self._state.workers.choose(
-            pool, now_ms, pending.tried_workers, pending.avoided_racks
-        ) or self._state.workers.choose(pool, now_ms, pending.tried_workers)
+        workers = self._state.workers
+        worker = (
+            workers.choose(pool, now_ms, pending.tried_workers, pending.avoided_racks)
+            or workers.choose(pool, now_ms, pending.tried_workers)
+            or workers.choose(pool, now_ms)
+        )
         if worker is None:
             return False
         assert self._state.snapshot is not None
         found = self._state.snapshot.configuration.queues_by_name[request.queue]
-        task_id = self.attempts.start(request, found, worker)
+        task_id = self.attempts.start(request, found, worker, pending.checkpoint)
         if task_id is None:
             return False
         if request.ticket:
@@ -111,8 +113,11 @@
         pending = self._state.pending.find(request.request_id)
         if pending is None or pending.task_id != result.attempt.task_id:
             return
+        pending.may_have_run = pending.may_have_run or result.started
         if result.end in (AttemptEnd.RAN, AttemptEnd.FAILED):
             self._target_answered(pending, result)
+        elif result.kind == CHECKPOINTED_KIND:
+            self._continue_later(pending, result.attempt.task_id)
         elif not result.started:
             self._not_started(pending, result)
         elif result.last or request.idempotent:
@@ -164,21 +169,25 @@
         self.flow.finish_not_run(pending, error)
 
     def _attempt_broke(self, pending: PendingRequest, result: AttemptResult) -> None:
-        if self._retry(pending, result, certainly_not_started=False):
-            return
+        if not self._retry(pending, result, certainly_not_started=False):
+            self.flow.finish_unknown(pending, result.detail)
+
+    def _continue_later(self, pending: PendingRequest, task_id: str) -> None:
+        """Queue a checkpointed request again; it continues where it stopped."""
+        pending.checkpoint = task_id
+        pending.task_id = ""
+        self._requeue(pending)
+
+    def _requeue(self, pending: PendingRequest) -> None:
         request = pending.request
-        answer = problem_answer(
-            request.request_id,
-            UnknownOutcomeError(
-                f"The target gave no whole answer: {result.detail}.",
-                "Retry if the request is idempotent; else check with the target.",
-            ),
-        )
-        if request.ticket:
-            self._state.tickets.finish(
-                request.ticket, answer, self._state.clock.now_ms()
-            )
-        self.flow.finish(pending, answer)
+        if self._state.pending.find(request.request_id) is not pending:
+            return
+        if request.service not in self._state.queues_by_service:
+            return
+        try:
+            self._state.queues_by_service[request.service].push(request)
+        except OverloadedError as error:
+            self.flow.finish_not_run(pending, error)
 
     def _retry(
         self,
@@ -212,18 +221,5 @@
             delay_ms=delay_ms,
         )
 
-        def requeue() -> None:
-            if self._state.pending.find(request.request_id) is not pending:
-                return
-            if request.service not in self._state.queues_by_service:
-                return
-            try:
-                self._state.queues_by_service[request.service].push(request)
-            except OverloadedError as error:
-                if certainly_not_started:
-                    self.flow.finish_not_run(pending, error)
-                else:
-                    self._attempt_broke(pending, result)
-
-        self._state.timers.add(now_ms + delay_ms, requeue)
+        self._state.timers.add(now_ms + delay_ms, lambda: self._requeue(pending))
         return True
--- a/src/cranberrywheel/process/request_flow.py
+++ b/src/cranberrywheel/process/request_flow.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import typing as t
-from concurrent.futures import Future
 
 from cranberrywheel.errors import (
     CancelledError,
@@ -24,7 +23,7 @@
     find_queue,
 )
 from cranberrywheel.process.entry_state import EntryState
-from cranberrywheel.process.pending import PendingRequest, Waiter
+from cranberrywheel.process.pending import Forward, PendingRequest, Waiter
 from cranberrywheel.request.model import Answer, Outcome, Request
 from cranberrywheel.request.problem import problem_answer
 from cranberrywheel.request.ticket import Claim, ClaimState, owner_of
@@ -110,7 +109,7 @@
         if owner != self._state.process_id and not waiter.incoming.forwarded:
             peer = self._state.fleet.peer_address(owner)
             if peer:
-                self._forward(peer, waiter)
+                self.forward(peer, waiter)
                 return True
         claim = self._state.tickets.claim(
             request.ticket, request.team, request.queue, now_ms
@@ -185,11 +184,7 @@
             return
         request = pending.request
         if self._state.queues_by_service[request.service].remove(request.request_id):
-            error: RequestError = DeadlineError(
-                "The deadline passed while the request was queued.",
-                "Retry later or with a longer Request-Timeout-Ms.",
-            )
-            self.finish_not_run(pending, error)
+            self.finish_not_run(pending, _queue_deadline_error())
             return
         error = UnknownOutcomeError(
             "The deadline passed while the request was running.",
@@ -205,6 +200,10 @@
 
         :param request_id: id that the caller's connection was given.
         """
+        forward = self._state.forwards_by_id.get(request_id)
+        if forward is not None:
+            forward.answer.cancel()
+            return
         pending = self._state.pending.find_waiter(request_id)
         if pending is None:
             return
@@ -234,13 +233,44 @@
             self._stop_attempt(pending.task_id)
 
     def finish_not_run(self, pending: PendingRequest, error: RequestError) -> None:
-        """Answer a request that certainly was not started."""
+        """Refuse a request that waits for a worker.
+
+        An earlier attempt may have run; the answer is then ``unknown``.
+        """
+        if pending.may_have_run:
+            self.finish_unknown(pending, error.message)
+            return
         if pending.request.ticket:
             self._state.tickets.release(
                 pending.request.ticket, self._state.clock.now_ms()
             )
         self.finish(pending, problem_answer(pending.request.request_id, error))
 
+    def finish_unknown(self, pending: PendingRequest, detail: str) -> None:
+        """Answer a request that may have run.
+
+        :param detail: what happened last, one sentence.
+        """
+        request = pending.request
+        answer = problem_answer(
+            request.request_id,
+            UnknownOutcomeError(
+                f"An attempt was started and gave no whole answer: {detail}",
+                "Retry if the request is idempotent; else check with the target.",
+            ),
+        )
+        if request.ticket:
+            self._state.tickets.finish(
+                request.ticket, answer, self._state.clock.now_ms()
+            )
+        self.finish(pending, answer)
+
+    def drop_expired(self, request: Request) -> None:
+        """Refuse a request whose deadline passed in the queue."""
+        pending = self._state.pending.find(request.request_id)
+        if pending is not None:
+            self.finish_not_run(pending, _queue_deadline_error())
+
     def finish(self, pending: PendingRequest, answer: Answer) -> None:
         """Answer every caller that waits for a request."""
         for waiter in self._state.pending.remove(pending):
@@ -253,32 +283,36 @@
                 dataclasses.replace(answer, request_id=waiter.incoming.request_id)
             )
 
-    def _forward(self, peer_address: str, waiter: Waiter) -> None:
+    def forward(self, peer_address: str, waiter: Waiter) -> None:
+        """Let a peer handle a request and pass its answer on.
+
+        :param peer_address: where the peer listens for other entries.
+        """
+        request_id = waiter.incoming.request_id
         timeout_ms = max(1, waiter.deadline_ms - self._state.clock.now_ms())
-        _log.event(
-            "forwarded request",
-            request_id=waiter.incoming.request_id,
-            peer=peer_address,
+        _log.event("forwarded request", request_id=request_id, peer=peer_address)
+        incoming = dataclasses.replace(waiter.incoming, forwarded=True)
+        answer = self._state.links.forward(peer_address, incoming, timeout_ms)
+        self._state.forwards_by_id[request_id] = Forward(waiter, answer)
+        answer.add_done_callback(
+            lambda done: self._state.links.to_self(m.ForwardFinished(request_id, done))
         )
 
-        def copy(done: "Future[Answer]") -> None:
-            error = done.exception()
-            if error is None:
-                self._answer(waiter, done.result())
-            else:
-                # Even an unsent forward leaves open whether an earlier call with
-                # this ticket ran.
-                unknown = UnknownOutcomeError(
-                    "The owner of the ticket did not answer.", "Retry the ticket."
-                )
-                self._answer(
-                    waiter, problem_answer(waiter.incoming.request_id, unknown)
-                )
-
-        incoming = dataclasses.replace(waiter.incoming, forwarded=True)
-        self._state.links.forward(peer_address, incoming, timeout_ms).add_done_callback(
-            copy
+    def forward_finished(self, message: m.ForwardFinished) -> None:
+        """Answer the caller of a forwarded request."""
+        forward = self._state.forwards_by_id.pop(message.request_id, None)
+        if forward is None:
+            return
+        if not message.answer.cancelled() and message.answer.exception() is None:
+            self._answer(forward.waiter, message.answer.result())
+            return
+        # Even an unsent forward leaves open whether an earlier call with this
+        # ticket ran.
+        error = UnknownOutcomeError(
+            "The instance that handles the request did not answer.",
+            "Retry with the same ticket, or retry an idempotent request.",
         )
+        self._answer(forward.waiter, problem_answer(message.request_id, error))
 
     def issue_tickets(self, message: m.IssueTickets) -> None:
         """Issue tickets to the team of a key."""
@@ -340,3 +374,10 @@
                     "The queue was removed.", "Use another queue."
                 )
                 self.finish_not_run(pending, error)
+
+
+def _queue_deadline_error() -> DeadlineError:
+    return DeadlineError(
+        "The deadline passed while the request was queued.",
+        "Retry later or with a longer Request-Timeout-Ms.",
+    )
--- a/src/cranberrywheel/request/fair_queue.py
+++ b/src/cranberrywheel/request/fair_queue.py
@@ -116,6 +116,19 @@
         expired, self._expired = self._expired, []
         return expired
 
+    def count_urgent(self, arrived_before_ms: int) -> int:
+        """Count the urgent requests that have waited for long.
+
+        :param arrived_before_ms: clock reading; later arrivals are not counted.
+        """
+        count = 0
+        for requests in self._urgent_by_team.values():
+            for request in requests.values():
+                if request.arrived_ms >= arrived_before_ms:
+                    break
+                count += 1
+        return count
+
     def queued_by_team(self) -> dict[str, int]:
         """Return the number of waiting requests of each team that has any."""
         counts: collections.Counter[str] = collections.Counter()
--- a/src/cranberrywheel_standin/worker.py
+++ b/src/cranberrywheel_standin/worker.py
@@ -224,6 +224,8 @@
                 raise StartRefusedError("does-not-fit")
             if self._slots_free() < 1:
                 raise StartRefusedError("busy")
+            if order.checkpoint and order.checkpoint not in self._checkpoints:
+                raise StartRefusedError("no-checkpoint")
             work_ms = self._checkpoints.pop(order.checkpoint, float(order.run_ms))
             task = Task(
                 order=order,
--- a/src/cranberrywheel_standin/worker_app.py
+++ b/src/cranberrywheel_standin/worker_app.py
@@ -166,10 +166,10 @@
         with self.worker.changed:
             if faults.lose_answers > 0:
                 faults.lose_answers -= 1
-                request.environ[WIRE_FAULT].append(DROP)
+                request.environ.setdefault(WIRE_FAULT, []).append(DROP)
             elif faults.truncate > 0:
                 faults.truncate -= 1
-                request.environ[WIRE_FAULT].append(TRUNCATE)
+                request.environ.setdefault(WIRE_FAULT, []).append(TRUNCATE)
             elif faults.cross > 0 and (other := self.worker.find_other(task)):
                 faults.cross -= 1
                 return other
--- a/tests/dispatcher_fakes.py
+++ b/tests/dispatcher_fakes.py
@@ -47,9 +47,19 @@
 service = s
 access = open
 idempotent = yes
+[queue rebuilds]
+service = s
+idempotent = yes
+run_ms = 60000
+timeout_ms = 90000
+can_checkpoint = yes
+[queue urgent]
+service = s
+idempotent = yes
+urgent = yes
 [team red]
 share = 0.5
-limit = 2
+limit = 20
 """
 WORKERS = ("w1", "w2", "w3")
 
@@ -80,6 +90,7 @@
             to_targets=self.sent.append,
             to_store=lambda message: None,
             to_peers=lambda report: None,
+            to_self=lambda message: self.dispatcher.post(message),
             forward=self._forward,
         )
         state = create_state(
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,6 +1,7 @@
 import testtools
 from dispatcher_fakes import DispatcherBench
 
+from cranberrywheel.connection.store_client import InstanceList
 from cranberrywheel.connection.target_client import (
     AttemptEnd,
     ControlFinished,
@@ -8,8 +9,10 @@
     QueryTask,
     TaskQueried,
 )
+from cranberrywheel.errors import NotReadyError
 from cranberrywheel.process import messages as m
 from cranberrywheel.request.model import Outcome
+from cranberrywheel.request.problem import problem_answer
 
 
 class DispatcherTest(testtools.TestCase):
@@ -171,6 +174,7 @@
         ((address, incoming, forward),) = self.bench.forwarded
         self.assertEqual(("h:2", True), (address, incoming.forwarded))
         forward.set_exception(ConnectionError())
+        self.bench.dispatcher.turn()
         self.assert_refused(future, "unknown-outcome", Outcome.UNKNOWN)
 
     def test_non_idempotent_queue_needs_a_ticket(self):
@@ -218,3 +222,44 @@
     def test_drained_process_refuses_truthfully(self):
         self.bench.state.drained = True
         self.assert_refused(self.bench.submit("a"), "not-ready")
+
+    def test_deadline_after_a_broken_attempt_is_unknown_and_not_not_run(self):
+        future = self.bench.submit("a")
+        (start,) = self.bench.starts()
+        self.bench.end(start, AttemptEnd.BROKEN)
+        self.bench.post(m.InstancesListed(InstanceList(2, 0, ())))
+        self.bench.advance(10_100)
+        self.assert_refused(future, "unknown-outcome", Outcome.UNKNOWN)
+
+    def test_checkpointed_request_continues_and_does_not_start_again(self):
+        ticket = self.bench.ticket()
+        future = self.bench.submit("a", "payments", ticket)
+        (start,) = self.bench.starts()
+        self.bench.end(start, AttemptEnd.STOPPED, "checkpointed")
+        (again,) = self.bench.starts()
+        self.assertEqual(start.task_id, again.checkpoint)
+        self.bench.end(again, body=b"counted")
+        self.assertEqual(b"counted", future.result(0).body)
+
+    def test_urgent_request_displaces_work_that_can_be_checkpointed(self):
+        bench = DispatcherBench(long_units=20)
+        for i in range(12):
+            bench.submit(f"n{i}", "rebuilds")
+        self.assertEqual(12, len(bench.starts()))
+        bench.submit("u", "urgent")
+        bench.advance(700)
+        (checkpoint,) = [c for c in bench.take(ControlTask) if c.action != "lease"]
+        self.assertEqual("checkpoint", checkpoint.action)
+
+    def test_request_without_a_unit_goes_to_a_peer_that_has_one(self):
+        load = m.PeerLoad("red", "", 0, 0, 1)
+        self.bench.post(
+            m.PeerReport("z1.e1.y", "z1", "h:1", "h:2", False, (load,), {}, ())
+        )
+        futures = [self.bench.submit(f"r{i}") for i in range(4)]
+        self.bench.advance(400)
+        ((_, incoming, forward),) = self.bench.forwarded
+        forward.set_result(problem_answer(incoming.request_id, NotReadyError("x")))
+        self.bench.post()
+        self.bench.dispatcher.turn()
+        self.assertEqual(1, sum(future.done() for future in futures))
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -37,6 +37,7 @@
         memory_mb=1,
         run_ms=10,
         idempotent=True,
+        checkpoint="",
         content_type="text/plain",
         traceparent="",
         body=b"payload",
