Add the policy benchmark with two baselines

Cause: the decisions need figures before they are changed. A first version of closeness summed demand over a whole window and counted late bursts against the policy; demand is now capped at each tick.

--- /dev/null
+++ b/src/cranberrywheel_load/bench_schedulers.py
@@ -0,0 +1,210 @@
+"""Schedulers that the policy benchmark compares."""
+
+import collections
+import random
+import typing as t
+
+from cranberrywheel.errors import OverloadedError
+from cranberrywheel.process.worker_table import (
+    AttemptVerdict,
+    WorkerRow,
+    WorkerTable,
+)
+from cranberrywheel.request.displacement import RunningTask, choose_displaced
+from cranberrywheel.request.estimates import RunTimeEstimates
+from cranberrywheel.request.fair_queue import FairQueue
+from cranberrywheel.request.model import Request
+from cranberrywheel.request.retry import RetryBudget, blames_request, plan_retry
+from cranberrywheel_load.bench_arrivals import CAPACITY, SHARES, SLOTS, WORKERS
+
+POOL = "pool"
+#: Upper limit of each team as a part of all slots.
+LIMIT_FRACTION = 0.6
+DECLARED_MS = 400
+MAX_QUEUED = 500
+
+
+class Policy:
+    """The decisions of the product, as the dispatcher combines them."""
+
+    def __init__(self, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self._queue = FairQueue(MAX_QUEUED)
+        self._estimates = RunTimeEstimates()
+        self._budget = RetryBudget()
+        self._failed_workers: dict[str, list[str]] = {}
+        self._use: collections.Counter[str] = collections.Counter()
+        self._table = WorkerTable("zone-0", self._rng)
+        self._table.set_ejection_limit(POOL, 1)
+        self._table.set_workers(
+            WorkerRow(
+                name=f"worker-{number}",
+                address=str(number),
+                zone=f"zone-{number % 3}",
+                rack=f"rack-{number // 3}",
+                pool=POOL,
+                slots=SLOTS,
+                serving=True,
+            )
+            for number in range(WORKERS)
+        )
+
+    def admit(self, request: Request, now_ms: int) -> bool:
+        """Queue a request unless it is refused."""
+        queued = 0 if request.urgent else len(self._queue)
+        wait_ms = self._estimates.wait_ms(request.queue, DECLARED_MS, queued, CAPACITY)
+        if now_ms + wait_ms > request.deadline_ms:
+            return False
+        if request.request_id not in self._failed_workers:
+            self._budget.note_request(now_ms)
+        try:
+            self._queue.push(request)
+        except OverloadedError:
+            return False
+        return True
+
+    def start(self, now_ms: int) -> tuple[Request, str] | None:
+        """Return the next request to start and its worker."""
+        if not self._table.has_room(POOL, now_ms):
+            return None
+        limit = LIMIT_FRACTION * CAPACITY
+        request = self._queue.pop(
+            now_ms, SHARES, self._use, lambda team: self._use[team] < limit
+        )
+        if request is None:
+            return None
+        failed = self._failed_workers.get(request.request_id, ())
+        worker = self._table.choose(POOL, now_ms, failed)
+        worker = worker or self._table.choose(POOL, now_ms)
+        if worker is None:
+            raise RuntimeError("the pool had room")
+        self._table.started(worker.name, now_ms)
+        self._use[request.team] += 1
+        return request, worker.name
+
+    def finished(
+        self,
+        request: Request,
+        worker: str,
+        verdict: AttemptVerdict,
+        duration_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Learn from an attempt."""
+        self._use[request.team] -= 1
+        self._table.finished(worker, verdict, duration_ms, now_ms)
+        if verdict is AttemptVerdict.OK:
+            self._estimates.record(request.queue, duration_ms, 1.0, 64)
+        if verdict is AttemptVerdict.FAILED:
+            failed = self._failed_workers.setdefault(request.request_id, [])
+            failed.append(worker)
+            if blames_request(failed):
+                self._table.excuse(failed, now_ms)
+        else:
+            self._failed_workers.pop(request.request_id, None)
+
+    def retry_ms(self, request: Request, attempts: int, now_ms: int) -> int | None:
+        """Return the delay before the next attempt, if any."""
+        return plan_retry(request, attempts, False, now_ms, self._budget, self._rng)
+
+    def remove(self, request_id: str) -> None:
+        """Remove a cancelled request from the queue."""
+        self._queue.remove(request_id)
+
+    def take_expired(self, now_ms: int) -> list[Request]:
+        """Return the requests whose deadline passed in the queue."""
+        return self._queue.take_expired(now_ms)
+
+    def displaced(
+        self, running: t.Iterable[RunningTask], urgent_waiting: int, now_ms: int
+    ) -> list[str]:
+        """Return the running requests that make room."""
+        return choose_displaced(running, urgent_waiting, now_ms)
+
+
+class Baseline:
+    """First come, first served, with round robin over the workers.
+
+    :param team_limit: slots of each team; all slots for round robin without limits.
+    """
+
+    def __init__(self, team_limit: int) -> None:
+        self._team_limit = team_limit
+        self._waiting: dict[str, collections.OrderedDict[str, Request]] = {}
+        self._count = 0
+        self._use: collections.Counter[str] = collections.Counter()
+        self._in_flight: collections.Counter[str] = collections.Counter()
+        self._next = 0
+
+    def _key(self, request: Request) -> str:
+        return request.team if self._team_limit < CAPACITY else ""
+
+    def admit(self, request: Request, now_ms: int) -> bool:
+        """Queue a request unless the queue is full."""
+        if self._count >= MAX_QUEUED:
+            return False
+        waiting = self._waiting.setdefault(
+            self._key(request), collections.OrderedDict()
+        )
+        waiting[request.request_id] = request
+        self._count += 1
+        return True
+
+    def start(self, now_ms: int) -> tuple[Request, str] | None:
+        """Return the oldest request of a team below its limit, and a worker."""
+        if sum(self._in_flight.values()) >= CAPACITY:
+            return None
+        for key, waiting in self._waiting.items():
+            if waiting and self._use[key] < self._team_limit:
+                break
+        else:
+            return None
+        _, request = waiting.popitem(last=False)
+        self._waiting[key] = self._waiting.pop(key)
+        self._count -= 1
+        self._use[key] += 1
+        while self._in_flight[worker := f"worker-{self._next}"] >= SLOTS:
+            self._next = (self._next + 1) % WORKERS
+        self._next = (self._next + 1) % WORKERS
+        self._in_flight[worker] += 1
+        return request, worker
+
+    def finished(
+        self,
+        request: Request,
+        worker: str,
+        verdict: AttemptVerdict,
+        duration_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Free the slot."""
+        self._use[self._key(request)] -= 1
+        self._in_flight[worker] -= 1
+
+    def retry_ms(self, request: Request, attempts: int, now_ms: int) -> int | None:
+        """Retry idempotent requests up to three attempts, without a budget."""
+        return 0 if request.idempotent and attempts < 3 else None
+
+    def remove(self, request_id: str) -> None:
+        """Remove a cancelled request from the queue."""
+        for waiting in self._waiting.values():
+            if waiting.pop(request_id, None):
+                self._count -= 1
+
+    def take_expired(self, now_ms: int) -> list[Request]:
+        """Return nothing; callers cancel at their deadline."""
+        return []
+
+    def displaced(
+        self, running: t.Iterable[RunningTask], urgent_waiting: int, now_ms: int
+    ) -> list[str]:
+        """Return nothing."""
+        return []
+
+
+Scheduler = Policy | Baseline
+SCHEDULERS: dict[str, t.Callable[[int], Scheduler]] = {
+    "policy": Policy,
+    "round-robin": lambda _seed: Baseline(CAPACITY),
+    "equal-parts": lambda _seed: Baseline(CAPACITY // len(SHARES)),
+}
--- /dev/null
+++ b/src/cranberrywheel_load/policy_bench.py
@@ -0,0 +1,334 @@
+"""Compares the request decisions with two baselines on the same arrivals.
+
+Run ``python -m cranberrywheel_load.policy_bench``. One entry with one pool is driven
+by a :class:`ManualClock`; the executors are a single queue of timed completions. The
+baselines are round robin over first-come-first-served requests, and an equal static
+part of the slots for each team. Neither ejects workers nor budgets retries.
+"""
+
+import argparse
+import bisect
+import collections
+import concurrent.futures
+import dataclasses
+import heapq
+import itertools
+import typing as t
+
+from cranberrywheel.clock import ManualClock
+from cranberrywheel.process.worker_table import AttemptVerdict
+from cranberrywheel.request.displacement import RunningTask
+from cranberrywheel.request.model import Request
+from cranberrywheel_load.bench_arrivals import (
+    CAPACITY,
+    SHARES,
+    SLOTS,
+    WORKERS,
+    Arrival,
+    make_arrivals,
+)
+from cranberrywheel_load.bench_schedulers import SCHEDULERS, Scheduler
+
+SEEDS = (11, 12, 13)
+LOADS = (0.5, 1.0, 2.0, 5.0)
+BAD_WORKER = "worker-0"
+URGENT_WAIT_MS = 500
+FAILURE_MS = 1
+STOP_MS, CHECKPOINT_MS = 20, 50
+TICK_MS, WINDOW_MS = 20, 1_000
+
+
+@dataclasses.dataclass
+class Measures:
+    """Sums of one run.
+
+    :param offered_ms: slot time that all requests would need.
+    :param useful_ms: slot time of the answers that their callers received.
+    :param attempts: attempts started.
+    :param urgent_waits_ms: wait of each urgent request that its caller did not
+        cancel first; infinite if it was never started.
+    :param used_ms: slot time per window and team.
+    :param entitled_ms: the smaller of share and demand, summed over the ticks. A
+        window-long sum of demand would count a burst that starts at the end of a
+        window as if the team could have used its share from the start.
+    """
+
+    offered_ms: int = 0
+    useful_ms: int = 0
+    attempts: int = 0
+    requests: int = 0
+    urgent_waits_ms: list[float] = dataclasses.field(default_factory=list)
+    used_ms: collections.Counter[tuple[int, str]] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    entitled_ms: collections.Counter[tuple[int, str]] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def closeness_by_team(self) -> dict[str, float]:
+        """Return the mean closeness to share of each team."""
+        values = collections.defaultdict(list)
+        for (window, team), entitled_ms in self.entitled_ms.items():
+            if entitled_ms > 0:
+                used_ms = self.used_ms[window, team]
+                values[team].append(min(1.0, used_ms / entitled_ms))
+        return {team: sum(found) / len(found) for team, found in values.items()}
+
+
+@dataclasses.dataclass
+class _Run:
+    arrival: Arrival
+    worker: str
+    started_ms: int
+    ends_ms: int
+    stopping: bool = False
+
+
+class Simulation:
+    """Drives one scheduler with timed completions.
+
+    :param scheduler: what is measured.
+    :param arrivals: requests in order of arrival.
+    :param bad_worker: worker that fails everything at once, or ``""``.
+    """
+
+    def __init__(
+        self, scheduler: Scheduler, arrivals: list[Arrival], bad_worker: str
+    ) -> None:
+        self._scheduler = scheduler
+        self._clock = ManualClock()
+        self._bad_worker = bad_worker
+        self._events: list[tuple[int, int, t.Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        self._open: dict[str, Arrival] = {}
+        self._left_ms: dict[str, int] = {}
+        self._attempts: collections.Counter[str] = collections.Counter()
+        self._waiting_since: dict[str, int] = {}
+        self._waiting_by_team: collections.Counter[str] = collections.Counter()
+        #: Refusals since the last tick; they count as demand in it.
+        self._refused_by_team: collections.Counter[str] = collections.Counter()
+        self._running: dict[str, _Run] = {}
+        self.measures = Measures()
+        for arrival in arrivals:
+            self._at(arrival.request.arrived_ms, self._arrive, arrival)
+        self._end_ms = arrivals[-1].request.arrived_ms
+        self._at(0, self._tick)
+
+    def run(self) -> Measures:
+        """Run until the last arrival and return the sums."""
+        while self._events and self._events[0][0] <= self._end_ms:
+            at_ms, _, event = heapq.heappop(self._events)
+            self._clock.advance(at_ms - self._clock.now_ms())
+            event()
+            self._start_all()
+        return self.measures
+
+    def _at(self, at_ms: int, event: t.Callable[..., None], *values: t.Any) -> None:
+        entry = (at_ms, next(self._sequence), lambda: event(*values))
+        heapq.heappush(self._events, entry)
+
+    def _arrive(self, arrival: Arrival) -> None:
+        request = arrival.request
+        now_ms = self._clock.now_ms()
+        self.measures.requests += 1
+        self.measures.offered_ms += arrival.run_ms
+        self._open[request.request_id] = arrival
+        self._left_ms[request.request_id] = arrival.run_ms
+        self._at(now_ms + arrival.patience_ms, self._cancel, request.request_id)
+        self._enqueue(request)
+
+    def _enqueue(self, request: Request) -> None:
+        if request.request_id not in self._open:
+            return
+        now_ms = self._clock.now_ms()
+        if self._scheduler.admit(request, now_ms):
+            self._waiting_since[request.request_id] = now_ms
+            self._waiting_by_team[request.team] += 1
+            return
+        self._refused_by_team[request.team] += 1
+        self._close(request)
+
+    def _close(self, request: Request) -> None:
+        if self._open.pop(request.request_id, None) is None:
+            return
+        if self._waiting_since.pop(request.request_id, None) is not None:
+            self._waiting_by_team[request.team] -= 1
+        if request.urgent and not self._attempts[request.request_id]:
+            # Callers that cancel within the bound say nothing about the start.
+            waited_ms = self._clock.now_ms() - request.arrived_ms
+            if waited_ms == 0 or waited_ms > 1_500:
+                self.measures.urgent_waits_ms.append(float("inf"))
+
+    def _cancel(self, request_id: str) -> None:
+        arrival = self._open.get(request_id)
+        if arrival is None:
+            return
+        run = self._running.get(request_id)
+        if run is None:
+            self._scheduler.remove(request_id)
+        elif not run.stopping:
+            self._stop(run, STOP_MS, AttemptVerdict.CANCELLED)
+        self._close(arrival.request)
+
+    def _stop(self, run: _Run, delay_ms: int, verdict: AttemptVerdict) -> None:
+        run.stopping = True
+        self._at(self._clock.now_ms() + delay_ms, self._end, run, verdict)
+
+    def _start_all(self) -> None:
+        now_ms = self._clock.now_ms()
+        while found := self._scheduler.start(now_ms):
+            request, worker = found
+            arrival = self._open[request.request_id]
+            del self._waiting_since[request.request_id]
+            self._waiting_by_team[request.team] -= 1
+            self.measures.attempts += 1
+            if request.urgent and not self._attempts[request.request_id]:
+                self.measures.urgent_waits_ms.append(now_ms - request.arrived_ms)
+            self._attempts[request.request_id] += 1
+            failing = worker == self._bad_worker
+            left_ms = FAILURE_MS if failing else self._left_ms[request.request_id]
+            run = _Run(arrival, worker, now_ms, now_ms + left_ms)
+            self._running[request.request_id] = run
+            verdict = AttemptVerdict.FAILED if failing else AttemptVerdict.OK
+            self._at(run.ends_ms, self._complete, run, verdict)
+
+    def _complete(self, run: _Run, verdict: AttemptVerdict) -> None:
+        if not run.stopping:
+            self._end(run, verdict)
+
+    def _end(self, run: _Run, verdict: AttemptVerdict) -> None:
+        now_ms = self._clock.now_ms()
+        request = run.arrival.request
+        del self._running[request.request_id]
+        self._scheduler.finished(
+            request, run.worker, verdict, now_ms - run.started_ms, now_ms
+        )
+        if request.request_id not in self._open:
+            return
+        if verdict is AttemptVerdict.OK:
+            self.measures.useful_ms += run.arrival.run_ms
+            self._close(request)
+        elif verdict is AttemptVerdict.FAILED:
+            attempts = self._attempts[request.request_id]
+            delay_ms = self._scheduler.retry_ms(request, attempts, now_ms)
+            if delay_ms is None:
+                self._close(request)
+            else:
+                self._at(now_ms + delay_ms, self._enqueue, request)
+        else:
+            self._left_ms[request.request_id] -= now_ms - run.started_ms
+            self._left_ms[request.request_id] += CHECKPOINT_MS
+            self._enqueue(request)
+
+    def _tick(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._at(now_ms + TICK_MS, self._tick)
+        for request in self._scheduler.take_expired(now_ms):
+            self._close(request)
+        window = now_ms // WINDOW_MS
+        running = collections.Counter(
+            run.arrival.request.team for run in self._running.values()
+        )
+        for team in SHARES:
+            wanted = running[team] + self._waiting_by_team[team]
+            entitled = min(
+                SHARES[team] * CAPACITY, wanted + self._refused_by_team[team]
+            )
+            self.measures.used_ms[window, team] += running[team] * TICK_MS
+            self.measures.entitled_ms[window, team] += entitled * TICK_MS
+        self._refused_by_team.clear()
+        urgent_waiting = sum(
+            self._open[request_id].request.urgent and now_ms - since_ms > URGENT_WAIT_MS
+            for request_id, since_ms in self._waiting_since.items()
+        )
+        if urgent_waiting:
+            tasks = [self._running_task(run) for run in self._running.values()]
+            for request_id in self._scheduler.displaced(tasks, urgent_waiting, now_ms):
+                verdict = AttemptVerdict.CANCELLED
+                self._stop(self._running[request_id], CHECKPOINT_MS, verdict)
+
+    def _running_task(self, run: _Run) -> RunningTask:
+        request = run.arrival.request
+        return RunningTask(
+            request_id=request.request_id,
+            urgent=request.urgent,
+            can_checkpoint=run.arrival.can_checkpoint,
+            can_throttle=False,
+            expected_end_ms=run.ends_ms,
+            displaced=run.stopping,
+        )
+
+
+def measure(case: tuple[str, float, bool, int, int]) -> Measures:
+    """Run one case.
+
+    :param case: scheduler name, load, whether one worker fails everything, seconds
+        and seed.
+    """
+    name, load, failing, seconds, seed = case
+    arrivals = make_arrivals(load, seconds, seed)
+    bad_worker = BAD_WORKER if failing else ""
+    return Simulation(SCHEDULERS[name](seed), arrivals, bad_worker).run()
+
+
+def _percentile(values: list[float], part: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+def _mean(values: t.Iterable[float]) -> float:
+    found = list(values)
+    return sum(found) / len(found)
+
+
+def report(name: str, load: float, failing: bool, runs: list[Measures]) -> str:
+    """Return one line of the table.
+
+    :param name: scheduler name.
+    :param load: offered load.
+    :param failing: whether one worker failed everything.
+    :param runs: one per seed; means are over the runs, percentiles over all waits.
+    """
+    closeness = [run.closeness_by_team() for run in runs]
+    waits_ms = [wait for run in runs for wait in run.urgent_waits_ms]
+    late = 1 - bisect.bisect_right(sorted(waits_ms), 1_500) / len(waits_ms)
+    useful = [run.useful_ms / run.offered_ms for run in runs]
+    return (
+        f"{name:12} load={load:<4g} failing={failing:d}"
+        f" useful={_mean(useful):.3f} ({min(useful):.3f}-{max(useful):.3f})"
+        f" attempts={_mean(r.attempts / r.requests for r in runs):.2f}"
+        f" closeness={_mean(_mean(c.values()) for c in closeness):.3f}"
+        f" worst={_mean(min(c.values()) for c in closeness):.3f}"
+        f" urgent_ms={_percentile(waits_ms, 0.5):.0f}/{_percentile(waits_ms, 0.95):.0f}"
+        f"/{_percentile(waits_ms, 0.99):.0f} late={late:.4f}"
+    )
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Print one line per scheduler and load, without and with a failing worker.
+
+    :param arguments: command line arguments, for tests.
+    """
+    parser = argparse.ArgumentParser(prog="python -m cranberrywheel_load.policy_bench")
+    parser.add_argument("--seconds", type=int, default=60)
+    parser.add_argument("--processes", type=int, default=4)
+    parser.add_argument("--only", choices=SCHEDULERS, help="one scheduler")
+    options = parser.parse_args(arguments)
+    names = [options.only] if options.only else list(SCHEDULERS)
+    print(f"seeds={SEEDS} seconds={options.seconds} workers={WORKERS} slots={SLOTS}")
+    print("urgent_ms: p50/p95/p99; late: not started within 1.5 s")
+    lines = list(itertools.product((False, True), LOADS, names))
+    cases = [
+        (name, load, failing, options.seconds, seed)
+        for failing, load, name in lines
+        for seed in SEEDS
+    ]
+    with concurrent.futures.ProcessPoolExecutor(options.processes) as pool:
+        results = pool.map(measure, cases)
+        for failing, load, name in lines:
+            runs = list(itertools.islice(results, len(SEEDS)))
+            print(report(name, load, failing, runs), flush=True)
+
+
+if __name__ == "__main__":
+    main()
