--- a/src/cranberrywheel_load/policy_bench.py
+++ b/src/cranberrywheel_load/policy_bench.py
@@ -24,6 +24,7 @@
     SHARES,
     SLOTS,
     WORKERS,
+    WORKLOADS,
     Arrival,
     make_arrivals,
 )
@@ -34,6 +35,10 @@
 BAD_WORKER = "worker-0"
 URGENT_WAIT_MS = 500
 FAILURE_MS = 1
+SLOW_FACTOR = 10
+#: What is wrong with the bad worker: nothing, it fails everything at once, or its
+#: runs take ten times as long.
+FAULTS = ("none", "fails", "slow")
 STOP_MS, CHECKPOINT_MS = 20, 50
 TICK_MS, WINDOW_MS = 20, 1_000
 
@@ -45,6 +50,8 @@
     :param offered_ms: slot time that all requests would need.
     :param useful_ms: slot time of the answers that their callers received.
     :param attempts: attempts started.
+    :param bad_attempts: attempts on the bad worker.
+    :param requests: requests that arrived.
     :param urgent_waits_ms: wait of each urgent request that its caller did not
         cancel first; infinite if it was never started.
     :param used_ms: slot time per window and team.
@@ -56,6 +63,7 @@
     offered_ms: int = 0
     useful_ms: int = 0
     attempts: int = 0
+    bad_attempts: int = 0
     requests: int = 0
     urgent_waits_ms: list[float] = dataclasses.field(default_factory=list)
     used_ms: collections.Counter[tuple[int, str]] = dataclasses.field(
@@ -81,6 +89,7 @@
     worker: str
     started_ms: int
     ends_ms: int
+    slowdown: int = 1
     stopping: bool = False
 
 
@@ -89,15 +98,15 @@
 
     :param scheduler: what is measured.
     :param arrivals: requests in order of arrival.
-    :param bad_worker: worker that fails everything at once, or ``""``.
+    :param fault: one of ``FAULTS``.
     """
 
     def __init__(
-        self, scheduler: Scheduler, arrivals: list[Arrival], bad_worker: str
+        self, scheduler: Scheduler, arrivals: list[Arrival], fault: str
     ) -> None:
         self._scheduler = scheduler
         self._clock = ManualClock()
-        self._bad_worker = bad_worker
+        self._fault = fault
         self._events: list[tuple[int, int, t.Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._open: dict[str, Arrival] = {}
@@ -185,11 +194,17 @@
             if request.urgent and not self._attempts[request.request_id]:
                 self.measures.urgent_waits_ms.append(now_ms - request.arrived_ms)
             self._attempts[request.request_id] += 1
-            failing = worker == self._bad_worker
-            left_ms = FAILURE_MS if failing else self._left_ms[request.request_id]
-            run = _Run(arrival, worker, now_ms, now_ms + left_ms)
+            left_ms, slowdown = self._left_ms[request.request_id], 1
+            verdict = AttemptVerdict.OK
+            if worker == BAD_WORKER:
+                self.measures.bad_attempts += 1
+                if self._fault == "fails":
+                    left_ms, verdict = FAILURE_MS, AttemptVerdict.FAILED
+                elif self._fault == "slow":
+                    slowdown = SLOW_FACTOR
+            ends_ms = now_ms + left_ms * slowdown
+            run = _Run(arrival, worker, now_ms, ends_ms, slowdown)
             self._running[request.request_id] = run
-            verdict = AttemptVerdict.FAILED if failing else AttemptVerdict.OK
             self._at(run.ends_ms, self._complete, run, verdict)
 
     def _complete(self, run: _Run, verdict: AttemptVerdict) -> None:
@@ -216,8 +231,8 @@
             else:
                 self._at(now_ms + delay_ms, self._enqueue, request)
         else:
-            self._left_ms[request.request_id] -= now_ms - run.started_ms
-            self._left_ms[request.request_id] += CHECKPOINT_MS
+            left_ms = max(0, run.ends_ms - now_ms) // run.slowdown
+            self._left_ms[request.request_id] = left_ms + CHECKPOINT_MS
             self._enqueue(request)
 
     def _tick(self) -> None:
@@ -259,16 +274,24 @@
         )
 
 
-def measure(case: tuple[str, float, bool, int, int]) -> Measures:
-    """Run one case.
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """What one run measures."""
 
-    :param case: scheduler name, load, whether one worker fails everything, seconds
-        and seed.
-    """
-    name, load, failing, seconds, seed = case
-    arrivals = make_arrivals(load, seconds, seed)
-    bad_worker = BAD_WORKER if failing else ""
-    return Simulation(SCHEDULERS[name](seed), arrivals, bad_worker).run()
+    scheduler: str
+    workload: str
+    load: float
+    fault: str
+    seconds: int
+
+    def run(self, seed: int) -> Measures:
+        """Run it.
+
+        :param seed: fixes all random values.
+        """
+        workload = WORKLOADS[self.workload]
+        arrivals = make_arrivals(workload, self.load, self.seconds, seed)
+        return Simulation(SCHEDULERS[self.scheduler](seed), arrivals, self.fault).run()
 
 
 def _percentile(values: list[float], part: float) -> float:
@@ -281,12 +304,10 @@
     return sum(found) / len(found)
 
 
-def report(name: str, load: float, failing: bool, runs: list[Measures]) -> str:
+def report(case: Case, runs: list[Measures]) -> str:
     """Return one line of the table.
 
-    :param name: scheduler name.
-    :param load: offered load.
-    :param failing: whether one worker failed everything.
+    :param case: what was measured.
     :param runs: one per seed; means are over the runs, percentiles over all waits.
     """
     closeness = [run.closeness_by_team() for run in runs]
@@ -294,9 +315,10 @@
     late = 1 - bisect.bisect_right(sorted(waits_ms), 1_500) / len(waits_ms)
     useful = [run.useful_ms / run.offered_ms for run in runs]
     return (
-        f"{name:12} load={load:<4g} failing={failing:d}"
+        f"{case.scheduler:12} load={case.load:<4g} fault={case.fault:5}"
         f" useful={_mean(useful):.3f} ({min(useful):.3f}-{max(useful):.3f})"
         f" attempts={_mean(r.attempts / r.requests for r in runs):.2f}"
+        f" bad={_mean(r.bad_attempts / max(1, r.attempts) for r in runs):.3f}"
         f" closeness={_mean(_mean(c.values()) for c in closeness):.3f}"
         f" worst={_mean(min(c.values()) for c in closeness):.3f}"
         f" urgent_ms={_percentile(waits_ms, 0.5):.0f}/{_percentile(waits_ms, 0.95):.0f}"
@@ -305,7 +327,7 @@
 
 
 def main(arguments: list[str] | None = None) -> None:
-    """Print one line per scheduler and load, without and with a failing worker.
+    """Print one line per scheduler, load and fault.
 
     :param arguments: command line arguments, for tests.
     """
@@ -313,21 +335,23 @@
     parser.add_argument("--seconds", type=int, default=60)
     parser.add_argument("--processes", type=int, default=4)
     parser.add_argument("--only", choices=SCHEDULERS, help="one scheduler")
+    parser.add_argument("--workload", choices=WORKLOADS, default="cancelled")
     options = parser.parse_args(arguments)
     names = [options.only] if options.only else list(SCHEDULERS)
-    print(f"seeds={SEEDS} seconds={options.seconds} workers={WORKERS} slots={SLOTS}")
-    print("urgent_ms: p50/p95/p99; late: not started within 1.5 s")
-    lines = list(itertools.product((False, True), LOADS, names))
+    print(
+        f"workload={options.workload} seeds={SEEDS} seconds={options.seconds}"
+        f" workers={WORKERS} slots={SLOTS}"
+    )
+    print("bad: attempts on the bad worker; urgent_ms: start after p50/p95/p99;")
+    print("late: not started within 1.5 s")
     cases = [
-        (name, load, failing, options.seconds, seed)
-        for failing, load, name in lines
-        for seed in SEEDS
+        Case(name, options.workload, load, fault, options.seconds)
+        for fault, load, name in itertools.product(FAULTS, LOADS, names)
     ]
     with concurrent.futures.ProcessPoolExecutor(options.processes) as pool:
-        results = pool.map(measure, cases)
-        for failing, load, name in lines:
-            runs = list(itertools.islice(results, len(SEEDS)))
-            print(report(name, load, failing, runs), flush=True)
+        runs = [[pool.submit(case.run, seed) for seed in SEEDS] for case in cases]
+        for case, futures in zip(cases, runs, strict=True):
+            print(report(case, [future.result() for future in futures]), flush=True)
 
 
 if __name__ == "__main__":
