--- a/src/cranberrywheel/request/fair_queue.py
+++ b/src/cranberrywheel/request/fair_queue.py
@@ -40,7 +40,7 @@
         return len(self._requests_by_id)
 
     def push(self, request: Request) -> None:
-        """Append a request; one that comes back after an attempt goes first again.
+        """Append a request.
 
         Expired requests are evicted first when the queue is full; the next
         :meth:`take_expired` returns them.
@@ -62,8 +62,6 @@
         if requests is None:
             requests = by_team[request.team] = _Requests()
         requests[request.request_id] = request
-        if request.arrived_ms < next(iter(requests.values())).arrived_ms:
-            requests.move_to_end(request.request_id, last=False)
         heapq.heappush(self._deadlines, (request.deadline_ms, request.request_id))
 
     def remove(self, request_id: str) -> Request | None:
