Displace only a team's own tasks when it is at its upper limit

Cause: an urgent request of a team at its limit cannot start when another team's task makes room. Conclusion: urgent work of a team at its limit needs its own displacement call.

--- a/src/cranberrywheel/request/displacement.py
+++ b/src/cranberrywheel/request/displacement.py
@@ -37,7 +37,8 @@
     taken in the order of most remaining run time, because those would hold their
     slot longest.
 
-    :param running: tasks in the pool that the urgent requests need.
+    :param running: tasks in the pool that the urgent requests need. A team at its
+        upper limit gets room only from its own tasks, so pass only those for it.
     :param urgent_waiting: urgent requests that waited over the threshold.
     :param now_ms: clock reading.
     :returns: request ids, at most ``urgent_waiting``.
--- a/src/cranberrywheel_load/bench_schedulers.py
+++ b/src/cranberrywheel_load/bench_schedulers.py
@@ -116,10 +116,29 @@
         return self._queue.take_expired(now_ms)
 
     def displaced(
-        self, running: t.Iterable[RunningTask], urgent_waiting: int, now_ms: int
+        self,
+        running_by_team: t.Mapping[str, list[RunningTask]],
+        urgent_by_team: t.Mapping[str, int],
+        now_ms: int,
     ) -> list[str]:
-        """Return the running requests that make room."""
-        return choose_displaced(running, urgent_waiting, now_ms)
+        """Return the running requests that make room.
+
+        A team at its limit gets room only from its own tasks.
+        """
+        chosen: list[str] = []
+        below_limit = 0
+        for team, waiting in urgent_by_team.items():
+            if self._use[team] < LIMIT_FRACTION * CAPACITY:
+                below_limit += waiting
+            else:
+                chosen += choose_displaced(running_by_team[team], waiting, now_ms)
+        others = [
+            task
+            for tasks in running_by_team.values()
+            for task in tasks
+            if task.request_id not in chosen
+        ]
+        return chosen + choose_displaced(others, below_limit, now_ms)
 
 
 class Baseline:
@@ -196,7 +215,10 @@
         return []
 
     def displaced(
-        self, running: t.Iterable[RunningTask], urgent_waiting: int, now_ms: int
+        self,
+        running_by_team: t.Mapping[str, list[RunningTask]],
+        urgent_by_team: t.Mapping[str, int],
+        now_ms: int,
     ) -> list[str]:
         """Return nothing."""
         return []
--- a/src/cranberrywheel_load/policy_bench.py
+++ b/src/cranberrywheel_load/policy_bench.py
@@ -30,7 +30,7 @@
 )
 from cranberrywheel_load.bench_schedulers import SCHEDULERS, Scheduler
 
-SEEDS = (11, 12, 13)
+FIRST_SEED = 11
 LOADS = (0.5, 1.0, 2.0, 5.0)
 BAD_WORKER = "worker-0"
 URGENT_WAIT_MS = 500
@@ -252,13 +252,17 @@
             self.measures.used_ms[window, team] += running[team] * TICK_MS
             self.measures.entitled_ms[window, team] += entitled * TICK_MS
         self._refused_by_team.clear()
-        urgent_waiting = sum(
-            self._open[request_id].request.urgent and now_ms - since_ms > URGENT_WAIT_MS
+        urgent_by_team = collections.Counter(
+            self._open[request_id].request.team
             for request_id, since_ms in self._waiting_since.items()
+            if self._open[request_id].request.urgent
+            and now_ms - since_ms > URGENT_WAIT_MS
         )
-        if urgent_waiting:
-            tasks = [self._running_task(run) for run in self._running.values()]
-            for request_id in self._scheduler.displaced(tasks, urgent_waiting, now_ms):
+        if urgent_by_team:
+            tasks = collections.defaultdict(list)
+            for run in self._running.values():
+                tasks[run.arrival.request.team].append(self._running_task(run))
+            for request_id in self._scheduler.displaced(tasks, urgent_by_team, now_ms):
                 verdict = AttemptVerdict.CANCELLED
                 self._stop(self._running[request_id], CHECKPOINT_MS, verdict)
 
@@ -333,13 +337,15 @@
     """
     parser = argparse.ArgumentParser(prog="python -m cranberrywheel_load.policy_bench")
     parser.add_argument("--seconds", type=int, default=60)
+    parser.add_argument("--seeds", type=int, default=3, help="number of seeds")
     parser.add_argument("--processes", type=int, default=4)
     parser.add_argument("--only", choices=SCHEDULERS, help="one scheduler")
     parser.add_argument("--workload", choices=WORKLOADS, default="cancelled")
     options = parser.parse_args(arguments)
+    seeds = range(FIRST_SEED, FIRST_SEED + options.seeds)
     names = [options.only] if options.only else list(SCHEDULERS)
     print(
-        f"workload={options.workload} seeds={SEEDS} seconds={options.seconds}"
+        f"workload={options.workload} seeds={list(seeds)} seconds={options.seconds}"
         f" workers={WORKERS} slots={SLOTS}"
     )
     print("bad: attempts on the bad worker; urgent_ms: start after p50/p95/p99;")
@@ -349,7 +355,7 @@
         for fault, load, name in itertools.product(FAULTS, LOADS, names)
     ]
     with concurrent.futures.ProcessPoolExecutor(options.processes) as pool:
-        runs = [[pool.submit(case.run, seed) for seed in SEEDS] for case in cases]
+        runs = [[pool.submit(case.run, seed) for seed in seeds] for case in cases]
         for case, futures in zip(cases, runs, strict=True):
             print(report(case, [future.result() for future in futures]), flush=True)
 
