Test state sharing against lost answers, pauses, outages and partitions

Change: tests on the platform stand-in with a manual clock, including random histories of faults that check units held and requests running against the limit. They found and this commit mends: units released for a write that was not made stayed unused; after a failure each entry's base share left free units untaken; every new configuration version rewrote every limit record; a conflict at shutdown kept the units.

--- a/src/cranberrywheel/process/exchange.py
+++ b/src/cranberrywheel/process/exchange.py
@@ -35,8 +35,8 @@
 MAX_AGE_MS = 3_600_000
 MAX_ITEMS = 100_000
 #: Age of the newest store read, relative to the freshness bound, from which the
-#: store counts as down. Entries read at 0.4 to 0.6 of the bound.
-STORE_DOWN_FRACTION = 0.7
+#: store counts as down. Entries read at 0.4 to 0.7 of the bound.
+STORE_DOWN_FRACTION = 0.75
 _ID = re.compile(r"[A-Za-z0-9_.:-]{1,200}")
 
 _log = PartLogger("exchange")
--- a/src/cranberrywheel/process/limit_units.py
+++ b/src/cranberrywheel/process/limit_units.py
@@ -28,9 +28,9 @@
         self._settings = settings
         self._held_by_team: dict[str, tuple[int, int]] = {}
         self._limits_by_team: dict[str, int] = {}
-        # Total units usable for new starts from when a lower limit is known
-        # until the record has been rewritten for it.
-        self._cap_by_team: dict[str, int] = {}
+        # Units held and limit when a lower limit became known. They scale the
+        # units usable for new starts until the record is rewritten for it.
+        self._lowered_by_team: dict[str, tuple[int, int]] = {}
         # Running requests of each team, the earliest first; values are unused.
         self._running_by_team: dict[str, dict[str, None]] = {}
         self._teams_by_request: dict[str, str] = {}
@@ -42,7 +42,7 @@
         The counts come from a record that has the limit last set.
         """
         self._held_by_team[team] = (max(0, long_units), max(0, short_units))
-        self._cap_by_team.pop(team, None)
+        self._lowered_by_team.pop(team, None)
 
     def set_limit(self, team: str, limit: int) -> None:
         """Set the upper limit of a team over all entries.
@@ -53,8 +53,9 @@
         before = self._limits_by_team.get(team, limit)
         if limit < before:
             held = sum(self._held_by_team.get(team, (0, 0)))
-            cap = min(held, self._cap_by_team.get(team, held))
-            self._cap_by_team[team] = cap * limit // before
+            self._lowered_by_team.setdefault(team, (held, before))
+        elif limit >= self._lowered_by_team.get(team, (0, 0))[1]:
+            self._lowered_by_team.pop(team, None)
         self._limits_by_team[team] = limit
 
     def renewed(self, started_ms: int) -> None:
@@ -86,7 +87,10 @@
             team, now_ms, settings.short_hold_ms - settings.short_hold_margin_ms
         )
         limit = self._limits_by_team.get(team, valid)
-        return min(valid, limit, self._cap_by_team.get(team, valid))
+        if team in self._lowered_by_team:
+            held, before = self._lowered_by_team[team]
+            valid = min(valid, held * limit // before)
+        return min(valid, limit)
 
     def take(self, team: str, request_id: str, now_ms: int) -> bool:
         """Take a unit for a request that is about to start.
@@ -199,7 +203,8 @@
     When the units held exceed the limit, each holder gets a target in proportion
     to its units; the targets add up to the limit.
     """
-    if version <= record.limit_version:
+    # An equal limit is not written: every grant of a key is a new version.
+    if version <= record.limit_version or limit == record.limit:
         return record
     changed = record.model_copy(update={"limit": limit, "limit_version": version})
     total = record.total
@@ -303,8 +308,7 @@
 
     :param holder: process id; it has a row in the record.
     :param need: use and demand of the holder.
-    :param base: units that a holder takes without demand: the limit divided by
-        the number of entries.
+    :param base: units that a holder takes without demand.
     :param reachable: holders that were heard lately. Units lent to a holder that
         has failed would be lost for the long hold.
     :returns: the next record, equal to the given one if nothing should change.
@@ -378,6 +382,8 @@
         return record
     if now_ms - absence.missing_ms >= long_wait_ms:
         return leave(record, holder)
-    if row.short and now_ms - absence.missing_ms >= short_wait_ms:
-        return _with_row(record, holder, short=0, wanted=0)
-    return record
+    if now_ms - absence.missing_ms < short_wait_ms:
+        return record
+    if not row.long:
+        return leave(record, holder)
+    return _with_row(record, holder, short=0, wanted=0) if row.short else record
--- a/src/cranberrywheel/process/store_reader.py
+++ b/src/cranberrywheel/process/store_reader.py
@@ -32,7 +32,7 @@
 READ_PROOF_FRACTION = 0.4
 #: Largest random addition to that age. It is more than an exchange interval, so
 #: that after one entry has read, its peers usually hear before they read too.
-READ_JITTER_FRACTION = 0.2
+READ_JITTER_FRACTION = 0.3
 
 _log = PartLogger("store")
 
@@ -101,7 +101,7 @@
         self._peers = peers
         self._to_dispatcher = to_dispatcher
         self._to_session = to_session
-        self._random = random.Random()
+        self._random = random.Random(peers.process_id)
         self._backoff = Backoff(self._random)
         self._pool_revisions_by_key: dict[str, int] = {}
         self._malformed_revisions_by_key: dict[str, int] = {}
--- a/src/cranberrywheel/process/store_session.py
+++ b/src/cranberrywheel/process/store_session.py
@@ -137,7 +137,7 @@
         self._peers = peers
         self._client = make_client(settings.platform)
         self._reader_client = make_client(settings.platform)
-        self._random = random.Random()
+        self._random = random.Random(peers.process_id)
         self._backoff = Backoff(self._random)
         writer = RecordWriter(self._client, peers.process_id)
         self._lease = Lease(settings, clock, self._client, peers)
--- a/src/cranberrywheel/process/unit_keeper.py
+++ b/src/cranberrywheel/process/unit_keeper.py
@@ -30,6 +30,8 @@
 #: Longest wait for the dispatcher to release units. A late release is undone by
 #: the ``UnitsHeld`` that follows it.
 RELEASE_TIMEOUT_MS = 1_000
+#: Conflicts with other writers that the return of a team's units survives.
+RETURN_ATTEMPTS = 10
 
 _log = PartLogger("units")
 
@@ -68,10 +70,12 @@
         self._peers = peers
         self._to_dispatcher = to_dispatcher
         self._states_by_team: dict[str, _TeamState] = {}
-        self._told_by_team: dict[str, tuple[int, int]] = {}
+        # Long and short units that the dispatcher uses now; lower than in the
+        # record after a release that was not written yet.
+        self._dispatcher_units_by_team: dict[str, tuple[int, int]] = {}
         self._missing = MissingHolders()
         self._random = random.Random(registration.process_id)
-        self._registered_count = 1
+        self._registered_ids: set[str] = set()
         self._wanted = UnitsWanted({}, {})
 
     def want(self, wanted: UnitsWanted) -> None:
@@ -90,46 +94,51 @@
                 self._adopt(parse_record(record))
             except StoreError as error:
                 _log.warning("ignored limit record", cause=error.message)
-        self._registered_count = max(1, len(registrations))
+        self._registered_ids = {
+            r.process_id
+            for r in registrations
+            if not any(other.replaces(r) for other in registrations)
+        }
         known = [s.record for s in self._states_by_team.values() if s.record]
         self._missing.observe(known, registrations, now_ms)
 
     def _adopt(self, stored: StoredRecord, force: bool = False) -> None:
         """Take a newer state of a record and tell the dispatcher its units.
 
-        While a write is lost, the dispatcher keeps the lower count.
+        A list may be older than the last write of this process.
 
         :param force: tell the dispatcher also if the state is not newer.
         """
         team = stored.key.removeprefix(LIMITS_PREFIX)
         state = self._states_by_team.setdefault(team, _TeamState())
-        if state.stored is not None and stored.revision <= state.stored.revision:
-            if not force:
-                return
-        elif not self._writer.is_lost(stored.key):
+        if state.stored is None or stored.revision > state.stored.revision:
             state.record = limit_record.parse(stored.body)
             state.stored = stored
-        else:
+        elif not force:
             return
         self._tell_held(team)
 
-    def _tell_held(self, team: str) -> None:
-        record = self._states_by_team[team].record
+    def _tell_held(self, team: str, force: bool = False) -> None:
+        row = self._own_units(team, self._states_by_team[team].record)
+        known = self._dispatcher_units_by_team.get(team, (0, 0))
+        is_lower = row[0] < known[0] or row[1] < known[1]
+        if force or is_lower or not self._awaits_shrink(team):
+            self._dispatcher_units_by_team[team] = row
+            self._to_dispatcher(UnitsHeld(team, *row))
+
+    def _own_units(self, team: str, record: LimitRecord | None) -> tuple[int, int]:
         row = record.holders.get(self._own.process_id) if record else None
-        held = (row.long, row.short) if row else (0, 0)
-        told = self._told_by_team.get(team, (0, 0))
-        lower = held[0] < told[0] or held[1] < told[1]
-        if record is not None and self._awaits_shrink(team, record) and not lower:
-            return
-        self._told_by_team[team] = held
-        self._to_dispatcher(UnitsHeld(team, *held))
+        return (row.long, row.short) if row else (0, 0)
 
-    def _awaits_shrink(self, team: str, record: LimitRecord) -> bool:
+    def _awaits_shrink(self, team: str) -> bool:
         """Tell whether a lowered limit is known but not yet met by own units.
 
         The dispatcher has scaled its units down by itself then and must not be
         told the higher count of the record.
         """
+        record = self._states_by_team[team].record
+        if record is None:
+            return False
         row = record.holders.get(self._own.process_id)
         if row is not None and row.target is not None and row.total > row.target:
             return True
@@ -152,16 +161,24 @@
             key = LIMITS_PREFIX + team
             if self._writer.is_lost(key):
                 self._writer.resolve(key)
-            stored = self._writer.read(key)
-            if stored is None:
-                continue
-            record = limit_record.parse(stored.body)
-            if self._own.process_id in record.holders:
-                changed = limit_units.rejoin(
-                    record, self._own.process_id, self._own_row()
-                )
-                stored = self._writer.write(key, stored, limit_record.dump(changed))
-            self._adopt(stored)
+            try:
+                self._rejoin_team(key)
+            except (StoreUnavailableError, StoreConflictError):
+                raise
+            except StoreError as error:
+                _log.warning("use no units", team=team, cause=error.message)
+                self._dispatcher_units_by_team[team] = (0, 0)
+                self._to_dispatcher(UnitsHeld(team, 0, 0))
+
+    def _rejoin_team(self, key: str) -> None:
+        stored = self._writer.read(key)
+        if stored is None:
+            return
+        record = limit_record.parse(stored.body)
+        if self._own.process_id in record.holders:
+            changed = limit_units.rejoin(record, self._own.process_id, self._own_row())
+            stored = self._writer.write(key, stored, limit_record.dump(changed))
+        self._adopt(stored)
 
     def _own_row(self) -> HolderRow:
         return HolderRow(
@@ -207,13 +224,18 @@
         following = self._plan(team, before, limit, version)
         if following == before:
             return
-        if not self._release(team, before, following):
+        if not self._release(team, following):
             self._tell_held(team)
             return
         try:
             stored = self._writer.write(key, state.stored, limit_record.dump(following))
         except StoreConflictError:
             stored = self._writer.read(key)
+        except StoreUnavailableError:
+            raise
+        except StoreError:
+            self._tell_held(team)
+            raise
         if stored is not None:
             self._adopt(stored, force=True)
 
@@ -228,32 +250,29 @@
             record = limit_units.rejoin(record, holder, self._own_row())
         in_use = self._wanted.in_use_by_team.get(team, 0)
         waiting = self._wanted.waiting_by_team.get(team, 0)
-        # Right after an outage few entries are registered again, but all of them
-        # still hold units.
-        base = record.limit // max(self._registered_count, len(record.holders))
         return limit_units.rebalance(
             record,
             holder,
             limit_units.Need(in_use, waiting),
-            base,
+            self._base(record),
             self._settings.long_fraction,
             self._peers.seen_ids(),
         )
 
-    def _release(
-        self, team: str, before: LimitRecord | None, following: LimitRecord
-    ) -> bool:
+    def _base(self, record: LimitRecord) -> int:
+        """Return the units that each entry takes without demand."""
+        present = self._registered_ids | {self._own.process_id}
+        withheld = sum(r.total for h, r in record.holders.items() if h not in present)
+        return max(0, record.limit - withheld) // len(present)
+
+    def _release(self, team: str, following: LimitRecord) -> bool:
         """Let the dispatcher stop using what the next state takes away.
 
         :returns: whether all of it is released.
         """
-        holder = self._own.process_id
-        old = before.holders.get(holder) if before else None
-        new = following.holders.get(holder)
-        if old is None:
-            return True
-        long_out = max(0, old.long - (new.long if new else 0))
-        short_out = max(0, old.short - (new.short if new else 0))
+        known = self._dispatcher_units_by_team.get(team, (0, 0))
+        new = self._own_units(team, following)
+        long_out, short_out = max(0, known[0] - new[0]), max(0, known[1] - new[1])
         if not long_out and not short_out:
             return True
         released: concurrent.futures.Future[tuple[int, int]]
@@ -262,8 +281,11 @@
         try:
             given = released.result(RELEASE_TIMEOUT_MS / 1000)
         except TimeoutError:
+            self._tell_held(team, force=True)
             return False
-        return given == (long_out, short_out)
+        left = known[0] - given[0], known[1] - given[1]
+        self._dispatcher_units_by_team[team] = left
+        return left[0] <= new[0] and left[1] <= new[1]
 
     def _reclaim(self, team: str, now_ms: int) -> None:
         state = self._states_by_team.get(team)
@@ -311,21 +333,25 @@
 
     def return_all(self) -> None:
         """Return all units at shutdown; units in use stay until reclaimed."""
-        holder = self._own.process_id
-        for team, state in self._states_by_team.items():
+        for team in list(self._states_by_team):
             key = LIMITS_PREFIX + team
             if self._writer.is_lost(key):
                 self._writer.resolve(key)
-            stored = self._writer.read(key)
-            if stored is None:
-                continue
-            record = limit_record.parse(stored.body)
-            if holder not in record.holders:
-                continue
-            following = limit_units.leave(record, holder)
-            if self._release(team, record, following):
-                state.stored = self._writer.write(
-                    key, stored, limit_record.dump(following)
-                )
-                state.record = following
-                self._tell_held(team)
+            for _ in range(RETURN_ATTEMPTS):
+                try:
+                    self._return_team(team)
+                    break
+                except StoreConflictError:
+                    continue
+
+    def _return_team(self, team: str) -> None:
+        key, holder = LIMITS_PREFIX + team, self._own.process_id
+        stored = self._writer.read(key)
+        if stored is None:
+            return
+        # After a conflict this also undoes the release that it followed.
+        self._adopt(stored, force=True)
+        record = limit_record.parse(stored.body)
+        following = limit_units.leave(record, holder)
+        if following != record and self._release(team, following):
+            self._adopt(self._writer.write(key, stored, limit_record.dump(following)))
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,221 @@
+import testtools
+from store_fakes import TEXT, FakeFleet, exchange_once
+
+from cranberrywheel.connection.store_client import Record
+from cranberrywheel.errors import PeerError, StoreError
+from cranberrywheel.generated.peer_pb2 import ConfigurationRecord
+from cranberrywheel.process.exchange import check_state
+from cranberrywheel.process.limit_record import HolderRow, LimitRecord
+from cranberrywheel.process.membership import (
+    MissingHolders,
+    Registration,
+    parse_registration,
+)
+from cranberrywheel.process.messages import (
+    LoadReport,
+    MarkWithdrawn,
+    PeerLoad,
+    PeerLost,
+    PeerReport,
+)
+
+
+class ExchangeTest(testtools.TestCase):
+    def fleet(self, count=3):
+        fleet = FakeFleet(count)
+        fleet.entries[0].apply(TEXT, 0).result(0)
+        fleet.run(5_000)
+        return fleet, fleet.entries
+
+    def received(self, entry, kind):
+        return [m for m in entry.messages if isinstance(m, kind)]
+
+    def count_reads(self, cut_off):
+        fleet, entries = self.fleet()
+        reads = []
+        for entry in entries:
+            entry.cut_off = cut_off
+            client = entry.clients[1]
+            get = client.get
+            client.get = lambda *args, get=get: reads.append(args) or get(*args)
+        for _ in range(120):
+            fleet.run(500)
+            self.assertTrue(all(e.is_fresh() for e in entries))
+        return len(reads)
+
+    def test_store_reads_are_shared(self):
+        """Without shared proofs the store's load would grow with the entries."""
+        self.assertLess(self.count_reads(False), 0.6 * self.count_reads(True))
+
+    def test_proof_of_a_peer_ages_by_the_whole_exchange(self):
+        """A slow answer must not make an old proof look young."""
+        fleet, (a, b, _) = self.fleet()
+        fleet.set_down(True)
+        fleet.clock.advance(60_000)
+        b.exchange.store_read(fleet.clock.now_ms() - 1_000)
+        exchange_once(a, b, delay_ms=3_500)
+        self.assertEqual(4_500, a.freshness.age_ms(fleet.clock.now_ms()))
+
+    def test_ages_in_unasked_messages_do_not_count(self):
+        """A message may have waited in a paused receiver for any time."""
+        fleet, (a, b, _) = self.fleet()
+        state = b.exchange.build_state()
+        fleet.clock.advance(60_000)
+        a.exchange.merge_state(state, None)
+        self.assertFalse(a.is_fresh())
+
+    def test_store_down_for_all_entries(self):
+        """Authenticated requests must go on while all entries hear each other."""
+        fleet, entries = self.fleet()
+        fleet.set_down(True)
+        for _ in range(300):
+            fleet.run(500)
+            self.assertTrue(all(e.is_fresh() for e in entries))
+
+    def test_silent_entry_ends_freshness_without_the_store(self):
+        """The silent one could have accepted a withdrawal."""
+        fleet, (a, b, c) = self.fleet()
+        fleet.set_down(True)
+        c.cut_off = True
+        fleet.run(4_000)
+        self.assertEqual([True, True], [a.is_fresh(), b.is_fresh()])
+        fleet.run(2_000)
+        fresh = [a.is_fresh(), b.is_fresh(), c.is_fresh()]
+        self.assertEqual([False, False, False], fresh)
+
+    def test_age_of_a_message_is_relayed(self):
+        """Two entries that cannot reach each other share a third one."""
+        fleet, (a, b, c) = self.fleet()
+        fleet.set_down(True)
+        for _ in range(40):
+            for caller, peer in ((c, b), (b, c), (b, a), (a, b)):
+                exchange_once(caller, peer)
+            fleet.clock.advance(500)
+        self.assertTrue(a.is_fresh() and c.is_fresh())
+
+    def test_withdrawal_during_an_outage_stops_the_key_everywhere(self):
+        """A mark must reach relayed entries before their proof is renewed."""
+        fleet, (a, b, c) = self.fleet()
+        key_id = a.grant().result(0).partition(".")[0]
+        fleet.run(3_000)
+        fleet.set_down(True)
+        fleet.run(2_000)
+        answer = a.withdraw(key_id)
+        self.assertFalse(answer.done())
+        exchange_once(c, b)
+        self.assertEqual([], self.received(c, MarkWithdrawn))
+        exchange_once(b, a)
+        exchange_once(c, b)
+        for entry in (a, b, c):
+            self.assertIn(MarkWithdrawn(key_id), entry.messages)
+        fleet.run(6_000)
+        result = answer.result(0)
+        self.assertFalse(result["stored"])
+        self.assertEqual({e.process_id for e in (a, b, c)}, set(result["confirmed"]))
+        fleet.set_down(False)
+        fleet.run(6_000)
+        self.assertIn(key_id, c.exchange.holder.snapshot.withdrawn_ids)
+        self.assertEqual(set(), b.exchange.unwritten_marks())
+
+    def test_older_proof_does_not_hide_a_newer_version(self):
+        """A peer's proof covers its version; without that version it is void."""
+        fleet, (a, b, _) = self.fleet()
+        fleet.set_down(True)
+        fleet.clock.advance(60_000)
+        record = b.exchange.holder.record
+        newer = ConfigurationRecord(version=99, record_json=record.value)
+        b.exchange.adopt_fetched(newer)
+        b.exchange.store_read(fleet.clock.now_ms())
+        state = b.exchange.build_state()
+        self.assertFalse(a.exchange.merge_state(state, fleet.clock.now_ms()))
+        self.assertFalse(a.is_fresh())
+        a.exchange.adopt_fetched(b.exchange.record_for_peer(a.exchange.holder.version))
+        self.assertTrue(a.exchange.merge_state(state, fleet.clock.now_ms()))
+        self.assertTrue(a.is_fresh())
+
+    def test_start_during_an_outage(self):
+        """A replacement gets the version from peers that know its address."""
+        fleet, entries = self.fleet()
+        fleet.run(5_000)
+        version = entries[0].versions[-1]
+        fleet.set_down(True)
+        new = fleet.replace(2, "b")
+        new.set_down(True)
+        fleet.run(6_000)
+        self.assertEqual([version], new.versions)
+        self.assertTrue(all(e.is_fresh() for e in entries[:2]))
+        refused = new.withdraw("unknown")
+        self.assertEqual("store-unavailable", refused.exception(0).kind)
+
+    def test_load_is_reported_and_silence_is_noticed(self):
+        fleet, (a, b, _) = self.fleet()
+        load = PeerLoad("t", "s", 3, 2, 1)
+        b.exchange.set_load(LoadReport((load,), {"w1": 4}, ("w2",), True))
+        exchange_once(a, b)
+        report = self.received(a, PeerReport)[-1]
+        self.assertEqual((load,), report.loads)
+        self.assertEqual({"w1": 4}, report.in_flight_by_worker)
+        self.assertEqual((("w2",), True), (report.leaving_instances, report.stopping))
+        b.paused = True
+        fleet.run(4_000)
+        self.assertEqual([PeerLost(b.process_id)], self.received(a, PeerLost))
+
+    def test_malformed_messages_are_refused(self):
+        fleet, (a, b, _) = self.fleet()
+        for name, value in (
+            ("process_id", ""),
+            ("zone", "other"),
+            ("peer_address", "host:1"),
+            ("http_address", "127.0.0.1:99999"),
+            ("configuration_version", -1),
+        ):
+            state = b.exchange.build_state()
+            setattr(state, name, value)
+            self.assertRaises(PeerError, a.exchange.merge_state, state, None)
+        state.words.add(process_id="a b")
+        self.assertRaises(PeerError, check_state, state)
+        bad = ConfigurationRecord(version=99, record_json="{}")
+        self.assertRaises(PeerError, a.exchange.adopt_fetched, bad)
+
+
+class MembershipTest(testtools.TestCase):
+    def test_each_absence_of_a_holder_counts_for_itself(self):
+        """A holder that came back must not be reclaimed by its first absence."""
+        missing = MissingHolders()
+
+        def observe(registration, now_ms, *registered):
+            row = HolderRow(
+                registration=registration, instance="e", zone="z", address="a:1"
+            )
+            record = LimitRecord(limit=1, limit_version=1, holders={"h": row})
+            missing.observe([record], list(registered), now_ms)
+            absence = missing.get("h", registration)
+            return (absence.missing_ms, absence.replaced_ms) if absence else None
+
+        self.assertEqual((10, None), observe(1, 10))
+        self.assertEqual((10, None), observe(1, 20))
+        self.assertEqual((30, None), observe(2, 30))
+        holder = Registration("h", "e", "z", "a:2", "a:1", 2)
+        self.assertIsNone(observe(2, 40, holder))
+        other = Registration("o", "e", "z", "a:2", "a:1", 3)
+        self.assertEqual((None, 50), observe(2, 50, holder, other))
+        self.assertEqual((60, 50), observe(2, 60, other))
+        elsewhere = Registration("o", "e", "z2", "a:2", "a:1", 9)
+        self.assertEqual((70, None), observe(5, 70, elsewhere))
+
+    def test_new_instance_is_not_taken_for_gone(self):
+        """A lagging list lacks new instances; only a listed one can be gone."""
+        fleet = FakeFleet(3)
+        fleet.entries[0].apply(TEXT, 0).result(0)
+        for entry in fleet.entries[:2]:
+            fleet.platform.set_instance(entry.settings.instance, {"kind": "entry"})
+        fleet.run(5_000)
+        a, b, c = fleet.entries
+        c.paused = True
+        fleet.platform.remove_instance(b.settings.instance)
+        fleet.run(5_000)
+        self.assertEqual([c.process_id], [p.process_id for p in a.exchange.peers()])
+
+    def test_malformed_registration_is_refused(self):
+        record = Record("entries/x", "{}", 1)
+        self.assertRaises(StoreError, parse_registration, record)
--- /dev/null
+++ b/tests/test_limit_units.py
@@ -0,0 +1,153 @@
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cranberrywheel.errors import StoreError
+from cranberrywheel.process import limit_record, limit_units
+from cranberrywheel.process.limit_record import HolderRow, LimitRecord
+from cranberrywheel.process.limit_units import Absence, Need, UnitLedger
+from cranberrywheel.settings import LimitSettings
+
+SETTINGS = LimitSettings()
+HOLDERS = "abcd"
+COUNTS = st.integers(0, 12)
+
+
+def row(long_units=0, short_units=0, **fields):
+    return HolderRow(
+        long=long_units,
+        short=short_units,
+        registration=1,
+        instance="e",
+        zone="z",
+        address="127.0.0.1:1",
+        **fields,
+    )
+
+
+class UnitLedgerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.ledger = UnitLedger(SETTINGS)
+        self.ledger.set_limit("t", 10)
+        self.ledger.set_held("t", 2, 3)
+
+    def test_hold_times(self):
+        """Units must expire by the own clock although nobody says so."""
+        self.assertEqual(0, self.ledger.usable("t", 0))
+        self.ledger.renewed(1_000)
+        self.ledger.renewed(500)
+        usable = {
+            at_ms: self.ledger.usable("t", 1_000 + at_ms)
+            for at_ms in (0, 59_999, 60_000, 3_899_999, 3_900_000)
+        }
+        expected = {0: 5, 59_999: 5, 60_000: 2, 3_899_999: 2, 3_900_000: 0}
+        self.assertEqual(expected, usable)
+
+    def test_running_requests_lose_short_units_first_started_last(self):
+        self.ledger.renewed(0)
+        taken = [self.ledger.take("t", f"r{n}", 0) for n in range(6)]
+        self.assertEqual([True] * 5 + [False], taken)
+
+        def renewable(now_ms):
+            return [n for n in range(5) if self.ledger.may_renew(f"r{n}", now_ms)]
+
+        self.assertEqual([0, 1, 2, 3, 4], renewable(89_999))
+        self.assertEqual([0, 1], renewable(90_000))
+        self.ledger.give_back("r0")
+        self.assertEqual([1, 2], renewable(90_000))
+        self.assertEqual([], renewable(3_900_000))
+        self.assertFalse(self.ledger.may_renew("unknown", 0))
+
+    def test_release_spares_units_in_use(self):
+        """A unit with a running request must not be given to another entry."""
+        self.ledger.renewed(0)
+        for n in range(3):
+            self.ledger.take("t", f"r{n}", 0)
+        self.assertEqual((0, 2), self.ledger.release("t", 2, 3))
+        self.assertFalse(self.ledger.take("t", "r3", 0))
+        self.assertEqual({"t": 3}, self.ledger.in_use_by_team())
+
+    def test_lowered_limit_holds_for_new_starts_at_once(self):
+        """Other holders scale down too; waiting for the record would exceed."""
+        self.ledger.renewed(0)
+        for n in range(4):
+            self.ledger.take("t", f"r{n}", 0)
+        self.ledger.set_limit("t", 6)
+        self.assertEqual(3, self.ledger.usable("t", 0))
+        self.assertTrue(self.ledger.may_renew("r3", 0))
+        self.ledger.set_limit("t", 2)
+        self.assertEqual(1, self.ledger.usable("t", 0))
+        self.ledger.set_limit("t", 10)
+        self.assertEqual(5, self.ledger.usable("t", 0))
+
+
+class LimitRecordTest(testtools.TestCase):
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from(HOLDERS), COUNTS, COUNTS, st.integers(1, 12)),
+            max_size=20,
+        ),
+        st.sampled_from([0, 0.3, 0.5, 1]),
+    )
+    def test_rebalance_never_exceeds_and_lowers_only_the_writer(self, steps, fraction):
+        """Units of another holder may be in use until it releases them."""
+        holders = {h: row() for h in HOLDERS}
+        record = LimitRecord(limit=12, limit_version=1, holders=holders)
+        for version, (holder, in_use, waiting, limit) in enumerate(steps, 2):
+            before = record
+            if in_use == 0:
+                record = limit_units.set_limit(record, limit, version)
+                self.assertEqual(before.total, record.total)
+            need = Need(min(in_use, record.holders[holder].total), waiting)
+            record = limit_units.rebalance(record, holder, need, 3, fraction, HOLDERS)
+            self.assertLessEqual(record.total, max(before.total, record.limit))
+            if before.total > record.limit:
+                self.assertLessEqual(record.total, before.total)
+            self.assertGreaterEqual(record.holders[holder].total, need.in_use)
+            for other in set(HOLDERS) - {holder}:
+                old, new = before.holders[other], record.holders[other]
+                self.assertGreaterEqual(new.long, old.long)
+                self.assertGreaterEqual(new.short, old.short)
+            self.assertEqual(record, limit_record.parse(limit_record.dump(record)))
+
+    def test_lowered_limit_is_met_by_all_holders_together(self):
+        holders = {"a": row(3, 3), "b": row(2, 2), "c": row(1, 1)}
+        record = LimitRecord(limit=12, limit_version=1, holders=holders)
+        record = limit_units.set_limit(record, 5, 2)
+        self.assertEqual(record, limit_units.set_limit(record, 12, 1))
+        for holder in "abc":
+            record = limit_units.rebalance(record, holder, Need(0, 9), 1, 0.5)
+        self.assertEqual(5, record.total)
+
+    def test_lends_only_to_reachable_holders(self):
+        """Units lent to a holder that failed are lost for the long hold."""
+        holders = {"a": row(6, 6), "b": row(wanted=8), "c": row(wanted=8)}
+        record = LimitRecord(limit=12, limit_version=1, holders=holders)
+        lent = limit_units.rebalance(record, "a", Need(2, 0), 4, 0.5, {"c"})
+        totals = [lent.holders[h].total for h in "abc"]
+        self.assertEqual([4, 0, 8], totals)
+
+    def reclaimed(self, missing_ms, replaced_ms, now_ms):
+        record = LimitRecord(limit=12, limit_version=1, holders={"a": row(2, 3)})
+        absence = Absence(missing_ms, replaced_ms)
+        return limit_units.reclaim(record, "a", absence, now_ms, SETTINGS).free
+
+    def test_reclaim_waits_for_hold_token_and_task_lease(self):
+        """An earlier reclaim would let two entries use the same unit."""
+        short_ms = 12_120 + 900
+        self.assertEqual(7, self.reclaimed(0, None, short_ms - 1))
+        self.assertEqual(10, self.reclaimed(0, None, short_ms))
+        long_ms = 3_912_000 * 101 // 100
+        self.assertEqual(10, self.reclaimed(0, None, long_ms - 1))
+        self.assertEqual(12, self.reclaimed(0, None, long_ms))
+
+    def test_reclaim_of_a_replaced_holder(self):
+        """The replacement owns the port, so only running tasks are waited for."""
+        self.assertEqual(7, self.reclaimed(None, 0, 12_119))
+        self.assertEqual(12, self.reclaimed(None, 0, 12_120))
+
+    def test_malformed_record_is_refused(self):
+        for body in ({}, {"limit": -1, "limit_version": 1}, {"holders": {"a": {}}}):
+            self.assertRaises(StoreError, limit_record.parse, body)
--- /dev/null
+++ b/tests/test_peer_service.py
@@ -0,0 +1,164 @@
+import concurrent.futures
+import dataclasses
+import socket
+import threading
+
+import testtools
+
+from cranberrywheel.clock import Clock
+from cranberrywheel.connection.peer_service import PeerService
+from cranberrywheel.errors import (
+    OverloadedError,
+    PeerError,
+    PeerUnreachableError,
+    UnknownOutcomeError,
+)
+from cranberrywheel.process.exchange import PeerExchange
+from cranberrywheel.process.messages import IncomingRequest, LoadReport, PeerReport
+from cranberrywheel.request.model import Answer, Outcome
+from cranberrywheel.settings import EntrySettings, PlatformSettings
+
+WAIT_S = 20
+INCOMING = IncomingRequest(
+    request_id="r1",
+    queue="q",
+    authorization="Bearer k",
+    idempotency_key="ticket",
+    body=b"\x00body",
+    content_type="text/plain",
+    timeout_ms=5_000,
+)
+
+
+def answer(body=b"done"):
+    return Answer(request_id="r1", outcome=Outcome.OK, status=200, body=body)
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class Peer:
+    """A service whose dispatcher keeps messages and answers by a function."""
+
+    def __init__(self, number, port, submit):
+        settings = EntrySettings(
+            instance=f"e{number}",
+            zone="z1",
+            host="127.0.0.1",
+            http_port=port,
+            peer_port=port,
+            operator_token_file="unused",
+            platform=PlatformSettings(url="http://127.0.0.1:1"),
+            exchange_interval_ms=20,
+        )
+        self.reports, self.reported = [], threading.Event()
+        self.results = []
+        self.exchange = PeerExchange(
+            settings, Clock(), f"z1.e{number}.a", self.dispatch
+        )
+        self.service = PeerService(
+            settings,
+            Clock(),
+            self.exchange,
+            submit,
+            lambda peer, results: self.results.extend(results),
+        )
+        self.address = self.exchange.registration.peer_address
+
+    def dispatch(self, message):
+        if isinstance(message, PeerReport) and message.in_flight_by_worker:
+            self.reports.append(message)
+            self.reported.set()
+
+
+class PeerServiceTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.submitted = []
+        self.future = concurrent.futures.Future()
+        self.peers = [
+            Peer(n, port, self.submit) for n, port in enumerate(free_ports(2))
+        ]
+        for peer in self.peers:
+            peer.service.start()
+            self.addCleanup(peer.service.stop)
+        self.a, self.b = self.peers
+
+    def submit(self, incoming):
+        self.submitted.append(incoming)
+        return self.future
+
+    def forward(self):
+        return self.a.service.forward(self.b.address, INCOMING, 5_000)
+
+    def test_load_is_exchanged_in_both_directions(self):
+        """An entry that only one side knows must still be heard by both."""
+        for peer in self.peers:
+            peer.service.report_load(LoadReport((), {"w": 1}, (), False))
+        roster = [
+            dataclasses.replace(p.exchange.registration, revision=n + 1)
+            for n, p in enumerate(self.peers)
+        ]
+        self.a.exchange.set_roster(roster)
+        for peer in self.peers:
+            self.assertTrue(peer.reported.wait(WAIT_S))
+        self.assertEqual(self.b.exchange.process_id, self.a.reports[0].process_id)
+
+    def test_forwarded_request_arrives_whole(self):
+        self.future.set_result(answer(b"\x00answer"))
+        self.assertEqual(answer(b"\x00answer"), self.forward().result(WAIT_S))
+        expected = dataclasses.replace(INCOMING, forwarded=True)
+        self.assertEqual([expected], self.submitted)
+
+    def test_refusal_of_a_forwarded_request_stays_a_refusal(self):
+        """A refusal that arrives as unknown would stop a safe retry."""
+        self.future.set_exception(OverloadedError("full", "wait", 7))
+        refused = self.forward().result(WAIT_S)
+        self.assertEqual(
+            (Outcome.NOT_RUN, 503, "overloaded", 7),
+            (refused.outcome, refused.status, refused.kind, refused.retry_after_s),
+        )
+
+    def test_failure_after_sending_is_an_unknown_outcome(self):
+        """The peer may have started the request."""
+        pending = self.forward()
+        self.future.set_running_or_notify_cancel()
+        while not self.submitted and not pending.done():
+            threading.Event().wait(0.01)
+        self.b.service.stop()
+        error = pending.exception(WAIT_S)
+        self.assertIsInstance(error, UnknownOutcomeError)
+        self.future.set_result(answer())
+
+    def test_request_to_a_closed_port_was_not_sent(self):
+        """It may be retried elsewhere, also when it is not idempotent."""
+        self.b.service.stop()
+        error = self.forward().exception(WAIT_S)
+        self.assertIsInstance(error, PeerUnreachableError)
+
+    def test_hand_over(self):
+        self.a.exchange.add_mark("k1")
+        results = [("ticket", answer())]
+        count = self.a.service.hand_over(self.b.address, results).result(WAIT_S)
+        self.assertEqual(1, count)
+        self.assertEqual(results, self.b.results)
+        self.assertEqual({"k1"}, self.b.exchange.unwritten_marks())
+
+    def test_malformed_answer_is_refused_and_counted(self):
+        bad = dataclasses.replace(answer(), outcome="odd")
+        handed = self.a.service.hand_over(self.b.address, [("ticket", bad)])
+        self.assertIsInstance(handed.exception(WAIT_S), PeerError)
+        self.assertEqual(1, self.b.service.malformed_count)
+
+    def test_port_in_use_is_reported_at_start(self):
+        """A process that does not own its port must not register."""
+        port = int(self.a.address.rpartition(":")[2])
+        second = Peer(0, port, self.submit)
+        self.assertRaises(OSError, second.service.start)
