Add the running planner and its program

Cause: the decisions need a process that holds a zone's lease and acts. Change: the planner takes planners/<zone> under a store lease, writes its fence into pools/<zone>, repeats recorded states at the platform, claims instances in disruptions by compare-and-swap before it drains them, and reads lost answers back. The parts with their own state are record_store, zone_lease, zone_record, disruptions and worker_reports. A reboot counts as done after the worker was silent or had reboot_minutes.

--- a/src/cranberrywheel/process/moves.py
+++ b/src/cranberrywheel/process/moves.py
@@ -18,10 +18,6 @@
     WorkerReport,
 )
 
-#: A reboot is over at the earliest after this time; before, the worker may still
-#: answer because the platform has not stopped it yet.
-MIN_REBOOT_MS = 5_000
-
 
 class PlatformAction(enum.StrEnum):
     """What the platform is asked to do with an instance."""
@@ -69,12 +65,14 @@
 
 
 def advance(
-    row: PoolRow, report: WorkerReport, live: bool, now_ms: int
+    row: PoolRow, report: WorkerReport, rebooted: bool, now_ms: int
 ) -> PoolRow | None:
     """Return the next row of an instance that is out, or ``None`` to wait.
 
     :param report: the worker's answer, asked for after the state began.
-    :param live: whether the instance list shows the instance.
+    :param rebooted: whether the worker was silent since the platform was asked to
+        reboot it, or had the time for a reboot. A worker that answers may otherwise
+        not have been stopped yet.
     """
     if row.state is InstanceState.DRAINING:
         # Only the worker's own answer shows that no task runs.
@@ -86,8 +84,7 @@
             return PoolRow(pool=row.target_pool, since_ms=now_ms)
         return PoolRow(pool=row.pool, state=InstanceState.REBOOTING, since_ms=now_ms)
     if row.state is InstanceState.REBOOTING:
-        back = live and report.reachable
-        if back and now_ms - row.since_ms >= MIN_REBOOT_MS:
+        if rebooted and report.reachable:
             return PoolRow(pool=row.pool, since_ms=now_ms)
     return None
 
--- /dev/null
+++ b/src/cranberrywheel/process/planner.py
@@ -0,0 +1,315 @@
+"""The running planner of one availability zone.
+
+A round holds the zone's lease, finishes recorded steps and starts new ones. Each
+step is written to ``pools/<zone>`` before the platform is asked to act, so that the
+next planner can finish it.
+"""
+
+import threading
+import time
+import typing as t
+
+from cranberrywheel.clock import Clock
+from cranberrywheel.connection.store_client import InstanceList, StoreClient
+from cranberrywheel.errors import (
+    ConfigurationError,
+    LeaseLostError,
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.process import moves
+from cranberrywheel.process.capacity import build_problem, choose_sizes
+from cranberrywheel.process.disruptions import Disruptions
+from cranberrywheel.process.fleet_model import (
+    Fleet,
+    InstanceState,
+    Plan,
+    PoolRow,
+    Sizing,
+    WorkerReport,
+    build_fleet,
+    parse_zone_pools,
+)
+from cranberrywheel.process.record_store import RecordStore
+from cranberrywheel.process.waves import plan_round
+from cranberrywheel.process.worker_reports import (
+    TaskRow,
+    UsageBook,
+    Workers,
+    report_of,
+    sum_usage,
+)
+from cranberrywheel.process.zone_lease import ZoneLease
+from cranberrywheel.process.zone_record import ZoneRecord
+from cranberrywheel.settings import PlannerSettings
+from cranberrywheel.version.configuration import Configuration, parse_configuration
+
+#: A full round reads all pools and the instance list, about 300 bytes a worker. This
+#: interval per worker keeps that under 10 KB a second for any fleet.
+PLAN_INTERVAL_PER_WORKER_MS = 30
+#: Sizes follow learned means, which change over hours.
+SIZING_INTERVAL_MS = 10 * 60_000
+#: The plan and the learned usage are written at most this often.
+PUBLISH_INTERVAL_MS = 60_000
+
+_log = PartLogger("planner")
+
+
+def wall_clock_ms() -> int:
+    """Return milliseconds since 1970."""
+    return time.time_ns() // 1_000_000
+
+
+class Planner:
+    """Plans and acts for one zone; use it from one thread only.
+
+    :param client: the platform.
+    :param workers: asks workers for their tasks.
+    :param now_wall_ms: wall clock for the times in records.
+    """
+
+    def __init__(
+        self,
+        settings: PlannerSettings,
+        client: StoreClient,
+        workers: Workers,
+        clock: Clock | None = None,
+        now_wall_ms: t.Callable[[], int] = wall_clock_ms,
+    ) -> None:
+        self._settings = settings
+        self._client = client
+        self._workers = workers
+        self._clock = clock or Clock()
+        self._now_wall_ms = now_wall_ms
+        self._records = RecordStore(client, f"{settings.zone}.{settings.instance}")
+        self._lease = ZoneLease(settings, client, self._records, self._clock)
+        self._zone = ZoneRecord(
+            settings.zone, client, self._records, self._lease, self._clock
+        )
+        self._disruptions = Disruptions(self._records)
+        self._usage = UsageBook()
+        self._configuration: Configuration | None = None
+        self._configuration_version = 0
+        self._listed = InstanceList(0, 0, ())
+        self._checkpointed: set[tuple[str, str]] = set()
+        #: Rebooting instances that did not answer since the reboot was asked for.
+        self._silent: set[str] = set()
+        self._sizing: Sizing | None = None
+        self._next_plan_ms = self._next_sizing_ms = self._next_publish_ms = 0
+        #: The last plan of this zone, or ``None`` while another planner acts.
+        self.plan: Plan | None = None
+
+    def run(self, stop: threading.Event) -> None:
+        """Run rounds until told to stop, then give the lease up."""
+        while not stop.is_set():
+            started_ms = self._clock.now_ms()
+            self.run_once()
+            spent_ms = self._clock.now_ms() - started_ms
+            stop.wait(max(0, self._settings.interval_ms - spent_ms) / 1000)
+        self._lease.release()
+
+    def run_once(self) -> None:
+        """Run one round; a failure of the store ends it early."""
+        try:
+            if not self._lease.hold():
+                self.plan = None
+                return
+            configuration = self._read_configuration()
+            if configuration is None:
+                return
+            self._zone.claim(configuration, self._now_wall_ms())
+            self._zone.confirm()
+            self._finish_steps(configuration)
+            if self._clock.now_ms() >= self._next_plan_ms:
+                self._start_steps(configuration)
+        except StoreUnavailableError as error:
+            _log.warning("store unavailable, planning nothing new", cause=error.message)
+            self._finish_without_store()
+        except (StoreConflictError, LeaseLostError) as error:
+            _log.event("round ended early", cause=error.message)
+        except StoreError as error:
+            _log.warning("round failed", cause=error.message, remedy=error.remedy)
+
+    def _finish_without_store(self) -> None:
+        """Repeat recorded states at the platform while the lease is surely held."""
+        if not self._lease.is_valid():
+            return
+        try:
+            self._zone.confirm()
+        except (StoreError, LeaseLostError) as error:
+            _log.event("recorded states not confirmed", cause=error.message)
+
+    def _read_configuration(self) -> Configuration | None:
+        stored = self._records.read("configuration")
+        if stored and stored.revision > self._configuration_version:
+            self._configuration_version = stored.revision
+            try:
+                self._configuration = parse_configuration(stored.body["text"])
+                self._next_plan_ms = self._next_sizing_ms = 0
+            except ConfigurationError as error:
+                _log.warning(
+                    "configuration ignored",
+                    version=stored.revision,
+                    cause=error.message,
+                )
+        return self._configuration
+
+    def _ask(self, names: t.Iterable[str]) -> dict[str, tuple[TaskRow, ...] | None]:
+        """Ask listed workers for their tasks; the others are absent."""
+        wanted = set(names)
+        return self._workers.tasks(
+            {
+                row.instance_id: row.address
+                for row in self._listed.instances
+                if row.instance_id in wanted and row.address
+            }
+        )
+
+    def _finish_steps(self, configuration: Configuration) -> None:
+        """Advance the instances of the zone that are out."""
+        out = {
+            name: row
+            for name, row in self._zone.pools.rows_by_name.items()
+            if row.state not in (InstanceState.SERVING, InstanceState.QUARANTINED)
+            and self._zone.confirmed_for_ms(name) is not None
+        }
+        if not out:
+            return
+        if not self._listed.instances:
+            self._listed = self._client.instances()
+        tasks_by_name = self._ask(out)
+        changes = {}
+        for name, row in out.items():
+            after = self._advance(configuration, name, row, tasks_by_name.get(name))
+            if after:
+                changes[name] = after
+        self._zone.change(changes)
+        self._silent -= changes.keys()
+        if any(row.state is InstanceState.SERVING for row in changes.values()):
+            self._reconcile(configuration)
+
+    def _advance(
+        self,
+        configuration: Configuration,
+        name: str,
+        row: PoolRow,
+        tasks: tuple[TaskRow, ...] | None,
+    ) -> PoolRow | None:
+        if row.target_pool and row.target_pool not in configuration.pools_by_name:
+            return moves.recall(row, self._now_wall_ms())
+        if row.state is InstanceState.DRAINING:
+            self._checkpoint(configuration, name, tasks or ())
+        if row.state is InstanceState.REBOOTING and tasks is None:
+            self._silent.add(name)
+        asked_ms = self._zone.confirmed_for_ms(name) or 0
+        rebooted = (
+            name in self._silent or asked_ms >= configuration.reboot_minutes * 60_000
+        )
+        report = report_of(configuration, tasks)
+        return moves.advance(row, report, rebooted, self._now_wall_ms())
+
+    def _checkpoint(
+        self, configuration: Configuration, name: str, tasks: tuple[TaskRow, ...]
+    ) -> None:
+        addresses = {i.instance_id: i.address for i in self._listed.instances}
+        for task in tasks:
+            queue = configuration.queues_by_name.get(task.queue)
+            key = (name, task.task_id)
+            if (
+                task.state == "running"
+                and queue
+                and queue.can_checkpoint
+                and key not in self._checkpointed
+            ):
+                self._checkpointed.add(key)
+                _log.event("checkpoint for drain", instance=name, request_id=key[1])
+                self._workers.checkpoint(addresses[name], task.task_id)
+
+    def _reconcile(self, configuration: Configuration) -> None:
+        """Make ``disruptions`` agree with the zone's record."""
+        listed = {name for names in self._disruptions.read().values() for name in names}
+        rows = self._zone.pools.rows_by_name
+        out = {n: r.pool for n, r in rows.items() if r.state != InstanceState.SERVING}
+        self._lease.check()
+        self._disruptions.change(
+            configuration,
+            added_pools_by_name={n: p for n, p in out.items() if n not in listed},
+            removed=[n for n in rows if n in listed and n not in out],
+        )
+
+    def _start_steps(self, configuration: Configuration) -> None:
+        """Plan, claim the budget and start the part of the plan in this zone."""
+        fleet = self._read_fleet(configuration)
+        now_ms = self._clock.now_ms()
+        if self._sizing is None or now_ms >= self._next_sizing_ms:
+            self._sizing = choose_sizes(build_problem(configuration, fleet))
+            self._next_sizing_ms = now_ms + SIZING_INTERVAL_MS
+        plan = plan_round(
+            configuration,
+            fleet,
+            self._sizing,
+            self._settings.max_list_age_ms,
+            self._settings.zone,
+        )
+        self._next_plan_ms = now_ms + PLAN_INTERVAL_PER_WORKER_MS * len(
+            fleet.instances_by_name
+        )
+        self.plan = plan
+        rows = self._zone.pools.rows_by_name
+        wall_ms = self._now_wall_ms()
+        changes = {name: moves.recall(rows[name], wall_ms) for name in plan.recall}
+        for name in plan.repair:
+            changes[name] = moves.begin_repair(rows[name], wall_ms)
+        for name in plan.quarantine:
+            changes[name] = moves.quarantine(rows[name], wall_ms)
+        for name, target in plan.take.items():
+            changes[name] = moves.begin_drain(rows[name], target, wall_ms)
+        claimed = {name: rows[name].pool for name in (*plan.take, *plan.quarantine)}
+        if claimed:
+            self._lease.check()
+            self._disruptions.change(configuration, claimed)
+        self._zone.change(changes)
+        if plan.recall:
+            self._reconcile(configuration)
+        self._publish(fleet.now_ms)
+
+    def _read_fleet(self, configuration: Configuration) -> Fleet:
+        """Read what a plan depends on; see ``Disruptions.read`` for the order."""
+        self._reconcile(configuration)
+        out_by_service = self._disruptions.read()
+        stored_by_zone = self._records.read_all("pools/")
+        usage = self._records.read_all("usage/")
+        self._listed = self._client.instances()
+        tasks_by_name = self._ask(self._zone.pools.rows_by_name)
+        self._usage.sample(tasks_by_name)
+        reports: dict[str, WorkerReport] = {
+            name: report_of(configuration, tasks)
+            for name, tasks in tasks_by_name.items()
+        }
+        now_ms = self._now_wall_ms()
+        pools_by_zone = {z: parse_zone_pools(s.body) for z, s in stored_by_zone.items()}
+        pools_by_zone[self._settings.zone] = self._zone.pools
+        return build_fleet(
+            configuration,
+            pools_by_zone,
+            self._listed,
+            now_ms,
+            reports,
+            sum_usage(configuration, (s.body for s in usage.values()), now_ms),
+            out_by_service,
+        )
+
+    def _publish(self, now_ms: int) -> None:
+        """Write the plan and the learned usage for operators and other planners."""
+        if self._clock.now_ms() < self._next_publish_ms or self.plan is None:
+            return
+        self._next_publish_ms = self._clock.now_ms() + PUBLISH_INTERVAL_MS
+        bodies = {"plans": {"taken_ms": now_ms, "plan": self.plan.to_json()}}
+        if usage := self._usage.to_body(now_ms):
+            bodies["usage"] = usage
+        for kind, body in bodies.items():
+            self._lease.check()
+            key = f"{kind}/{self._settings.zone}"
+            self._records.write(key, body, self._records.read(key))
--- a/src/cranberrywheel/process/waves.py
+++ b/src/cranberrywheel/process/waves.py
@@ -51,13 +51,26 @@
     return age_ms >= PRESSING_FRACTION * _period_ms(configuration)
 
 
+def _why_unhealthy(instance: FleetInstance) -> str:
+    if not instance.live:
+        return "not live in the instance list"
+    if not instance.report.reachable:
+        return "does not answer"
+    return f"already {instance.row.state}"
+
+
 class _Round:
     """Working state while one plan is made."""
 
     def __init__(
-        self, configuration: Configuration, fleet: Fleet, sizing: Sizing
+        self, configuration: Configuration, fleet: Fleet, sizing: Sizing, zone: str
     ) -> None:
         self.configuration = configuration
+        self.own = [
+            instance
+            for instance in fleet.instances_by_name.values()
+            if not zone or instance.zone == zone
+        ]
         self.fleet = fleet
         self.sizing = sizing
         out = {name for names in fleet.out_by_service.values() for name in names}
@@ -75,7 +88,7 @@
                 self.out_by_pool[instance.pool] += 1
         self.free = [
             instance
-            for instance in fleet.instances_by_name.values()
+            for instance in self.own
             if is_healthy(instance)
             and instance.name not in out
             and not is_settling(instance, fleet.now_ms)
@@ -86,7 +99,7 @@
     def recall(self) -> tuple[str, ...]:
         """Return drained instances to pools whose margin a failure used up."""
         names = []
-        for instance in self.fleet.instances_by_name.values():
+        for instance in self.own:
             waiting = instance.row.state in (
                 InstanceState.DRAINING,
                 InstanceState.EMPTY,
@@ -122,22 +135,38 @@
     def repair(self) -> tuple[str, ...]:
         """Choose quarantined instances that join the wave; they need no budget."""
         names = []
-        for instance in self.fleet.instances_by_name.values():
+        for instance in self.own:
             if instance.row.state is not InstanceState.QUARANTINED:
                 continue
             if self.fleet.now_ms - instance.maintained_ms < REPAIR_INTERVAL_MS:
                 self.waits[instance.name] = (
                     "fails again shortly after its repair; replace it"
                 )
-            elif instance.report.running:
-                self.waits[instance.name] = "quarantined, work still runs"
+            elif self._may_have_work(instance):
+                self.waits[instance.name] = "quarantined, work may still run"
             else:
                 names.append(instance.name)
         return tuple(names)
 
+    def _may_have_work(self, instance: FleetInstance) -> bool:
+        """Tell whether work may run; a silent worker's ends at its own deadline."""
+        if instance.report.reachable:
+            return instance.report.running > 0
+        longest_ms = max(
+            (q.timeout_ms for q in self.configuration.queues_by_name.values()),
+            default=0,
+        )
+        return self.fleet.now_ms - instance.row.since_ms < longest_ms
+
     def take_transfers(self) -> dict[str, str]:
         """Start moves towards the decided sizes, as far as budgets allow."""
         take = {}
+        pools = self.configuration.pools_by_name
+        for instance in self.own:
+            declared = self.configuration.workers_by_name.get(instance.name)
+            if declared and is_healthy(instance) and instance.pool not in pools:
+                # Its pool left the configuration, so no service needs it there.
+                take[instance.name] = declared.pool
         for instance, target in choose_transfers(self.fleet, self.sizing, self.free):
             if reason := self._try(instance):
                 self.waits[instance.name] = f"move to {target}: {reason}"
@@ -150,6 +179,11 @@
         take = {}
         now_ms, needed = self.fleet.now_ms, dependency_pools(self.configuration)
         due = [i for i in self.free if is_due(self.configuration, i, now_ms)]
+        for instance in self.own:
+            if not is_healthy(instance) and is_due(
+                self.configuration, instance, now_ms
+            ):
+                self.waits.setdefault(instance.name, _why_unhealthy(instance))
         due.sort(
             key=lambda i: (
                 len(needed[i.pool]),
@@ -198,17 +232,21 @@
     fleet: Fleet,
     sizing: Sizing,
     max_list_age_ms: int = 30_000,
+    zone: str = "",
 ) -> Plan:
-    """Decide what one round starts, for all zones.
+    """Decide what one round starts.
 
     :param sizing: decided sizes; see :func:`capacity.choose_sizes`.
     :param max_list_age_ms: oldest instance list that a plan may use.
+    :param zone: zone to plan for, or ``""`` for all. Budgets always span all zones;
+        a planner that left room for another zone's instances could wait for ever
+        if that zone is partitioned.
     """
     if fleet.list_age_ms > max_list_age_ms:
         reason = f"the instance list is {fleet.list_age_ms // 1000} s old"
         waits = dict.fromkeys(fleet.instances_by_name, reason)
         return Plan(sizing=sizing, waits_by_name=waits)
-    round_ = _Round(configuration, fleet, sizing)
+    round_ = _Round(configuration, fleet, sizing, zone)
     risks = round_.ledger.risks()
     recall = round_.recall()
     quarantine = round_.quarantine()
@@ -219,7 +257,7 @@
         sizing=sizing,
         wave={
             i.name: str(i.row.state)
-            for i in fleet.instances_by_name.values()
+            for i in round_.own
             if i.row.state is not InstanceState.SERVING
         },
         take=take,
--- /dev/null
+++ b/src/cranberrywheel/process/zone_record.py
@@ -0,0 +1,150 @@
+"""The record ``pools/<zone>`` and what the platform was asked to do because of it."""
+
+import dataclasses
+import typing as t
+
+from cranberrywheel.clock import Clock
+from cranberrywheel.connection.store_client import StoreClient
+from cranberrywheel.errors import (
+    LeaseLostError,
+    StoreError,
+    StoreUnavailableError,
+)
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.process import moves
+from cranberrywheel.process.fleet_model import (
+    InstanceState,
+    PoolRow,
+    ZonePools,
+    dump_zone_pools,
+    parse_zone_pools,
+    seed_zone_pools,
+)
+from cranberrywheel.process.record_store import RecordStore, StoredBody
+from cranberrywheel.process.zone_lease import ZoneLease
+from cranberrywheel.version.configuration import Configuration
+
+_log = PartLogger("planner")
+
+
+class ZoneRecord:
+    """Changes the states of one zone's instances.
+
+    Each change is written first and repeated at the platform until it is confirmed.
+    A paused planner fails in both places: the write on its revision, the platform
+    call on its fence.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        client: StoreClient,
+        records: RecordStore,
+        lease: ZoneLease,
+        clock: Clock,
+    ) -> None:
+        self._zone = zone
+        self._key = f"pools/{zone}"
+        self._client = client
+        self._records = records
+        self._lease = lease
+        self._clock = clock
+        self._stored: StoredBody | None = None
+        self._claimed_fence = 0
+        #: Clock reading at which the platform confirmed the recorded state.
+        self._confirmed_ms_by_name: dict[str, int] = {}
+        self.pools = ZonePools(fence=0, rows_by_name={})
+
+    def claim(self, configuration: Configuration, now_ms: int) -> None:
+        """Read the record, write the own fence into it and add new workers.
+
+        :raises LeaseLostError: if a later planner wrote the record.
+        """
+        self._stored = self._records.read(self._key)
+        known = parse_zone_pools(self._stored.body) if self._stored else None
+        fence = self._lease.fence
+        if known and known.fence > fence:
+            raise LeaseLostError("A later planner wrote the pools.", "Stand by.")
+        seeded = seed_zone_pools(configuration, self._zone, known, fence, now_ms)
+        if seeded != known:
+            self._write(seeded)
+        self.pools = seeded
+        if self._claimed_fence != fence:
+            # The platform must see the new fence for each instance, also for those
+            # that serve: a paused planner could otherwise still drain them.
+            self._confirmed_ms_by_name.clear()
+            self._claimed_fence = fence
+            _log.event(
+                "acting for the zone",
+                zone=self._zone,
+                fence=fence,
+                instances=len(seeded.rows_by_name),
+            )
+
+    def _write(self, pools: ZonePools) -> None:
+        self._lease.check()
+        body = dump_zone_pools(pools)
+        self._stored = self._records.write(self._key, body, self._stored)
+        self.pools = pools
+
+    def change(self, rows_by_name: t.Mapping[str, PoolRow]) -> None:
+        """Record new states, then make them true at the platform."""
+        if not rows_by_name:
+            return
+        maintained = dict(self.pools.maintained_ms_by_name)
+        for name, row in rows_by_name.items():
+            before = self.pools.rows_by_name[name]
+            if before.state is InstanceState.REBOOTING:
+                maintained[name] = row.since_ms
+            _log.event(
+                "instance changes state",
+                instance=name,
+                before=before.state,
+                after=row.state,
+                pool=row.pool,
+                target_pool=row.target_pool,
+            )
+        self._write(
+            dataclasses.replace(
+                self.pools,
+                rows_by_name={**self.pools.rows_by_name, **rows_by_name},
+                maintained_ms_by_name=maintained,
+            )
+        )
+        for name in rows_by_name:
+            self._confirmed_ms_by_name.pop(name, None)
+        self.confirm()
+
+    def confirmed_for_ms(self, name: str) -> int | None:
+        """Return how long ago the platform confirmed the recorded state.
+
+        :returns: milliseconds, or ``None`` if it has not confirmed it.
+        """
+        confirmed_ms = self._confirmed_ms_by_name.get(name)
+        return None if confirmed_ms is None else self._clock.now_ms() - confirmed_ms
+
+    def confirm(self) -> None:
+        """Repeat the recorded states that the platform has not confirmed.
+
+        :raises LeaseLostError: if a later planner acts for the zone.
+        """
+        for name, row in self.pools.rows_by_name.items():
+            if name in self._confirmed_ms_by_name:
+                continue
+            self._lease.check()
+            action = moves.action_of(row.state)
+            try:
+                accepted = self._client.control_instance(
+                    name, action, self._lease.fence
+                )
+            except StoreUnavailableError:
+                raise
+            except StoreError as error:
+                # The instance list does not show it, so there is nothing to act on.
+                _log.event("action postponed", instance=name, cause=error.message)
+                continue
+            if not accepted:
+                raise LeaseLostError(
+                    f"The platform saw a later fence for {name}.", "Stand by."
+                )
+            self._confirmed_ms_by_name[name] = self._clock.now_ms()
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,222 @@
+import testtools
+from planner_fixtures import NOW_MS, Deployment, text
+
+from cranberrywheel.process.record_store import RecordStore
+from cranberrywheel.process.worker_reports import (
+    TaskRow,
+    UsageBook,
+    parse_tasks,
+    report_of,
+    sum_usage,
+)
+
+MINUTE_MS = 60_000
+
+
+class PlannerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.deployment = Deployment(text())
+        self.planner, self.client = self.deployment.planner()
+
+    def test_first_round_seeds_the_pools_with_the_fence(self):
+        self.planner.run_once()
+        body = self.deployment.body("pools/x")
+        holder = self.deployment.platform.get("planners/x")
+        self.assertEqual(holder.revision, body["fence"])
+        self.assertEqual({"a1", "a2", "b1", "b2"}, set(body["instances"]))
+        self.assertEqual(set(self.deployment.states()), self.deployment.out())
+
+    def test_maintenance_drains_reboots_and_admits_each_instance(self):
+        # Guards against waves that stop half-way or leave an instance out.
+        for _ in range(400):
+            self.deployment.rounds(self.planner, 1)
+            # A worker in reboot is silent until the next round.
+            self.deployment.workers.tasks_by_name = {
+                name: None
+                for name, (_, state) in self.deployment.states().items()
+                if state == "rebooting" and self.deployment.workers.tasks_by_name == {}
+            }
+        self.assertEqual({}, self.deployment.states())
+        self.assertEqual(set(), self.deployment.out())
+        maintained = self.deployment.body("pools/x")["maintained"]
+        self.assertEqual({"a1", "a2", "b1", "b2"}, set(maintained))
+        reboots = [name for name, action in self.client.actions if action == "reboot"]
+        self.assertEqual(["a1", "a2", "b1", "b2"], sorted(reboots))
+
+    def test_drain_waits_for_an_overnight_job(self):
+        # Guards against a reboot that interrupts running work.
+        self.deployment.rounds(self.planner, 1)
+        held = min(n for n in self.deployment.states() if n.startswith("a"))
+        job = TaskRow(task_id="t", state="running", queue="qa")
+        self.deployment.workers.tasks_by_name = {held: (job,)}
+        self.deployment.rounds(self.planner, 300, MINUTE_MS)
+        self.assertNotIn((held, "reboot"), self.client.actions)
+        self.deployment.workers.tasks_by_name = {}
+        self.deployment.rounds(self.planner, 3)
+        self.assertIn((held, "reboot"), self.client.actions)
+
+    def test_drain_checkpoints_work_that_can_be(self):
+        self.deployment.rounds(self.planner, 1)
+        held = min(n for n in self.deployment.states() if n.startswith("b"))
+        job = TaskRow(task_id="t", state="running", queue="qb")
+        self.deployment.workers.tasks_by_name = {held: (job,)}
+        self.deployment.rounds(self.planner, 3)
+        self.assertEqual([(held, "t")], self.deployment.workers.checkpoints)
+
+    def test_planner_paused_past_its_lease_cannot_act(self):
+        # Guards against two planners that drain on the same budget.
+        other, other_client = self.deployment.planner(instance="p2")
+
+        def pause(key):
+            if key == "pools/x":
+                self.client.before_put = lambda key: None
+                self.deployment.clock.advance(20_000)
+                self.deployment.rounds(other, 1)
+
+        self.deployment.rounds(self.planner, 1, 0)
+        fence = self.deployment.body("pools/x")["fence"]
+        # The pause begins after the lease check of the next change.
+        self.client.before_put = pause
+        self.client.actions.clear()
+        self.planner.run_once()
+        self.assertEqual([], self.client.actions)
+        self.assertLess(fence, self.deployment.body("pools/x")["fence"])
+        self.assertFalse(self.client.control_instance("a1", "drain", fence))
+        self.assertNotEqual([], other_client.actions)
+
+    def test_next_planner_finishes_a_recorded_move(self):
+        # Guards against an instance that stays out when its planner dies.
+        self.deployment.rounds(self.planner, 1)
+        draining = set(self.deployment.states())
+        self.assertNotEqual(set(), draining)
+        self.deployment.clock.advance(20_000)
+        other, other_client = self.deployment.planner(instance="p2")
+        job = TaskRow(task_id="t", state="running", queue="qa")
+        self.deployment.workers.tasks_by_name = dict.fromkeys(draining, (job,))
+        self.deployment.rounds(other, 1)
+        # The platform sees the new fence for all instances of the zone.
+        wanted = {n: "undrain" for n in ("a1", "a2", "b1", "b2")}
+        wanted.update(dict.fromkeys(draining, "drain"))
+        self.assertEqual(sorted(wanted.items()), sorted(other_client.actions))
+        self.deployment.workers.tasks_by_name = {}
+        self.deployment.rounds(other, 2)
+        for name in draining:
+            self.assertIn((name, "reboot"), other_client.actions)
+
+    def test_second_planner_of_a_zone_stands_by(self):
+        self.deployment.rounds(self.planner, 1, 0)
+        other, other_client = self.deployment.planner(instance="p2")
+        self.deployment.rounds(other, 1, 0)
+        self.assertIsNone(other.plan)
+        self.assertEqual([], other_client.actions)
+
+    def test_planners_of_two_zones_race_for_one_budget(self):
+        # Guards against both zones taking the last instance of a margin.
+        workers = [f"a{n}@{zone}/r{zone}" for n, zone in enumerate("xxyyzz")]
+        self.deployment = Deployment(text(workers, healthy=3))
+        first, client = self.deployment.planner("x")
+        second, _ = self.deployment.planner("y")
+        second_out = []
+
+        def race(key):
+            if key == "disruptions":
+                client.before_put = lambda key: None
+                second.run_once()
+                second_out.extend(self.deployment.states("y"))
+
+        client.before_put = race
+        for _ in range(40):
+            self.deployment.rounds(first, 1)
+            self.assert_pool_a_survives_any_zone(least=3)
+            self.deployment.rounds(second, 1)
+            self.assert_pool_a_survives_any_zone(least=3)
+        self.assertIn("a2", second_out)
+
+    def assert_pool_a_survives_any_zone(self, least):
+        declared = self.deployment.configuration.workers_by_name.values()
+        healthy = [w.zone for w in declared if w.name in ("a4", "a5")]
+        for zone in ("x", "y"):
+            rows = self.deployment.body(f"pools/{zone}").get("instances", {})
+            healthy += [
+                zone
+                for row in rows.values()
+                if row["pool"] == "a" and row["state"] == "serving"
+            ] or ["x", "x"]
+        for lost in ("x", "y", "z"):
+            self.assertGreaterEqual(len([z for z in healthy if z != lost]), least)
+
+    def test_lost_answers_are_read_back(self):
+        # Guards against a step taken twice or forgotten after a lost answer.
+        for round_ in range(12):
+            self.deployment.platform.faults.lose_answers = 1 + round_ % 3
+            self.deployment.rounds(self.planner, 1)
+        self.deployment.platform.faults.lose_answers = 0
+        self.deployment.rounds(self.planner, 2)
+        self.assertEqual(set(self.deployment.states()), self.deployment.out())
+        self.assertNotEqual(set(), self.deployment.out())
+
+    def test_own_write_is_found_behind_a_later_writer(self):
+        # Guards against repeating a write that took effect unseen.
+        first = RecordStore(self.client, "p1")
+        later = RecordStore(self.client, "p2")
+        known = first.write("k", {"n": 1}, None)
+        self.deployment.platform.faults.lose_answers = 1
+        mine = first.write("k", {"n": 2}, known)
+        later.write("k", {"n": 3}, later.read("k"))
+        self.deployment.platform.put("foreign", '{"write_id": "w", "body": {}}', 0, "")
+        self.assertIn("w", first.read("foreign").recent_write_ids)
+        self.assertIn(mine.write_id, first.read("k").recent_write_ids)
+
+    def test_store_outage_starts_nothing_and_confirms_nothing_late(self):
+        # Guards against drains without a claimed budget.
+        self.deployment.rounds(self.planner, 1)
+        states = self.deployment.states()
+        self.client.actions.clear()
+        self.deployment.platform.faults.outage = True
+        self.deployment.rounds(self.planner, 50)
+        self.assertEqual([], self.client.actions)
+        self.deployment.platform.faults.outage = False
+        self.assertEqual(states, self.deployment.states())
+        self.deployment.rounds(self.planner, 2)
+        self.assertNotEqual([], self.client.actions)
+
+    def test_worker_that_fails_everything_is_quarantined(self):
+        bad = tuple(TaskRow(task_id=f"t{n}", state="failed") for n in range(5))
+        self.deployment.workers.tasks_by_name = {"a2": bad}
+        self.deployment.rounds(self.planner, 1)
+        self.assertEqual(("a", "quarantined"), self.deployment.states()["a2"])
+        self.assertIn("a2", self.deployment.out())
+        self.deployment.rounds(self.planner, 1)
+        self.assertIn(("a2", "reboot"), self.client.actions)
+
+    def test_plan_is_published_for_operators(self):
+        self.deployment.rounds(self.planner, 1)
+        shown = self.deployment.body("plans/x")["plan"]
+        self.assertIn("waits_by_name", shown)
+
+
+class WorkerReportsTest(testtools.TestCase):
+    def test_tasks_are_read_and_summarized(self):
+        # Guards against a plan that takes a long job for an idle worker.
+        configuration = Deployment(text()).configuration
+        rows = [
+            {"id": "1", "state": "running", "queue": "qa", "deadline_ms": 7_200_000},
+            {"id": "2", "state": "running", "queue": "qb", "deadline_ms": 9_000_000},
+        ]
+        report = report_of(configuration, parse_tasks({"tasks": rows}))
+        self.assertEqual((2, 7_200_000), (report.running, report.drain_ms))
+        self.assertFalse(report_of(configuration, None).reachable)
+        for body in ({}, {"tasks": [3]}, "x"):
+            self.assertRaises(ValueError, parse_tasks, body)
+
+    def test_usage_of_zones_adds_up(self):
+        configuration = Deployment(text()).configuration
+        book = UsageBook()
+        row = TaskRow(task_id="1", state="running", queue="qa", cores=2, memory_mb=9)
+        for sample in range(40):
+            book.sample({"a1": (row, row) if sample % 2 else ()})
+        body = book.to_body(NOW_MS)
+        usage = sum_usage(configuration, [body, body], NOW_MS + 5)["qa"]
+        self.assertAlmostEqual(2.0, usage.busy)
+        self.assertEqual((2, 9, 5), (usage.cores, usage.memory_mb, usage.age_ms))
