--- a/src/cranberrywheel/process/planner.py
+++ b/src/cranberrywheel/process/planner.py
@@ -20,7 +20,7 @@
 )
 from cranberrywheel.logs import PartLogger
 from cranberrywheel.process import moves
-from cranberrywheel.process.capacity import build_problem, choose_sizes
+from cranberrywheel.process.capacity import build_problem
 from cranberrywheel.process.disruptions import Disruptions
 from cranberrywheel.process.fleet_model import (
     Fleet,
@@ -33,6 +33,7 @@
     parse_zone_pools,
 )
 from cranberrywheel.process.record_store import RecordStore
+from cranberrywheel.process.size_search import choose_sizes
 from cranberrywheel.process.waves import plan_round
 from cranberrywheel.process.worker_reports import (
     TaskRow,
--- a/src/cranberrywheel/process/waves.py
+++ b/src/cranberrywheel/process/waves.py
@@ -6,7 +6,7 @@
 
 from cranberrywheel.connection.store_client import InstanceList
 from cranberrywheel.process.budget import BudgetLedger, is_healthy, is_settling
-from cranberrywheel.process.capacity import build_problem, choose_sizes
+from cranberrywheel.process.capacity import build_problem
 from cranberrywheel.process.fleet_model import (
     Fleet,
     FleetInstance,
@@ -18,6 +18,7 @@
     parse_zone_pools,
 )
 from cranberrywheel.process.moves import choose_transfers
+from cranberrywheel.process.size_search import choose_sizes
 from cranberrywheel.version.configuration import Configuration
 
 #: Maintenance of an instance is due after this part of the period. The rest of the
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -5,7 +5,7 @@
 
 from cranberrywheel.connection.store_client import InstanceList
 from cranberrywheel.process.budget import BudgetLedger
-from cranberrywheel.process.capacity import build_problem, choose_sizes
+from cranberrywheel.process.capacity import build_problem
 from cranberrywheel.process.fleet_model import (
     InstanceState,
     PoolRow,
@@ -13,6 +13,7 @@
     seed_zone_pools,
 )
 from cranberrywheel.process.fleet_model import dump_zone_pools as dump
+from cranberrywheel.process.size_search import choose_sizes
 from cranberrywheel.process.waves import plan_preview, plan_round
 
 DRAINING = PoolRow(pool="a", state=InstanceState.DRAINING)
