--- a/src/cranberrywheel/connection/peer_service.py
+++ b/src/cranberrywheel/connection/peer_service.py
@@ -148,8 +148,8 @@
         submit_forwarded: t.Callable[
             [IncomingRequest], "concurrent.futures.Future[Answer]"
         ],
-        cancel_forwarded: t.Callable[[str], None] = lambda request_id: None,
         import_results: t.Callable[[str, Results], None] = lambda peer, results: None,
+        cancel_forwarded: t.Callable[[str], None] = lambda request_id: None,
     ) -> None:
         self._settings = settings
         self._clock = clock
--- a/src/cranberrywheel/process/entry.py
+++ b/src/cranberrywheel/process/entry.py
@@ -83,8 +83,8 @@
             clock,
             self._exchange,
             self._submit_forwarded,
-            lambda request_id: post(m.CancelRequest(request_id)),
             lambda peer, results: post(m.ResultsHandedOver(peer, tuple(results))),
+            lambda request_id: post(m.CancelRequest(request_id)),
         )
         self._store = StoreSession(settings, clock, post, self._exchange)
         operators = OperatorApi(
