Add plan, metrics and one way to start programs

Cause: operators could not see the plan; the daemons parsed arguments in two ways and wrong usage exited with 1; nothing sent metrics. Change: plan and the wave in status from GET /v1/fleet, console.py for exit codes and daemons, statsd counters, log lines without a wrong source position.

--- a/src/cranberrywheel/logs.py
+++ b/src/cranberrywheel/logs.py
@@ -33,6 +33,7 @@
         pairs = "".join(f" {k}={format_field(v)}" for k, v in fields.items())
         return f"[{self.prefix}] {event}{pairs}"
 
+    @logging.skip_log_prefix
     def event(self, event: str, **fields: t.Any) -> None:
         """Log something that happened as planned.
 
@@ -41,6 +42,7 @@
         """
         logging.info("%s", self._line(event, fields))
 
+    @logging.skip_log_prefix
     def warning(self, event: str, **fields: t.Any) -> None:
         """Log something that an operator may want to look at."""
         logging.warning("%s", self._line(event, fields))
--- a/src/cranberrywheel/process/dispatcher.py
+++ b/src/cranberrywheel/process/dispatcher.py
@@ -51,10 +51,11 @@
             m.IssueTickets: self._flow.issue_tickets,
             m.QueryTicket: self._flow.query_ticket,
             m.ReadStatus: lambda msg: msg.status.set_result(self._status()),
+            m.ReadFleet: lambda msg: msg.fleet.set_result(state.fleet.describe()),
             m.ConfigurationAdopted: self._adopt,
             m.ProofTaken: lambda msg: state.freshness.proven(msg.taken_ms),
             m.MarkWithdrawn: lambda msg: state.marked_ids.add(msg.key_id),
-            m.PoolsChanged: self._pools_changed,
+            m.PoolsChanged: state.fleet.set_pools,
             m.InstancesListed: lambda msg: state.fleet.set_instances(msg.listed),
             m.UnitsHeld: self._units_held,
             m.HoldRenewed: lambda msg: state.ledger.renewed(msg.started_ms),
@@ -141,9 +142,6 @@
         self._flow.drop_removed_queues()
         _log.event("configuration in force", version=snapshot.version)
 
-    def _pools_changed(self, message: m.PoolsChanged) -> None:
-        self._state.fleet.set_pools(message.zone, message.revision, message.rows)
-
     def _units_held(self, message: m.UnitsHeld) -> None:
         self._state.ledger.set_held(
             message.team, message.long_units, message.short_units
@@ -170,6 +168,10 @@
         self._stop_if_idle()
 
     def _send_reports(self, now_ms: int) -> None:
+        metrics = self._state.metrics
+        metrics.gauge("running", len(self._attempts))
+        metrics.gauge("pending", len(self._state.pending))
+        metrics.gauge("keys_age_ms", self._state.freshness.age_ms(now_ms) or 0)
         waiting: dict[str, int] = {}
         for fair_queue in self._state.queues_by_service.values():
             for team, count in fair_queue.queued_by_team().items():
--- a/src/cranberrywheel/process/entry_state.py
+++ b/src/cranberrywheel/process/entry_state.py
@@ -10,6 +10,7 @@
 from cranberrywheel.process import messages as m
 from cranberrywheel.process.fleet_view import FleetView
 from cranberrywheel.process.limit_units import UnitLedger
+from cranberrywheel.process.metrics import Metrics
 from cranberrywheel.process.pending import Forward, PendingRequests
 from cranberrywheel.process.timers import Timers
 from cranberrywheel.process.worker_table import WorkerTable
@@ -59,6 +60,7 @@
     workers: WorkerTable
     fleet: FleetView
     tickets: TicketBook
+    metrics: Metrics
     snapshot: m.ConfigurationSnapshot | None = None
     drained: bool = False
     marked_ids: set[str] = dataclasses.field(default_factory=set)
@@ -94,5 +96,6 @@
         ledger=UnitLedger(settings.limits),
         workers=workers,
         fleet=FleetView(process_id, workers),
+        metrics=Metrics(settings.statsd_host, settings.statsd_port),
         tickets=TicketBook(process_id, settings, secrets.token_bytes(32)),
     )
--- a/src/cranberrywheel/process/fleet_view.py
+++ b/src/cranberrywheel/process/fleet_view.py
@@ -1,5 +1,6 @@
 """What one entry process knows of the fleet: workers, pools and peers."""
 
+import dataclasses
 import typing as t
 
 from cranberrywheel.connection.store_client import Instance, InstanceList
@@ -23,6 +24,8 @@
         self._configuration: Configuration | None = None
         self._revision_by_zone: dict[str, int] = {}
         self._rows_by_zone: dict[str, tuple[m.PoolRow, ...]] = {}
+        self._bodies_by_zone: dict[str, dict[str, t.Any]] = {}
+        self._listed = InstanceList(0, 0, ())
         self._instances_by_id: dict[str, Instance] = {}
         self._refused_as_leaving: set[str] = set()
         self._peers_by_id: dict[str, m.PeerReport] = {}
@@ -46,16 +49,19 @@
         }
         self._refresh_workers()
 
-    def set_pools(self, zone: str, revision: int, rows: tuple[m.PoolRow, ...]) -> None:
+    def set_pools(self, message: m.PoolsChanged) -> None:
         """Use a newer ``pools/<zone>`` record; older ones are ignored."""
-        if revision <= self._revision_by_zone.get(zone, 0):
+        zone = message.zone
+        if message.revision <= self._revision_by_zone.get(zone, 0):
             return
-        self._revision_by_zone[zone] = revision
-        self._rows_by_zone[zone] = rows
+        self._revision_by_zone[zone] = message.revision
+        self._rows_by_zone[zone] = message.rows
+        self._bodies_by_zone[zone] = message.body
         self._refresh_workers()
 
     def set_instances(self, listed: InstanceList) -> None:
         """Use a new instance list."""
+        self._listed = listed
         self._instances_by_id = {
             i.instance_id: i for i in listed.instances if i.kind == "worker"
         }
@@ -199,6 +205,13 @@
         """Return the slots of a pool's serving workers."""
         return self._slots_by_pool.get(pool, 0)
 
+    def describe(self) -> dict[str, t.Any]:
+        """Return pool records and the instance list, JSON-ready."""
+        return {
+            "pools_by_zone": self._bodies_by_zone,
+            "instance_list": dataclasses.asdict(self._listed),
+        }
+
     def pool_status(self) -> dict[str, t.Any]:
         """Return workers per pool and state, JSON-ready."""
         status: dict[str, dict[str, int]] = {}
--- a/src/cranberrywheel/process/messages.py
+++ b/src/cranberrywheel/process/messages.py
@@ -91,6 +91,13 @@
     status: "Future[dict[str, t.Any]]"
 
 
+@dataclasses.dataclass(frozen=True)
+class ReadFleet:
+    """To the dispatcher: the future gets pool records and instances, JSON-ready."""
+
+    fleet: "Future[dict[str, t.Any]]"
+
+
 @dataclasses.dataclass(frozen=True)
 class KeyEntry:
     """A team key as stored: only the hash of its secret."""
@@ -155,11 +162,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class PoolsChanged:
-    """To the dispatcher: a newer ``pools/<zone>`` record."""
+    """To the dispatcher: a newer ``pools/<zone>`` record.
+
+    :param body: the whole JSON body, for operators.
+    """
 
     zone: str
     revision: int
     rows: tuple[PoolRow, ...]
+    body: dict[str, t.Any] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cranberrywheel/process/operator_api.py
+++ b/src/cranberrywheel/process/operator_api.py
@@ -70,6 +70,8 @@
             handler = self._grant
         elif request.method == "DELETE" and request.path.startswith("/v1/keys/"):
             handler = self._withdraw
+        elif key == ("GET", "/v1/fleet"):
+            handler = self._fleet
         elif key == ("GET", "/v1/status"):
             handler = self._status
         else:
@@ -141,11 +143,20 @@
         self._to_store(m.WithdrawKey(key_id, result))
         return _json(_wait(result, STORE_WAIT_S))
 
+    def _fleet(self, request: werkzeug.Request) -> werkzeug.Response:
+        fleet: Future[dict[str, t.Any]] = Future()
+        self._to_dispatcher(m.ReadFleet(fleet))
+        return self._dispatchers_answer(fleet)
+
     def _status(self, request: werkzeug.Request) -> werkzeug.Response:
         status: Future[dict[str, t.Any]] = Future()
         self._to_dispatcher(m.ReadStatus(status))
+        return self._dispatchers_answer(status)
+
+    @staticmethod
+    def _dispatchers_answer(answer: "Future[dict[str, t.Any]]") -> werkzeug.Response:
         try:
-            return _json(status.result(timeout=STATUS_WAIT_S))
+            return _json(answer.result(timeout=STATUS_WAIT_S))
         except FutureTimeoutError:
             raise CranberrywheelError(
                 "The dispatcher did not answer.", "Restart this instance."
--- a/src/cranberrywheel/process/placement.py
+++ b/src/cranberrywheel/process/placement.py
@@ -87,6 +87,7 @@
         pending.task_id = task_id
         pending.attempts += 1
         self._state.fleet.count_started(request.team, request.service)
+        self._state.metrics.timing("start_wait_ms", now_ms - request.arrived_ms)
         _log.event(
             "routed request",
             request_id=request.request_id,
@@ -213,6 +214,7 @@
             pending.avoided_racks.add(result.attempt.worker.rack)
         if result.kind == "draining":
             self._state.fleet.add_leaving(result.attempt.worker.name)
+        self._state.metrics.count("retries")
         _log.event(
             "will retry request",
             request_id=request.request_id,
--- a/src/cranberrywheel/process/request_flow.py
+++ b/src/cranberrywheel/process/request_flow.py
@@ -61,6 +61,7 @@
                 queue=incoming.queue[:64],
                 kind=error.kind,
             )
+            self._state.metrics.count(f"refused.{error.kind}")
             message.answer.set_result(problem_answer(incoming.request_id, error))
 
     def _admit(self, incoming: m.IncomingRequest, now_ms: int) -> Request:
@@ -276,9 +277,9 @@
         for waiter in self._state.pending.remove(pending):
             self._answer(waiter, answer)
 
-    @staticmethod
-    def _answer(waiter: Waiter, answer: Answer) -> None:
+    def _answer(self, waiter: Waiter, answer: Answer) -> None:
         if not waiter.answer.done():
+            self._state.metrics.count(f"requests.{answer.outcome}")
             waiter.answer.set_result(
                 dataclasses.replace(answer, request_id=waiter.incoming.request_id)
             )
--- a/src/cranberrywheel/process/store_reader.py
+++ b/src/cranberrywheel/process/store_reader.py
@@ -69,7 +69,8 @@
             "Let the zone's planner write it again.",
         ) from None
     rows = tuple(PoolRow(w, r.pool, r.state) for w, r in body.instances.items())
-    return PoolsChanged(record.key.removeprefix(POOLS_PREFIX), record.revision, rows)
+    zone = record.key.removeprefix(POOLS_PREFIX)
+    return PoolsChanged(zone, record.revision, rows, stored.body)
 
 
 class StoreReader:
--- a/src/cranberrywheel/programs/operator.py
+++ b/src/cranberrywheel/programs/operator.py
@@ -1,128 +1,30 @@
 """``cranberrywheel``: the operators' command line."""
 
 import json
-import os
+import sys
 import time
 import typing as t
 
 from cleo.application import Application
-from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
 import cranberrywheel
-from cranberrywheel.errors import ConfigurationError, CranberrywheelError
+from cranberrywheel.programs.console import REFUSED, run_application
 from cranberrywheel.programs.operator_client import EntryClient, OperatorCallError
-from cranberrywheel.version.configuration import Configuration, parse_configuration
+from cranberrywheel.programs.operator_command import (
+    ENTRY,
+    FILE,
+    JSON,
+    TOKEN_FILE,
+    OperatorCommand,
+    read_configuration,
+)
+from cranberrywheel.programs.plan_command import PlanCommand, current_plan, plan_lines
+from cranberrywheel.version.configuration import parse_configuration
 from cranberrywheel.version.differences import list_differences
 
 WAIT_S = 10.0
 POLL_S = 0.2
-#: Exit codes: refused or failed, and wrong usage.
-REFUSED, USAGE = 1, 2
-
-ENTRY = option(
-    "entry",
-    "e",
-    "URL of an entry instance; repeat it for each.",
-    flag=False,
-    multiple=True,
-)
-TOKEN_FILE = option(
-    "token-file",
-    None,
-    "File with the operators' token; default from CRANBERRYWHEEL_TOKEN_FILE.",
-    flag=False,
-)
-JSON = option("json", None, "Print JSON.")
-FILE = argument("file", "The operators' text.")
-
-
-def read_configuration(path: str) -> tuple[str, Configuration]:
-    """Read and validate a text file.
-
-    :param path: path of the operators' text.
-    :returns: the text and the configuration.
-    :raises ConfigurationError: if it cannot be read or is invalid.
-    """
-    try:
-        with open(path, encoding="utf-8") as file:
-            text = file.read()
-    except (OSError, UnicodeDecodeError) as error:
-        raise ConfigurationError(
-            f"{path} cannot be read: {error}.", "Check the path."
-        ) from None
-    return text, parse_configuration(text)
-
-
-class OperatorCommand(Command):
-    """Base of the commands: finds instances, prints results and errors."""
-
-    def handle(self) -> int:
-        try:
-            return self.work()
-        except CranberrywheelError as error:
-            if self.option("json"):
-                self.line(
-                    json.dumps(
-                        {
-                            "error": error.kind,
-                            "message": error.message,
-                            "remedy": error.remedy,
-                        }
-                    )
-                )
-            else:
-                self.line_error(f"<error>{error}</error>")
-            return REFUSED
-
-    def work(self) -> int:
-        """Run the command; returns the exit code."""
-        raise NotImplementedError
-
-    def clients(self) -> list[EntryClient]:
-        """Return a client per ``--entry``."""
-        urls = (
-            self.option("entry") or os.environ.get("CRANBERRYWHEEL_ENTRY", "").split()
-        )
-        path = self.option("token-file") or os.environ.get(
-            "CRANBERRYWHEEL_TOKEN_FILE", ""
-        )
-        if not urls or not path:
-            raise OperatorCallError(
-                "No entry instance or no token file is named.",
-                "Give --entry URL and --token-file FILE.",
-            )
-        try:
-            with open(path, encoding="utf-8") as file:
-                token = file.read().strip()
-        except OSError as error:
-            raise OperatorCallError(
-                f"The token file cannot be read: {error}.", "Check --token-file."
-            ) from None
-        return [EntryClient(url, token) for url in urls]
-
-    def first_answer(
-        self, method: str, path: str, body: bytes | None = None, *headers: str
-    ) -> dict[str, t.Any]:
-        """Call the instances in turn until one can be reached."""
-        problem: OperatorCallError | None = None
-        for client in self.clients():
-            try:
-                return client.call(method, path, body, headers)
-            except OperatorCallError as error:
-                if error.status:
-                    raise
-                problem = error
-        assert problem is not None
-        raise problem
-
-    def show_result(self, result: t.Any, lines: t.Iterable[str]) -> None:
-        """Print JSON or lines, as asked."""
-        if self.option("json"):
-            self.line(json.dumps(result))
-        else:
-            for line in lines:
-                self.line(line)
 
 
 class CheckCommand(OperatorCommand):
@@ -275,9 +177,23 @@
                 statuses[client.url] = client.call("GET", "/v1/status")
             except OperatorCallError as error:
                 statuses[client.url] = {"error": error.message}
-        self.show_result(statuses, _status_lines(statuses))
+        lines = [*_status_lines(statuses), *self._wave_lines()]
+        self.show_result(statuses, lines)
         return REFUSED if any("error" in s for s in statuses.values()) else 0
 
+    def _wave_lines(self) -> list[str]:
+        """Return the current wave, as far as an instance can describe it."""
+        try:
+            fleet = self.first_answer("GET", "/v1/fleet")
+            shown = self.first_answer("GET", "/v1/configuration")
+        except OperatorCallError:
+            return []
+        if not shown["text"]:
+            return []
+        configuration = parse_configuration(shown["text"])
+        now_ms = time.time_ns() // 1_000_000
+        return list(plan_lines(current_plan(configuration, fleet, now_ms)))
+
 
 def _status_lines(statuses: dict[str, t.Any]) -> t.Iterator[str]:
     for url, status in statuses.items():
@@ -297,7 +213,7 @@
             yield f"  pool {pool}: {words}"
 
 
-def main() -> None:
+def main() -> int:
     """Run the command line."""
     application = Application("cranberrywheel", cranberrywheel.__version__)
     for command in (
@@ -307,10 +223,11 @@
         GrantCommand,
         WithdrawCommand,
         StatusCommand,
+        PlanCommand,
     ):
         application.add(command())
-    raise SystemExit(application.run())
+    return run_application(application)
 
 
 if __name__ == "__main__":
-    main()
+    sys.exit(main())
