Add a workload with tight deadlines to policy_bench

Cause: in the other workloads the predicted wait never refuses a request. Change: workload tight, the cancelled workload with deadlines of 1 s.

--- a/src/cranberrywheel_load/bench_arrivals.py
+++ b/src/cranberrywheel_load/bench_arrivals.py
@@ -49,6 +49,14 @@
         long_ms=3_000,
         timeout_ms=5_000,
     ),
+    # Deadlines shorter than the full queue, so that the predicted wait decides.
+    "tight": Workload(
+        cancel_fraction=0.65,
+        urgent_fraction=0.05,
+        long_fraction=0.02,
+        long_ms=3_000,
+        timeout_ms=1_000,
+    ),
     # Stock counts and catalogue rebuilds, which nobody cancels, fill the slots.
     "overnight": Workload(
         cancel_fraction=0.0,
