Divide all units between the entries and share the test entries

Cause: with a limit that the entry count does not divide, the rest stayed free and so unusable during an outage (48 units over 7 entries: 42 held). Some guards had no test that fails without them. Change: the rest goes to the first entries by process id.

--- a/src/cranberrywheel/process/limit_units.py
+++ b/src/cranberrywheel/process/limit_units.py
@@ -276,7 +276,8 @@
     wanting = [h for h in record.holders if h != holder and h in reachable]
     for taker in sorted(wanting, key=lambda h: (record.holders[h].total, h)):
         row, own = record.holders[taker], record.holders[holder]
-        kept = max(need, reserve if row.wanted > base else base)
+        # The base of another holder may be one unit more.
+        kept = max(need, reserve if row.wanted > base + 1 else base)
         amount = min(_unmet(row), own.total - kept)
         if amount > 0:
             record = _grow(record, taker, amount, long_fraction)
--- a/src/cranberrywheel/process/unit_keeper.py
+++ b/src/cranberrywheel/process/unit_keeper.py
@@ -260,10 +260,14 @@
         )
 
     def _base(self, record: LimitRecord) -> int:
-        """Return the units that each entry takes without demand."""
-        present = self._registered_ids | {self._own.process_id}
+        """Return the units that this entry takes without demand.
+
+        All units are divided: those left free are of no use during an outage.
+        """
+        present = sorted(self._registered_ids | {self._own.process_id})
         withheld = sum(r.total for h, r in record.holders.items() if h not in present)
-        return max(0, record.limit - withheld) // len(present)
+        base, rest = divmod(max(0, record.limit - withheld), len(present))
+        return base + (present.index(self._own.process_id) < rest)
 
     def _release(self, team: str, following: LimitRecord) -> bool:
         """Let the dispatcher stop using what the next state takes away.
--- a/tests/test_adoption.py
+++ b/tests/test_adoption.py
@@ -1,5 +1,5 @@
 import testtools
-from store_fakes import TEXT
+from small_deployment import TEXT
 
 from cranberrywheel.connection.store_client import Record
 from cranberrywheel.errors import StoreError, UnauthorizedError
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,5 +1,5 @@
 import testtools
-from store_fakes import TEXT, FakeFleet, exchange_once
+from small_deployment import TEXT, group_of
 
 from cranberrywheel.connection.store_client import Record
 from cranberrywheel.errors import PeerError, StoreError
@@ -18,20 +18,21 @@
     PeerLost,
     PeerReport,
 )
+from cranberrywheel_load.entries import exchange_once
 
 
 class ExchangeTest(testtools.TestCase):
-    def fleet(self, count=3):
-        fleet = FakeFleet(count)
-        fleet.entries[0].apply(TEXT, 0).result(0)
-        fleet.run(5_000)
-        return fleet, fleet.entries
+    def group(self, count=3):
+        group = group_of(count)
+        group.entries[0].apply(TEXT, 0).result(0)
+        group.run(5_000)
+        return group, group.entries
 
     def received(self, entry, kind):
         return [m for m in entry.messages if isinstance(m, kind)]
 
     def count_reads(self, cut_off):
-        fleet, entries = self.fleet()
+        group, entries = self.group()
         reads = []
         for entry in entries:
             entry.cut_off = cut_off
@@ -39,7 +40,7 @@
             get = client.get
             client.get = lambda *args, get=get: reads.append(args) or get(*args)
         for _ in range(120):
-            fleet.run(500)
+            group.run(500)
             self.assertTrue(all(e.is_fresh() for e in entries))
         return len(reads)
 
@@ -49,57 +50,92 @@
 
     def test_proof_of_a_peer_ages_by_the_whole_exchange(self):
         """A slow answer must not make an old proof look young."""
-        fleet, (a, b, _) = self.fleet()
-        fleet.set_down(True)
-        fleet.clock.advance(60_000)
-        b.exchange.store_read(fleet.clock.now_ms() - 1_000)
+        group, (a, b, _) = self.group()
+        group.set_down(True)
+        group.clock.advance(60_000)
+        b.exchange.store_read(group.clock.now_ms() - 1_000)
         exchange_once(a, b, delay_ms=3_500)
-        self.assertEqual(4_500, a.freshness.age_ms(fleet.clock.now_ms()))
+        self.assertEqual(4_500, a.freshness.age_ms(group.clock.now_ms()))
+
+    def test_proof_of_a_slow_read_counts_from_before_it(self):
+        """The withdrawal may be stored after the store has answered."""
+        group, (a, _, _) = self.group()
+        client = a.clients[1]
+        get = client.get
+
+        def get_slowly(*args):
+            answer = get(*args)
+            group.clock.advance(3_000)
+            return answer
+
+        client.get = get_slowly
+        group.clock.advance(60_000)
+        a.session.reader.read_configuration()
+        self.assertEqual(3_000, a.freshness.age_ms(group.clock.now_ms()))
+
+    def test_messages_of_entries_prove_nothing_while_the_store_is_read(self):
+        """The roster may lack an entry that has just registered."""
+        group, (a, _, _) = self.group()
+        for _ in range(20):
+            group.run(500)
+            proof_ms = a.freshness.age_ms(group.clock.now_ms())
+            self.assertEqual(a.exchange.store_read_age_ms(), proof_ms)
+
+    def test_registered_entry_that_was_never_heard(self):
+        """It may know a withdrawal that no other entry knows."""
+        group = group_of(3)
+        a, b, c = group.entries
+        c.cut_off = True
+        a.apply(TEXT, 0).result(0)
+        group.run(5_000)
+        group.set_down(True)
+        group.run(6_000)
+        self.assertEqual([False, False], [a.is_fresh(), b.is_fresh()])
 
     def test_ages_in_unasked_messages_do_not_count(self):
         """A message may have waited in a paused receiver for any time."""
-        fleet, (a, b, _) = self.fleet()
+        group, (a, b, _) = self.group()
         state = b.exchange.build_state()
-        fleet.clock.advance(60_000)
+        group.clock.advance(60_000)
         a.exchange.merge_state(state, None)
         self.assertFalse(a.is_fresh())
 
     def test_store_down_for_all_entries(self):
         """Authenticated requests must go on while all entries hear each other."""
-        fleet, entries = self.fleet()
-        fleet.set_down(True)
+        group, entries = self.group()
+        group.set_down(True)
         for _ in range(300):
-            fleet.run(500)
+            group.run(500)
             self.assertTrue(all(e.is_fresh() for e in entries))
 
     def test_silent_entry_ends_freshness_without_the_store(self):
         """The silent one could have accepted a withdrawal."""
-        fleet, (a, b, c) = self.fleet()
-        fleet.set_down(True)
+        group, (a, b, c) = self.group()
+        group.set_down(True)
         c.cut_off = True
-        fleet.run(4_000)
+        group.run(4_000)
         self.assertEqual([True, True], [a.is_fresh(), b.is_fresh()])
-        fleet.run(2_000)
+        group.run(2_000)
         fresh = [a.is_fresh(), b.is_fresh(), c.is_fresh()]
         self.assertEqual([False, False, False], fresh)
 
     def test_age_of_a_message_is_relayed(self):
         """Two entries that cannot reach each other share a third one."""
-        fleet, (a, b, c) = self.fleet()
-        fleet.set_down(True)
+        group, (a, b, c) = self.group()
+        group.set_down(True)
         for _ in range(40):
             for caller, peer in ((c, b), (b, c), (b, a), (a, b)):
                 exchange_once(caller, peer)
-            fleet.clock.advance(500)
+            group.clock.advance(500)
         self.assertTrue(a.is_fresh() and c.is_fresh())
 
     def test_withdrawal_during_an_outage_stops_the_key_everywhere(self):
         """A mark must reach relayed entries before their proof is renewed."""
-        fleet, (a, b, c) = self.fleet()
-        key_id = a.grant().result(0).partition(".")[0]
-        fleet.run(3_000)
-        fleet.set_down(True)
-        fleet.run(2_000)
+        group, (a, b, c) = self.group()
+        key_id = a.grant("t").result(0).partition(".")[0]
+        group.run(3_000)
+        group.set_down(True)
+        group.run(2_000)
         answer = a.withdraw(key_id)
         self.assertFalse(answer.done())
         exchange_once(c, b)
@@ -108,47 +144,47 @@
         exchange_once(c, b)
         for entry in (a, b, c):
             self.assertIn(MarkWithdrawn(key_id), entry.messages)
-        fleet.run(6_000)
+        group.run(6_000)
         result = answer.result(0)
         self.assertFalse(result["stored"])
         self.assertEqual({e.process_id for e in (a, b, c)}, set(result["confirmed"]))
-        fleet.set_down(False)
-        fleet.run(6_000)
+        group.set_down(False)
+        group.run(6_000)
         self.assertIn(key_id, c.exchange.holder.snapshot.withdrawn_ids)
         self.assertEqual(set(), b.exchange.unwritten_marks())
 
     def test_older_proof_does_not_hide_a_newer_version(self):
         """A peer's proof covers its version; without that version it is void."""
-        fleet, (a, b, _) = self.fleet()
-        fleet.set_down(True)
-        fleet.clock.advance(60_000)
+        group, (a, b, _) = self.group()
+        group.set_down(True)
+        group.clock.advance(60_000)
         record = b.exchange.holder.record
         newer = ConfigurationRecord(version=99, record_json=record.value)
         b.exchange.adopt_fetched(newer)
-        b.exchange.store_read(fleet.clock.now_ms())
+        b.exchange.store_read(group.clock.now_ms())
         state = b.exchange.build_state()
-        self.assertFalse(a.exchange.merge_state(state, fleet.clock.now_ms()))
+        self.assertFalse(a.exchange.merge_state(state, group.clock.now_ms()))
         self.assertFalse(a.is_fresh())
         a.exchange.adopt_fetched(b.exchange.record_for_peer(a.exchange.holder.version))
-        self.assertTrue(a.exchange.merge_state(state, fleet.clock.now_ms()))
+        self.assertTrue(a.exchange.merge_state(state, group.clock.now_ms()))
         self.assertTrue(a.is_fresh())
 
     def test_start_during_an_outage(self):
         """A replacement gets the version from peers that know its address."""
-        fleet, entries = self.fleet()
-        fleet.run(5_000)
+        group, entries = self.group()
+        group.run(5_000)
         version = entries[0].versions[-1]
-        fleet.set_down(True)
-        new = fleet.replace(2, "b")
+        group.set_down(True)
+        new = group.replace(2, "b")
         new.set_down(True)
-        fleet.run(6_000)
+        group.run(6_000)
         self.assertEqual([version], new.versions)
         self.assertTrue(all(e.is_fresh() for e in entries[:2]))
         refused = new.withdraw("unknown")
         self.assertEqual("store-unavailable", refused.exception(0).kind)
 
     def test_load_is_reported_and_silence_is_noticed(self):
-        fleet, (a, b, _) = self.fleet()
+        group, (a, b, _) = self.group()
         load = PeerLoad("t", "s", 3, 2, 1)
         b.exchange.set_load(LoadReport((load,), {"w1": 4}, ("w2",), True))
         exchange_once(a, b)
@@ -157,11 +193,11 @@
         self.assertEqual({"w1": 4}, report.in_flight_by_worker)
         self.assertEqual((("w2",), True), (report.leaving_instances, report.stopping))
         b.paused = True
-        fleet.run(4_000)
+        group.run(4_000)
         self.assertEqual([PeerLost(b.process_id)], self.received(a, PeerLost))
 
     def test_malformed_messages_are_refused(self):
-        fleet, (a, b, _) = self.fleet()
+        group, (a, b, _) = self.group()
         for name, value in (
             ("process_id", ""),
             ("zone", "other"),
@@ -205,15 +241,15 @@
 
     def test_new_instance_is_not_taken_for_gone(self):
         """A lagging list lacks new instances; only a listed one can be gone."""
-        fleet = FakeFleet(3)
-        fleet.entries[0].apply(TEXT, 0).result(0)
-        for entry in fleet.entries[:2]:
-            fleet.platform.set_instance(entry.settings.instance, {"kind": "entry"})
-        fleet.run(5_000)
-        a, b, c = fleet.entries
+        group = group_of(3)
+        group.entries[0].apply(TEXT, 0).result(0)
+        for entry in group.entries[:2]:
+            group.platform.set_instance(entry.settings.instance, {"kind": "entry"})
+        group.run(5_000)
+        a, b, c = group.entries
         c.paused = True
-        fleet.platform.remove_instance(b.settings.instance)
-        fleet.run(5_000)
+        group.platform.remove_instance(b.settings.instance)
+        group.run(5_000)
         self.assertEqual([c.process_id], [p.process_id for p in a.exchange.peers()])
 
     def test_malformed_registration_is_refused(self):
--- a/tests/test_store_session.py
+++ b/tests/test_store_session.py
@@ -1,7 +1,7 @@
 import json
 
 import testtools
-from store_fakes import TEXT, FakeFleet
+from small_deployment import TEXT, group_of
 
 from cranberrywheel.errors import (
     ConfigurationError,
@@ -21,20 +21,20 @@
 class ConfigurationTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.fleet = FakeFleet(2)
-        self.a, self.b = self.fleet.entries
-        self.fleet.run(1_000)
+        self.group = group_of(2)
+        self.a, self.b = self.group.entries
+        self.group.run(1_000)
 
     def test_first_text_creates_the_record(self):
         self.assertEqual(1, self.a.apply(TEXT, 0).result(0))
-        self.fleet.run(4_000)
+        self.group.run(4_000)
         self.assertEqual(self.a.versions, self.b.versions)
         self.assertEqual(1, len(self.a.versions))
 
     def test_invalid_text_is_refused(self):
         error = self.a.apply(TEXT + "colour = red\n", 0).exception(0)
         self.assertIsInstance(error, ConfigurationError)
-        self.assertIsNone(self.fleet.platform.get(CONFIGURATION_KEY))
+        self.assertIsNone(self.group.platform.get(CONFIGURATION_KEY))
 
     def test_one_of_two_operators_wins(self):
         """A lost edit must be reported to the operator who made it."""
@@ -52,7 +52,7 @@
 
         def grant_first(*args):
             if not keys:
-                keys.append(self.b.grant().result(0))
+                keys.append(self.b.grant("t").result(0))
             return put(*args)
 
         self.a.clients[0].put = grant_first
@@ -65,11 +65,11 @@
         """A second write of the same text would conflict with the first."""
         self.a.clients[0].lose = 1
         answer = self.a.apply(TEXT, 0)
-        self.fleet.run(4_000)
+        self.group.run(4_000)
         self.assertEqual(1, answer.result(0))
         self.a.clients[0].lose = 1
-        key = self.a.grant()
-        self.fleet.run(4_000)
+        key = self.a.grant("t")
+        self.group.run(4_000)
         key_id = key.result(0).partition(".")[0]
         self.assertEqual({key_id}, set(self.a.exchange.holder.snapshot.keys_by_id))
 
@@ -81,23 +81,23 @@
         answer = self.a.apply(TEXT.replace("12", "10"), 1)
         self.b.apply(TEXT.replace("12", "8"), 1).result(0)
         client.delay_writes = False
-        self.fleet.run(4_000)
+        self.group.run(4_000)
         self.assertIsInstance(answer.exception(0), VersionConflictError)
         client.delayed[0]()
-        self.fleet.run(4_000)
+        self.group.run(4_000)
         team = self.b.exchange.holder.snapshot.configuration.teams_by_name["t"]
         self.assertEqual(8, team.limit)
 
     def test_store_outage_is_reported_with_what_is_known(self):
-        self.fleet.set_down(True)
+        self.group.set_down(True)
         unsent = self.a.apply(TEXT, 0)
-        self.fleet.run(11_000)
+        self.group.run(11_000)
         self.assertIn("nothing was changed", str(unsent.exception(0)))
-        self.fleet.set_down(False)
-        self.fleet.run(4_000)
+        self.group.set_down(False)
+        self.group.run(4_000)
         self.a.clients[0].delay_writes = True
         sent = self.a.apply(TEXT, 0)
-        self.fleet.run(11_000)
+        self.group.run(11_000)
         self.assertIsInstance(sent.exception(0), StoreUnavailableError)
         self.assertIn("may or may not", str(sent.exception(0)))
 
@@ -109,28 +109,28 @@
     def test_withdrawal_names_entries_that_did_not_confirm(self):
         """The operator must learn where the key may still be in use."""
         self.a.apply(TEXT, 0).result(0)
-        key_ids = [self.a.grant().result(0).partition(".")[0] for _ in range(2)]
-        self.fleet.run(4_000)
+        key_ids = [self.a.grant("t").result(0).partition(".")[0] for _ in range(2)]
+        self.group.run(4_000)
         answer = self.a.withdraw(key_ids[0])
-        self.fleet.run(2_000)
+        self.group.run(2_000)
         ids = [self.a.process_id, self.b.process_id]
         expected = {"stored": True, "confirmed": ids, "unconfirmed": []}
         self.assertEqual(expected, answer.result(0))
         self.b.cut_off = self.b.paused = True
         answer = self.a.withdraw(key_ids[1])
-        self.fleet.run(6_000)
+        self.group.run(6_000)
         self.assertEqual([self.b.process_id], answer.result(0)["unconfirmed"])
 
     def test_partitioned_entry_loses_its_proof_but_not_its_version(self):
         """Queues that pause stop there; queues that serve use the age."""
         self.a.apply(TEXT, 0).result(0)
-        self.fleet.run(4_000)
+        self.group.run(4_000)
         self.b.cut_off = True
         self.b.set_down(True)
-        self.a.withdraw(self.a.grant().result(0).partition(".")[0])
-        self.fleet.run(6_000)
+        self.a.withdraw(self.a.grant("t").result(0).partition(".")[0])
+        self.group.run(6_000)
         self.assertEqual((True, False), (self.a.is_fresh(), self.b.is_fresh()))
-        now_ms = self.fleet.clock.now_ms()
+        now_ms = self.group.clock.now_ms()
         self.assertTrue(self.b.freshness.is_fresh(now_ms, 60_000))
         self.assertEqual(1, len(self.b.versions))
 
@@ -138,16 +138,16 @@
 class SessionTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.fleet = FakeFleet(1)
-        (self.a,) = self.fleet.entries
+        self.group = group_of(1)
+        (self.a,) = self.group.entries
 
     def renewals(self):
         return [m.started_ms for m in self.a.messages if isinstance(m, HoldRenewed)]
 
     def test_renewal_counts_from_before_it_was_sent(self):
         """A slow renewal must not extend the hold time of units."""
-        self.fleet.run(1_000)
-        client, clock = self.a.clients[0], self.fleet.clock
+        self.group.run(1_000)
+        client, clock = self.a.clients[0], self.group.clock
         renew = client.renew_lease
 
         def renew_slowly(lease):
@@ -162,25 +162,25 @@
 
     def test_lost_registration_answer_is_not_a_conflict(self):
         self.a.clients[0].lose = 1
-        self.fleet.run(1_000)
+        self.group.run(1_000)
         key = f"entries/{self.a.process_id}"
-        value = json.loads(self.fleet.platform.get(key).value)
+        value = json.loads(self.group.platform.get(key).value)
         self.assertEqual("127.0.0.1:9000", value["peer_address"])
         self.assertEqual(1, len(self.renewals()))
 
     def test_calls_back_off_during_an_outage(self):
         """Entries that retry without pause would keep the store down."""
-        self.fleet.run(1_000)
+        self.group.run(1_000)
         calls = []
         for client in self.a.clients:
             client.down = True
-            client._check = self.counting(client, calls)
-        self.fleet.run(60_000, step_ms=100)
+            client.check = self.counting(client, calls)
+        self.group.run(60_000, step_ms=100)
         self.assertLess(len(calls), 200)
 
     @staticmethod
     def counting(client, calls):
-        check = type(client)._check
+        check = type(client).check
 
         def counted():
             calls.append(client)
@@ -191,10 +191,10 @@
     def test_pools_and_instances_reach_the_dispatcher_once_per_revision(self):
         rows = {"w1": {"pool": "p", "state": "draining"}}
         value = prepare_write("pools/z1", None, "planner", {"instances": rows}).value
-        self.fleet.platform.put("pools/z1", value, 0, "")
-        self.fleet.platform.put("pools/z2", "{}", 0, "")
-        self.fleet.platform.set_instance("w1", {"state": "leaving"})
-        self.fleet.run(6_000)
+        self.group.platform.put("pools/z1", value, 0, "")
+        self.group.platform.put("pools/z2", "{}", 0, "")
+        self.group.platform.set_instance("w1", {"state": "leaving"})
+        self.group.run(6_000)
         pools = [m for m in self.a.messages if isinstance(m, PoolsChanged)]
         rows = (PoolRow("w1", "p", "draining"),)
         self.assertEqual([("z1", rows)], [(m.zone, m.rows) for m in pools])
