--- a/src/cranberrywheel_load/planned_scale.py
+++ b/src/cranberrywheel_load/planned_scale.py
@@ -34,7 +34,7 @@
         else []
     )
     sections.append(
-        f"[service {name}]\npool = {name}\nmin_healthy = {rng.choice((12, 15, 20))}\n"
+        f"[service {name}]\npool = {name}\nmin_healthy = {rng.choice((15, 24, 30))}\n"
         f"depends_on = {', '.join(depends_on)}"
     )
     # A burst of the larger queue takes from a third to 1.2 of the pool.
