Give each zone its own relays, and reduce the experiment's load

Change: the platform stand-in shows each zone its own worker addresses, so only peer links need a lookup; relays run only in the row that partitions; pools have 6 slots and the default scale is a quarter; the load starts when every entry instance holds units of every team.

--- a/src/cranberrywheel_load/cluster.py
+++ b/src/cranberrywheel_load/cluster.py
@@ -93,7 +93,7 @@
         self.places: dict[str, EntryPlace] = {}
         self.worker_addresses: dict[str, str] = {}
         self.platform_url = ""
-        self._entry_platform_url = ""
+        self._platform_urls: dict[str, str] = {}
         self._relay: socket.socket | None = None
 
     def __enter__(self) -> "Cluster":
@@ -145,7 +145,9 @@
             "platform", module, "platform", "--port", str(port), "--history", history
         )
         self.platform_url = f"http://{HOST}:{port}"
-        self._entry_platform_url = f"http://{HOST}:{self._relayed(port, PLATFORM_ZONE)}"
+        for zone in self.configuration.regions_by_zone:
+            relay_port = self._relayed(port, PLATFORM_ZONE, zone)
+            self._platform_urls[zone] = f"http://{HOST}:{relay_port}/view/{zone}"
         self._wait_answer(f"{self.platform_url}/v1/counters", "platform")
 
     def _start_workers(self) -> None:
@@ -159,7 +161,10 @@
                     "zone": worker.zone,
                     "rack": worker.rack,
                     "port": port,
-                    "advertised_port": self._relayed(port, worker.zone),
+                    "addresses": {
+                        zone: f"{HOST}:{self._relayed(port, worker.zone, zone)}"
+                        for zone in self.configuration.regions_by_zone
+                    },
                     "slots": worker.slots,
                     "cores": worker.cores,
                     "memory_mb": worker.memory_mb,
@@ -229,13 +234,10 @@
         changed: t.Mapping[str, t.Mapping[str, t.Any]],
     ) -> None:
         parser = configparser.ConfigParser(interpolation=None)
-        platform = {"url": self._entry_platform_url}
+        platform = {"url": self._platform_urls[values["zone"]]}
         for title, part in {section: values, "platform": platform, **changed}.items():
             known = dict(parser[title]) if parser.has_section(title) else {}
             parser[title] = {**known, **{k: str(v) for k, v in part.items()}}
-        for key, value in values.items():
-            parser[section][key] = str(value)
-        parser["platform"]["url"] = self._entry_platform_url
         with (self.folder / f"{name}.ini").open("w") as file:
             parser.write(file)
 
@@ -340,6 +342,19 @@
                 f"{name} has the new configuration",
             )
 
+    def wait_units(self) -> None:
+        """Wait until every instance holds a unit of every team."""
+
+        def held(name: str) -> bool:
+            _, status = self.operate("GET", "/v1/status", entry=name)
+            usable = status["units_usable_by_team"].values()
+            return bool(usable) and min(usable) > 0
+
+        for name in self.places:
+            wait_until(
+                lambda name=name: held(name), READY_TIMEOUT_S, f"{name} holds units"
+            )
+
     # Faults
 
     def set_platform_faults(self, **faults: t.Any) -> None:
@@ -378,12 +393,15 @@
         answer = self._relay.recv(100)
         assert answer.endswith(b"\n"), f"relay answered {answer!r}"
 
-    def _relayed(self, port: int, zone: str) -> int:
-        """Return the port that others use for a listening port."""
-        if self._relay is None:
+    def _relayed(self, port: int, zone: str, asking: str = "") -> int:
+        """Return the port that others use for a listening port.
+
+        :param asking: the zone that uses it; ``""`` for all.
+        """
+        if self._relay is None or asking == zone:
             return port
         (relay_port,) = free_ports(1)
-        self._command({"listen": [relay_port, port, zone]})
+        self._command({"listen": [relay_port, port, zone, asking]})
         return relay_port
 
     def _tell_owners(self) -> None:
--- a/src/cranberrywheel_load/experiment.py
+++ b/src/cranberrywheel_load/experiment.py
@@ -23,6 +23,8 @@
 
 ZONES = 3
 WORKERS_PER_POOL = 3
+#: few, so that bursts fill a pool without filling the processors of the machine.
+SLOTS = 2
 #: the store outage of the design, and its short hold time.
 OUTAGE_S = 60.0
 SHORT_HOLD_MS = 90_000
@@ -55,9 +57,9 @@
         return SHORT_HOLD_MS * self.time_scale / 1000 + 2
 
 
-def cluster_plan(plan: ExperimentPlan) -> ClusterPlan:
+def cluster_plan(plan: ExperimentPlan, with_relays: bool) -> ClusterPlan:
     """Return a deployment with one entry instance in each zone."""
-    text = reduce_text(plan.text, ZONES, WORKERS_PER_POOL)
+    text = reduce_text(plan.text, ZONES, WORKERS_PER_POOL, SLOTS)
     lines = [x for x in text.splitlines() if x.startswith("[zone ")]
     holds = {
         "short_hold_ms": round(SHORT_HOLD_MS * plan.time_scale),
@@ -68,7 +70,7 @@
         text=text,
         entry_zones=tuple(line[6:-1] for line in lines),
         entry_settings={"limits": holds},
-        with_relays=True,
+        with_relays=with_relays,
     )
 
 
@@ -81,6 +83,7 @@
     keys = cluster.grant_keys()
     for name in cluster.places:
         cluster.wait_ready(name)
+    cluster.wait_units()
     return keys
 
 
@@ -89,7 +92,7 @@
     folder = plan.folder / row.name.replace(" ", "-")
     folder.mkdir(parents=True)
     rng = random.Random(plan.seed)
-    with Cluster(cluster_plan(plan), folder) as cluster:
+    with Cluster(cluster_plan(plan, row.partitions), folder) as cluster:
         cluster.history.write("meta", seed=plan.seed)
         keys = prepare(cluster)
         fault = FaultRun(cluster, OUTAGE_S * plan.time_scale, plan.pause_s)
--- a/src/cranberrywheel_load/faults.py
+++ b/src/cranberrywheel_load/faults.py
@@ -109,18 +109,20 @@
     """One row of the experiment.
 
     :param waves: whether all open calls are cancelled every two seconds.
+    :param partitions: whether the script needs relays between the zones.
     """
 
     name: str
     script: t.Callable[[FaultRun], None]
     waves: bool = False
+    partitions: bool = False
 
 
 ROWS = (
     Row("none", no_fault),
     Row("entry killed", kill_entry),
     Row("entry paused past its lease", pause_entry),
-    Row("zone partitioned", partition_zone),
+    Row("zone partitioned", partition_zone, partitions=True),
     Row("store down", stop_store),
     Row("answers lost after the write", lose_answers),
     Row("one worker fails everything", fail_worker),
--- a/src/cranberrywheel_load/main.py
+++ b/src/cranberrywheel_load/main.py
@@ -104,7 +104,7 @@
         _value("rows", "Row names, separated by commas; default all.", ""),
         _value("seconds", "Length of each row's load.", "30"),
         _value("surge-seconds", "Length of one queue's burst.", "3"),
-        _value("scale", "Factor on the mean rates.", "1"),
+        _value("scale", "Factor on the mean rates.", "0.25"),
         _value("time-scale", "Factor on outage and hold times.", "0.16667"),
         _value("seed", "Seed of the random choices.", "1"),
         _value("folder", "New folder for logs and histories.", "experiment"),
--- a/src/cranberrywheel_load/relay.py
+++ b/src/cranberrywheel_load/relay.py
@@ -1,13 +1,14 @@
 """TCP relays that can partition availability zones.
 
-Every target listens behind a relay whose address is the one that others learn. The
-relay finds out which process opened a connection, and so its zone, from the kernel's
-socket table. Cutting a pair of zones holds the bytes between them back, as a network
-that loses packets does: connections neither fail nor progress until the cut ends.
+Every target listens behind relays whose addresses are the ones that others learn. A
+relay either serves one zone only, or finds out which process opened a connection, and
+so its zone, from the kernel's socket table. Cutting a pair of zones holds the bytes
+between them back, as a network that loses packets does: connections neither fail nor
+progress until the cut ends.
 
 The program reads one JSON command a line from its control connection and answers each
-with a line: ``{"listen": [port, target port, zone]}``, ``{"owners": {pid: zone}}`` and
-``{"cut": [[zone, zone], ...]}``.
+with a line: ``{"listen": [port, target port, zone, asking zone or ""]}``,
+``{"owners": {pid: zone}}`` and ``{"cut": [[zone, zone], ...]}``.
 """
 
 import asyncio
@@ -58,14 +59,19 @@
         self._healed = asyncio.Event()
         self._servers: list[asyncio.Server] = []
 
-    async def listen(self, port: int, target_port: int, zone: str) -> None:
-        """Relay a port to a target in a zone."""
+    async def listen(self, port: int, target_port: int, zone: str, asking: str) -> None:
+        """Relay a port to a target in a zone.
+
+        :param asking: zone of all callers, or ``""`` to look each one up.
+        """
 
         async def accept(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
             try:
-                await self._relay(reader, writer, port, target_port, zone)
+                client_port = writer.get_extra_info("peername")[1]
+                source = asking or await self._source_zone(client_port, port)
+                await self._relay(reader, writer, source, target_port, zone)
             except OSError:
                 pass
             finally:
@@ -97,12 +103,10 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        port: int,
+        source: str,
         target_port: int,
         zone: str,
     ) -> None:
-        client_port = writer.get_extra_info("peername")[1]
-        source = await self._source_zone(client_port, port)
         await self._passable(source, zone)
         target_reader, target_writer = await asyncio.open_connection(HOST, target_port)
         try:
