--- a/src/cranberrywheel/process/entry.py
+++ b/src/cranberrywheel/process/entry.py
@@ -66,6 +66,7 @@
         links = Links(
             to_targets=lambda message: self._targets.post(message),
             to_store=lambda message: self._store.inbox.put(message),
+            to_self=lambda message: self._dispatcher.post(message),
             to_peers=lambda load: self._peers.report_load(load),
             forward=lambda address, incoming, timeout_ms: self._peers.forward(
                 address, incoming, timeout_ms
@@ -83,6 +84,7 @@
             self._exchange,
             self._submit_forwarded,
             lambda peer, results: post(m.ResultsHandedOver(peer, tuple(results))),
+            lambda request_id: post(m.CancelRequest(request_id)),
         )
         self._store = StoreSession(settings, clock, post, self._exchange)
         operators = OperatorApi(
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -5,7 +5,7 @@
 
 from cranberrywheel.connection.store_client import InstanceList
 from cranberrywheel.process.budget import BudgetLedger
-from cranberrywheel.process.capacity import build_problem, choose_sizes
+from cranberrywheel.process.capacity import build_problem
 from cranberrywheel.process.fleet_model import (
     InstanceState,
     PoolRow,
@@ -13,6 +13,7 @@
     seed_zone_pools,
 )
 from cranberrywheel.process.fleet_model import dump_zone_pools as dump
+from cranberrywheel.process.size_search import choose_sizes
 from cranberrywheel.process.waves import plan_preview, plan_round
 
 DRAINING = PoolRow(pool="a", state=InstanceState.DRAINING)
@@ -115,9 +116,12 @@
 
     def test_disruptions_of_another_zone_count(self):
         # Guards against two zones that each use the same margin.
-        config = configuration(healthy=2)
-        out = {"a": ("a3",)}
-        self.assertEqual([], taken(plan(config, fleet(config, out_by_service=out))))
+        config = configuration(healthy=1)
+        out = {"a": ("a3", "a4")}
+        built = fleet(config, out_by_service=out)
+        self.assertEqual([], taken(plan(config, built)))
+        ledger = BudgetLedger(config, built, out["a"])
+        self.assertNotEqual("", ledger.take(built.instances_by_name["a1"]))
 
     def test_preview_is_json_ready_with_and_without_records(self):
         config = configuration()
