--- /dev/null
+++ b/src/cranberrywheel_spec/bounded.py
@@ -0,0 +1,182 @@
+"""Bounded model checking of transition systems with z3.
+
+A :class:`Model` lists typed variables, the initial states, actions and properties. Each
+action is a condition and the new values of the variables that it changes. A guard is a
+named condition that can be dropped, to show that a property depends on it.
+"""
+
+import dataclasses
+import types
+import typing as t
+
+import z3
+
+State = types.SimpleNamespace
+Guard = t.Callable[[str, t.Any], t.Any]
+"""``guard(name, condition)``: the condition, or true if the guard is dropped."""
+
+
+@dataclasses.dataclass
+class Action:
+    """One transition.
+
+    :param name: shown in traces.
+    :param condition: when it may happen.
+    :param updates: new values by variable name; other variables keep theirs.
+    """
+
+    name: str
+    condition: t.Any
+    updates: dict[str, t.Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class Model:
+    """A transition system.
+
+    :param name: used by the command line and the reports.
+    :param sorts: z3 sorts of the state variables, by name.
+    :param inputs: z3 sorts of values chosen freely at each step, by name.
+    :param start: constraints on the first state.
+    :param actions: actions from a state (inputs included) under a guard function.
+    :param properties: conditions that hold in each state, by name.
+    :param guards: name of each guard that can be dropped and the property that then
+        fails.
+    :param depth: number of steps that the check covers.
+    :param invariant: conditions that hold at the start, are kept by every action and
+        imply the properties; ``None`` if the model has none.
+    """
+
+    name: str
+    sorts: dict[str, z3.SortRef]
+    inputs: dict[str, z3.SortRef]
+    start: t.Callable[[State], list[t.Any]]
+    actions: t.Callable[[State, Guard], list[Action]]
+    properties: t.Callable[[State], dict[str, t.Any]]
+    guards: dict[str, str]
+    depth: int
+    invariant: t.Callable[[State], list[t.Any]] | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """Outcome of one bounded check.
+
+    :param violated: the property that fails, or ``""``.
+    :param steps: the shortest trace that violates it: action names with the variables
+        that changed; empty if no property fails.
+    :param depth: number of steps covered, or the length of the trace.
+    """
+
+    violated: str
+    steps: tuple[str, ...]
+    depth: int
+
+
+def _state(model: Model, step: int) -> State:
+    sorts = model.sorts | model.inputs
+    return State(**{n: z3.Const(f"{n}@{step}", sort) for n, sort in sorts.items()})
+
+
+def _transition(
+    model: Model, here: State, there: State, guard: Guard, choice: t.Any
+) -> tuple[list[t.Any], list[Action]]:
+    actions = model.actions(here, guard)
+    enabled = [
+        z3.Implies(choice == i, action.condition) for i, action in enumerate(actions)
+    ]
+    constraints = [z3.And(0 <= choice, choice < len(actions)), *enabled]
+    for name in model.sorts:
+        value = getattr(here, name)
+        for i, action in enumerate(actions):
+            if name in action.updates:
+                value = z3.If(choice == i, action.updates[name], value)
+        constraints.append(getattr(there, name) == value)
+    return constraints, actions
+
+
+def _trace(model: Model, found: z3.ModelRef, names: list[str], depth: int) -> list[str]:
+    steps = []
+    for step in range(depth):
+        action = names[found.eval(z3.Int(f"choice@{step}")).as_long()]
+        here, there = _state(model, step), _state(model, step + 1)
+        changes = []
+        for name in model.sorts:
+            old = found.eval(getattr(here, name), model_completion=True)
+            new = found.eval(getattr(there, name), model_completion=True)
+            if not old.eq(new):
+                text = new.as_decimal(3) if z3.is_rational_value(new) else str(new)
+                changes.append(f"{name}={text}")
+        steps.append(f"{action}: {' '.join(changes)}")
+    return steps
+
+
+def _guard(model: Model, dropped: str) -> Guard:
+    def guard(name: str, condition: t.Any) -> t.Any:
+        if name not in model.guards:
+            raise KeyError(f"{model.name} does not list guard {name!r}")
+        return z3.BoolVal(True) if name == dropped else condition
+
+    return guard
+
+
+def check(model: Model, dropped: str = "", depth: int = 0) -> Result:
+    """Search all traces from the shortest for one that violates a property.
+
+    :param model: the transition system.
+    :param dropped: a guard to leave out; ``""`` keeps all.
+    :param depth: number of steps to cover; 0 means the depth of the model.
+    :returns: the first violation, or none within the depth.
+    :raises RuntimeError: if z3 gives up on a query.
+    """
+
+    guard = _guard(model, dropped)
+    solver = z3.Solver()
+    solver.set("random_seed", 0)
+    here = _state(model, 0)
+    solver.add(*model.start(here))
+    names: list[str] = []
+    for step in range((depth or model.depth) + 1):
+        for name, holds in model.properties(here).items():
+            answer = solver.check(z3.Not(holds))
+            if answer == z3.sat:
+                steps = _trace(model, solver.model(), names, step)
+                return Result(name, tuple(steps), step)
+            if answer == z3.unknown:
+                raise RuntimeError(f"z3 gave up: {solver.reason_unknown()}")
+        there = _state(model, step + 1)
+        choice = z3.Int(f"choice@{step}")
+        constraints, actions = _transition(model, here, there, guard, choice)
+        names = [action.name for action in actions]
+        solver.add(*constraints)
+        here = there
+    return Result("", (), depth or model.depth)
+
+
+def prove(model: Model, dropped: str = "") -> list[str]:
+    """Check that the invariant of a model is inductive and implies its properties.
+
+    Success covers traces of any length.
+
+    :param model: a model with an invariant.
+    :param dropped: a guard to leave out; ``""`` keeps all.
+    :returns: what fails: ``start``, the name of a property, or the name of an action
+        that breaks the invariant; empty if the proof succeeds.
+    """
+    here, there = _state(model, 0), _state(model, 1)
+    invariant = z3.And(*model.invariant(here))
+    choice = z3.Int("choice@0")
+    step, actions = _transition(model, here, there, _guard(model, dropped), choice)
+    claims = {"start": [*model.start(here), z3.Not(invariant)]}
+    for name, holds in model.properties(here).items():
+        claims[name] = [invariant, z3.Not(holds)]
+    broken = z3.Not(z3.And(*model.invariant(there)))
+    for i, action in enumerate(actions):
+        claims[action.name] = [invariant, *step, choice == i, broken]
+    failed = []
+    for name, claim in claims.items():
+        solver = z3.Solver()
+        solver.add(*claim)
+        if solver.check() != z3.unsat:
+            failed.append(name)
+    return failed
--- /dev/null
+++ b/src/cranberrywheel_spec/unit_times.py
@@ -0,0 +1,293 @@
+"""Specification of one limit unit over time: hold, start token, task lease, reclaim.
+
+The holder is one process with one unit. Time is real. Each process reads its own clock,
+whose rate differs from the true one by up to ``CLOCK_ERROR``, so two clocks differ by
+about 1%, as docs/design.md assumes. Any time can pass between two steps, which covers
+pauses and slow messages.
+"""
+
+import dataclasses
+import typing as t
+
+import z3
+
+from cranberrywheel_spec.bounded import Action, Guard, Model, State
+
+# Two clocks differ by at most (1 + e) / (1 - e), which is below 1.01.
+CLOCK_ERROR = z3.Q(49, 10_000)
+CLOCKS = ("holder_s", "store_s", "reclaimer_s", "worker_s")
+TTL_S, SHORT_HOLD_S, LONG_HOLD_S, TOKEN_S, TASK_S = 90, 90, 3_900, 2, 10
+MARGIN = z3.Q(101, 100)
+NEVER = z3.BoolVal(False)
+
+
+@dataclasses.dataclass(frozen=True)
+class Hold:
+    """Times of one kind of unit.
+
+    :param name: of the kind.
+    :param hold_s: how long the holder may use the unit after its last renewal.
+    :param wait_s: how long the reclaimer sees the registration missing.
+    """
+
+    name: str
+    hold_s: t.Any
+    wait_s: t.Any
+
+
+# The store's clock ends the registration while the holder's clock ends the hold; the
+# last term covers their difference over the short hold.
+SHORT = Hold(
+    "short", SHORT_HOLD_S, (TOKEN_S + TASK_S) * MARGIN + z3.Q(SHORT_HOLD_S, 100)
+)
+SHORT_AS_DESIGNED = Hold("short, designed", SHORT_HOLD_S, (TOKEN_S + TASK_S) * MARGIN)
+LONG = Hold("long", LONG_HOLD_S, (LONG_HOLD_S + TOKEN_S + TASK_S) * MARGIN)
+
+_TIMES = (
+    *CLOCKS, "lease_end_s", "valid_from_s", "sent_s", "token_s", "task_end_s",
+    "missing_since_s", "reuse_since_s",
+)  # fmt: skip
+_FLAGS = (
+    "registered", "renewing", "renewed", "rejoining", "knows_unit", "has_token",
+    "checked", "dead", "reused", "reuse_seen", "missing_seen", "record_read",
+    "seen_after_read", "reclaimed",
+)  # fmt: skip
+# ``entry`` counts the registrations that the holder entered in the record.
+_REVISIONS = ("revision", "read_revision", "entry", "read_entry", "seen_entry")
+
+
+def _start(s: State) -> list[t.Any]:
+    true = ("registered", "knows_unit")
+    return [
+        *(getattr(s, n) == 0 for n in _TIMES if n != "lease_end_s"),
+        *(getattr(s, n) == z3.BoolVal(n in true) for n in _FLAGS),
+        s.lease_end_s == TTL_S,
+        *(getattr(s, n) == 0 for n in _REVISIONS),
+    ]
+
+
+def _renewals(s: State, guard: Guard) -> list[Action]:
+    late = guard("hold counts from the start of the renewal", NEVER)
+    alive = z3.Not(s.dead)
+    return [
+        Action(
+            "holder sends renewal",
+            z3.And(alive, s.registered, z3.Not(s.rejoining)),
+            {"renewing": True, "renewed": False, "sent_s": s.holder_s},
+        ),
+        Action(
+            "store renews lease",
+            z3.And(s.renewing, s.registered, z3.Not(s.renewed)),
+            {"renewed": True, "lease_end_s": s.store_s + TTL_S},
+        ),
+        Action(
+            "holder gets answer to renewal",
+            z3.And(alive, s.renewing, s.renewed),
+            {"renewing": False, "valid_from_s": z3.If(late, s.holder_s, s.sent_s)},
+        ),
+        Action("answer to renewal is lost", s.renewing, {"renewing": False}),
+        Action(
+            "store ends lease",
+            z3.And(s.registered, s.store_s >= s.lease_end_s),
+            {"registered": False},
+        ),
+        Action("holder dies", alive, {"dead": True}),
+    ]
+
+
+def _rejoin(s: State, guard: Guard) -> list[Action]:
+    alive = z3.Not(s.dead)
+    return [
+        Action(
+            "holder registers again",
+            z3.And(alive, z3.Not(s.registered)),
+            {
+                "registered": True,
+                "lease_end_s": s.store_s + TTL_S,
+                "renewing": False,
+                "sent_s": s.holder_s,
+                "rejoining": True,
+            },
+        ),
+        Action(
+            "holder rewrites the record",
+            z3.And(alive, s.rejoining),
+            {
+                "rejoining": False,
+                "revision": s.revision + 1,
+                "entry": s.entry + 1,
+                "knows_unit": z3.Not(s.reclaimed),
+                "valid_from_s": s.sent_s,
+            },
+        ),
+        Action(
+            "holder uses its units without a rewrite",
+            z3.And(alive, s.rejoining, guard("rejoin rewrites the record", NEVER)),
+            {"rejoining": False, "valid_from_s": s.sent_s},
+        ),
+    ]
+
+
+def _tasks(s: State, hold: Hold, guard: Guard) -> list[Action]:
+    valid = z3.And(s.knows_unit, s.holder_s - s.valid_from_s < hold.hold_s)
+    early = guard("check follows token", NEVER)
+    return [
+        Action(
+            "holder gets token",
+            z3.Not(s.dead),
+            {
+                "has_token": True,
+                "token_s": s.worker_s,
+                "checked": z3.And(s.checked, early),
+            },
+        ),
+        Action(
+            "holder checks unit and sends start",
+            z3.And(
+                z3.Not(s.dead),
+                z3.Or(s.has_token, early),
+                guard("unit is valid at the check", valid),
+            ),
+            {"checked": True},
+        ),
+        Action(
+            "worker starts or renews task",
+            z3.And(
+                s.checked,
+                s.has_token,
+                guard("token is fresh", s.worker_s - s.token_s <= TOKEN_S),
+            ),
+            {"task_end_s": s.worker_s + TASK_S},
+        ),
+    ]
+
+
+def _observations(s: State, guard: Guard) -> list[Action]:
+    same = guard("absence is of one registration", s.seen_entry == s.read_entry)
+    since_s = z3.If(z3.And(s.missing_seen, same), s.missing_since_s, s.reclaimer_s)
+    owned = guard("address is given to one machine", s.dead)
+    unordered = guard("record is read before registrations", NEVER)
+    return [
+        Action(
+            "reclaimer reads the record",
+            z3.BoolVal(True),
+            {
+                "record_read": True,
+                "read_revision": s.revision,
+                "read_entry": s.entry,
+                "seen_after_read": z3.And(s.seen_after_read, unordered),
+            },
+        ),
+        Action(
+            "reclaimer sees registration missing",
+            z3.And(s.record_read, z3.Not(s.registered)),
+            {
+                "missing_seen": True,
+                "missing_since_s": since_s,
+                "seen_entry": s.read_entry,
+                "seen_after_read": True,
+            },
+        ),
+        Action(
+            "reclaimer sees registration",
+            s.registered,
+            {"missing_seen": False, "seen_after_read": False},
+        ),
+        Action(
+            "new process takes the address",
+            z3.And(owned, z3.Not(s.reused)),
+            {"reused": True},
+        ),
+        Action(
+            "reclaimer sees the new process",
+            z3.And(s.reused, z3.Not(s.reuse_seen)),
+            {"reuse_seen": True, "reuse_since_s": s.reclaimer_s},
+        ),
+    ]
+
+
+def _reclaim(s: State, hold: Hold, guard: Guard) -> list[Action]:
+    missing_s = s.reclaimer_s - s.missing_since_s
+    reuse_s = s.reclaimer_s - s.reuse_since_s
+    due = z3.Or(
+        z3.And(s.missing_seen, guard("reclaim waits", missing_s >= hold.wait_s)),
+        z3.And(
+            s.reuse_seen,
+            guard("reuse waits", reuse_s >= (TOKEN_S + TASK_S) * MARGIN),
+        ),
+    )
+    return [
+        Action(
+            "reclaimer writes the record",
+            z3.And(
+                s.seen_after_read,
+                due,
+                z3.Not(s.reclaimed),
+                guard("reclaim compares the revision", s.read_revision == s.revision),
+            ),
+            {"reclaimed": True, "revision": s.revision + 1},
+        ),
+    ]
+
+
+def _advance(s: State) -> tuple[State, t.Any, dict[str, t.Any]]:
+    """Let time pass before an action: the clocks move at slightly different rates."""
+    clocks = {name: getattr(s, name) + getattr(s, f"{name}_gain") for name in CLOCKS}
+    allowed = [s.passed_s >= 0]
+    for name in CLOCKS:
+        gain = getattr(s, f"{name}_gain")
+        allowed.append(gain >= s.passed_s * (1 - CLOCK_ERROR))
+        allowed.append(gain <= s.passed_s * (1 + CLOCK_ERROR))
+    return State(**(vars(s) | clocks)), z3.And(*allowed), clocks
+
+
+def unit_times(hold: Hold) -> Model:
+    """Build the model for one kind of unit.
+
+    :param hold: times of the kind.
+    :returns: the model; its property says that the holder's task has ended before the
+        unit is free for another holder.
+    """
+
+    def actions(s: State, guard: Guard) -> list[Action]:
+        later, allowed, clocks = _advance(s)
+        found = [
+            *_renewals(later, guard),
+            *_rejoin(later, guard),
+            *_tasks(later, hold, guard),
+            *_observations(later, guard),
+            *_reclaim(later, hold, guard),
+        ]
+        return [
+            Action(a.name, z3.And(allowed, a.condition), clocks | a.updates)
+            for a in found
+        ]
+
+    free = "unit has one user"
+    names = (
+        "hold counts from the start of the renewal",
+        "rejoin rewrites the record",
+        "check follows token",
+        "unit is valid at the check",
+        "token is fresh",
+        "absence is of one registration",
+        "address is given to one machine",
+        "reclaim waits",
+        "reuse waits",
+        "record is read before registrations",
+        "reclaim compares the revision",
+    )
+    return Model(
+        name=f"unit times, {hold.name}",
+        sorts={n: z3.RealSort() for n in _TIMES}
+        | {n: z3.BoolSort() for n in _FLAGS}
+        | {n: z3.IntSort() for n in _REVISIONS},
+        inputs={n: z3.RealSort() for n in ("passed_s", *(f"{c}_gain" for c in CLOCKS))},
+        start=_start,
+        actions=actions,
+        properties=lambda s: {
+            free: z3.Not(z3.And(s.reclaimed, s.worker_s < s.task_end_s))
+        },
+        guards=dict.fromkeys(names, free),
+        depth=12,
+    )
