Add models of pool moves and key freshness, the check command and its tests

Cause: pool moves and key withdrawal lacked a check; a guard that nothing depends on would go unnoticed.

--- /dev/null
+++ b/src/cranberrywheel_spec/check.py
@@ -0,0 +1,98 @@
+"""Runs the model checks and prints what each one covers.
+
+``python -m cranberrywheel_spec.check`` checks every model with all guards, then once
+without each guard. ``--deeper N`` adds steps to the first check; ``--traces`` prints
+the shortest violation that each missing guard allows. The exit code is 0 if every
+property holds and every missing guard is found, else 1.
+"""
+
+import argparse
+import dataclasses
+import sys
+import typing as t
+
+import z3
+
+from cranberrywheel_spec.bounded import Model, Result, State, check, prove
+from cranberrywheel_spec.key_freshness import key_freshness
+from cranberrywheel_spec.pool_moves import pool_moves
+from cranberrywheel_spec.tickets import tickets
+from cranberrywheel_spec.unit_times import LONG, SHORT, unit_times
+from cranberrywheel_spec.unit_transfers import unit_transfers
+
+MODELS: tuple[Model, ...] = (
+    unit_times(SHORT),
+    unit_times(LONG),
+    unit_transfers(),
+    tickets(),
+    pool_moves(),
+    key_freshness(),
+)
+
+
+def size(model: Model) -> str:
+    """Describe the size of a model: variables and actions."""
+    sorts = model.sorts | model.inputs
+    state = State(**{name: z3.Const(name, sort) for name, sort in sorts.items()})
+    actions = model.actions(state, lambda _, condition: condition)
+    kinds = [str(sort) for sort in model.sorts.values()]
+    counts = ", ".join(f"{kinds.count(k)} {k}" for k in sorted(set(kinds)))
+    return f"variables={len(kinds)} ({counts}) actions={len(actions)}"
+
+
+def without(model: Model, guard: str) -> Result:
+    """Check a model without one guard, for the property that depends on it."""
+    name = model.guards[guard]
+    only = dataclasses.replace(
+        model, properties=lambda s: {name: model.properties(s)[name]}
+    )
+    return check(only, guard)
+
+
+def report(model: Model, deeper: int, traces: bool) -> bool:
+    """Check one model and print the results.
+
+    :param deeper: steps beyond the depth of the model.
+    :param traces: whether to print the violations that missing guards allow.
+    :returns: whether everything is as expected.
+    """
+    print(f"{model.name}: {size(model)}")
+    result = check(model, depth=model.depth + deeper)
+    good = not result.violated
+    print(f"  all guards: {result.violated or 'holds'}, every trace to {result.depth}")
+    for step in result.steps:
+        print(f"    {step}")
+    if model.invariant:
+        failed = prove(model)
+        good = good and not failed
+        text = f"not proved: {', '.join(failed)}" if failed else "proved"
+        print(f"  any length: {text}")
+    for guard in model.guards:
+        found = without(model, guard)
+        good = good and bool(found.violated)
+        text = (
+            f"fails at {found.depth}: {found.violated}" if found.violated else "HOLDS"
+        )
+        print(f"  without '{guard}': {text}")
+        for step in found.steps if traces else ():
+            print(f"    {step}")
+    return good
+
+
+def main(arguments: t.Sequence[str] | None = None) -> int:
+    """Check all models.
+
+    :param arguments: of the command line.
+    :returns: exit code.
+    """
+    parser = argparse.ArgumentParser(prog="python -m cranberrywheel_spec.check")
+    parser.add_argument("--deeper", type=int, default=0, metavar="N")
+    parser.add_argument("--traces", action="store_true")
+    options = parser.parse_args(arguments)
+    good = [report(model, options.deeper, options.traces) for model in MODELS]
+    print(f"{sum(good)} of {len(good)} models as expected")
+    return 0 if all(good) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/cranberrywheel_spec/key_freshness.py
+++ b/src/cranberrywheel_spec/key_freshness.py
@@ -1,52 +1,51 @@
 """Specification of one key withdrawal and the three proofs of key freshness.
 
-Three entries: the withdrawal arrives at ``w``; ``c`` and ``x`` learn of it from the
-store or from peers. Any call can be slow or never answered, which covers outages and
-partitions. Times are true time in seconds; messages carry ages, so clocks of two
-machines are never compared.
+Four entries: the withdrawal arrives at ``w``, ``c`` confirms it, ``x`` and ``d`` learn
+of it from the store or from the others. The proofs of ``c`` and ``w`` are left out: an
+answer of an entry that knows of the withdrawal carries that knowledge. Any call can be
+slow or never answered, which covers outages and partitions. Times are true time in
+seconds; messages carry ages, so clocks of two machines are never compared.
 """
 
-import itertools
 import typing as t
 
 import z3
 
 from cranberrywheel_spec.bounded import Action, Guard, Model, State
 
-ENTRIES = ("x", "c", "w")
+LEARNERS, INFORMED = ("x", "d"), ("c", "w")
+ENTRIES = (*LEARNERS, *INFORMED)
 BOUND_S = 5
 NEVER = z3.BoolVal(False)
-#: ``("i", "j")``: what entry i asked entry j.
-PAIRS = tuple(itertools.permutations(ENTRIES, 2))
+#: ``("i", "j")``: i asks j.
+PAIRS = tuple((i, j) for i in LEARNERS for j in ENTRIES if i != j)
 
 _TIMES = (
     "now_s",
     "accepted_s",
-    *(f"{name}_{i}" for i in ENTRIES for name in ("proof_s", "read_sent_s")),
-    # A call: when it was sent, and the ages in its answer. ``word`` is about the third
-    # entry, which the answering one relays.
+    *(f"{name}_{i}" for i in LEARNERS for name in ("proof_s", "read_sent_s")),
+    *(f"{name}_{i}{j}" for i, j in PAIRS for name in ("heard_s", "sent_s")),
+    # In an answer of another learner: ages of its proof and of what it heard.
     *(
-        f"{name}_{i}{j}"
-        for i, j in PAIRS
-        for name in ("heard_s", "sent_s", "proof_age_s", "word_age_s")
+        f"{name}_{i}"
+        for i in LEARNERS
+        for name in ("proof_age_s", "c_age_s", "w_age_s")
     ),
 )
 _FLAGS = (
     "stored",
     "accepted",
-    *(
-        f"{name}_{i}"
-        for i in ENTRIES
-        for name in ("knows", "dead", "gone", "reading", "read", "read_knows")
-    ),
+    *(f"knows_{i}" for i in ENTRIES),
+    *(f"gone_{i}" for i in INFORMED),
+    *(f"{name}_{i}" for i in LEARNERS for name in ("reading", "read", "read_knows")),
     *(
         f"{name}_{i}{j}"
         for i, j in PAIRS
         for name in ("calling", "answered", "answer_knows")
     ),
 )
-#: Rosters of ``x``: whether it lists the entry.
-_ROSTER = ("lists_c", "lists_w")
+#: Whether the roster of ``x`` lists the entry.
+_ROSTER = ("lists_d", "lists_c", "lists_w")
 
 
 def _get(s: State, name: str, *entries: str) -> t.Any:
@@ -66,16 +65,12 @@
 
 def _reads(s: State, i: str, guard: Guard) -> list[Action]:
     """Proof 1: the entry's own read of the store."""
-    alive = z3.Not(_get(s, "dead", i))
-    sent_s = z3.If(
-        guard("read age counts from before the read", NEVER),
-        s.now_s,
-        _get(s, "read_sent_s", i),
-    )
+    late = guard("read age counts from before the read", NEVER)
+    sent_s = z3.If(late, s.now_s, _get(s, "read_sent_s", i))
     return [
         Action(
             f"{i} sends a read to the store",
-            alive,
+            z3.BoolVal(True),
             {f"reading_{i}": True, f"read_{i}": False, f"read_sent_s_{i}": s.now_s},
         ),
         Action(
@@ -85,7 +80,7 @@
         ),
         Action(
             f"{i} gets the record",
-            z3.And(alive, _get(s, "read", i)),
+            _get(s, "read", i),
             {
                 f"reading_{i}": False,
                 f"read_{i}": False,
@@ -96,23 +91,34 @@
     ]
 
 
-def _exchanges(s: State, i: str, j: str, guard: Guard) -> list[Action]:
-    """Proof 2, and the messages that proof 3 counts."""
-    (k,) = set(ENTRIES) - {i, j}
-    alive = z3.Not(_get(s, "dead", i))
-    sent_s = z3.If(
-        guard("message age counts from before the call", NEVER),
-        s.now_s,
-        _get(s, "sent_s", i, j),
-    )
+def _calls(s: State, i: str, j: str, guard: Guard) -> list[Action]:
+    """Exchange of i with j; j can be an entry that is gone only before it is."""
+    late = guard("message age counts from before the call", NEVER)
+    sent_s = z3.If(late, s.now_s, _get(s, "sent_s", i, j))
     known = z3.Or(_get(s, "knows", i), _get(s, "answer_knows", i, j))
     unmerged = guard("knowledge is merged before its age counts", NEVER)
-    proof_s = sent_s - _get(s, "proof_age_s", i, j)
-    word_s = sent_s - _get(s, "word_age_s", i, j)
+    answer = {f"answered_{i}{j}": True, f"answer_knows_{i}{j}": _get(s, "knows", j)}
+    gain = {
+        f"calling_{i}{j}": False,
+        f"answered_{i}{j}": False,
+        f"knows_{i}": z3.If(unmerged, _get(s, "knows", i), known),
+        f"heard_s_{i}{j}": _max(_get(s, "heard_s", i, j), sent_s),
+    }
+    present = z3.BoolVal(True)
+    if j in LEARNERS:
+        answer[f"proof_age_s_{i}"] = s.now_s - _get(s, "proof_s", j)
+        proof_s = sent_s - _get(s, "proof_age_s", i)
+        gain[f"proof_s_{i}"] = _max(_get(s, "proof_s", i), proof_s)
+        for k in INFORMED:
+            answer[f"{k}_age_s_{i}"] = s.now_s - _get(s, "heard_s", j, k)
+            word_s = sent_s - _get(s, f"{k}_age_s", i)
+            gain[f"heard_s_{i}{k}"] = _max(_get(s, "heard_s", i, k), word_s)
+    else:
+        present = z3.Not(_get(s, "gone", j))
     return [
         Action(
             f"{i} calls {j}",
-            alive,
+            z3.BoolVal(True),
             {
                 f"calling_{i}{j}": True,
                 f"answered_{i}{j}": False,
@@ -122,96 +128,65 @@
         Action(
             f"{j} answers {i}",
             z3.And(
-                z3.Not(_get(s, "dead", j)),
-                _get(s, "calling", i, j),
-                z3.Not(_get(s, "answered", i, j)),
+                present, _get(s, "calling", i, j), z3.Not(_get(s, "answered", i, j))
             ),
-            {
-                f"answered_{i}{j}": True,
-                f"answer_knows_{i}{j}": _get(s, "knows", j),
-                f"proof_age_s_{i}{j}": s.now_s - _get(s, "proof_s", j),
-                f"word_age_s_{i}{j}": s.now_s - _get(s, "heard_s", j, k),
-            },
-        ),
-        Action(
-            f"{i} gets the answer of {j}",
-            z3.And(alive, _get(s, "answered", i, j)),
-            {
-                f"calling_{i}{j}": False,
-                f"answered_{i}{j}": False,
-                f"knows_{i}": z3.If(unmerged, _get(s, "knows", i), known),
-                f"heard_s_{i}{j}": _max(_get(s, "heard_s", i, j), sent_s),
-                f"heard_s_{i}{k}": _max(_get(s, "heard_s", i, k), word_s),
-                f"proof_s_{i}": _max(_get(s, "proof_s", i), proof_s),
-            },
+            answer,
         ),
+        Action(f"{i} gets the answer of {j}", _get(s, "answered", i, j), gain),
     ]
 
 
 def _census(s: State, i: str, guard: Guard) -> Action:
-    """Proof 3: every registered entry that is not gone was heard."""
-    newest = _get(s, "proof_s", i)
-    needed = []
-    for j in set(ENTRIES) - {i}:
-        listed = z3.BoolVal(True)
-        if i == "x":
-            # An entry that registered after the last read of the roster.
-            unlisted = guard("roster lists every registered entry", NEVER)
-            listed = z3.Or(_get(s, "lists", j), z3.Not(unlisted))
-        needed.append((z3.And(listed, z3.Not(_get(s, "gone", j))), j))
-    some = z3.Or(*(counts for counts, _ in needed))
-    oldest = s.now_s
-    for counts, j in needed:
-        counts = z3.And(counts, guard("every registered entry is heard", counts))
+    """Proof 3: the oldest message of all registered entries that are not gone."""
+    (other,) = set(LEARNERS) - {i}
+    unheard = guard("every registered entry is heard", NEVER)
+    unlisted = guard("roster lists every registered entry", NEVER)
+    oldest_s, some = s.now_s, NEVER
+    for j in (other, *INFORMED):
         heard_s = _get(s, "heard_s", i, j)
-        oldest = z3.If(z3.And(counts, heard_s < oldest), heard_s, oldest)
-    if not z3.is_true(guard("every registered entry is heard", NEVER)):
-        proof_s = oldest
-    else:
-        first, second = (_get(s, "heard_s", i, j) for _, j in needed)
-        proof_s = _max(first, second)
-    return Action(
-        f"{i} has heard all",
-        z3.And(z3.Not(_get(s, "dead", i)), some),
-        {f"proof_s_{i}": _max(newest, proof_s)},
-    )
+        counts = z3.BoolVal(True) if j == other else z3.Not(_get(s, "gone", j))
+        if i == "x":
+            counts = z3.And(counts, z3.Or(_get(s, "lists", j), z3.Not(unlisted)))
+        some = z3.Or(some, counts)
+        # Without the guard, the message of the other learner is enough.
+        counts = z3.And(counts, z3.Or(z3.Not(unheard), z3.BoolVal(j == other)))
+        oldest_s = z3.If(z3.And(counts, heard_s < oldest_s), heard_s, oldest_s)
+    proof_s = _max(_get(s, "proof_s", i), oldest_s)
+    return Action(f"{i} has heard all", some, {f"proof_s_{i}": proof_s})
 
 
 def _withdrawal(s: State, guard: Guard) -> list[Action]:
-    second = z3.Or(s.knows_c, s.knows_x)
-    everyone = z3.And(
-        *(z3.Or(_get(s, "knows", i), _get(s, "gone", i)) for i in ("x", "c"))
-    )
-    by_mark = z3.Or(everyone, z3.And(second, guard("a mark needs every entry", NEVER)))
-    by_store = z3.And(
-        s.stored, guard("a stored withdrawal needs a second entry", second)
-    )
-    alive = z3.Not(s.dead_w)
+    second = z3.Or(s.knows_c, s.knows_x, s.knows_d)
+    everyone = z3.And(s.knows_x, s.knows_d, z3.Or(s.knows_c, s.gone_c))
+    by_mark = z3.Or(everyone, z3.And(second, guard("mark needs every entry", NEVER)))
+    by_store = guard("stored withdrawal needs a second entry", second)
+    by_store = z3.And(s.stored, by_store)
+    present = z3.Not(s.gone_w)
     found = [
-        Action("w marks the key", alive, {"knows_w": True}),
+        Action("w marks the key", present, {"knows_w": True}),
+        # Also possible in two steps; one step keeps traces short.
+        Action("w marks and stores", present, {"knows_w": True, "stored": True}),
+        Action(
+            "c confirms the mark",
+            z3.And(s.knows_w, z3.Not(s.gone_c)),
+            {"knows_c": True},
+        ),
         Action(
             "w reports the withdrawal",
-            z3.And(
-                alive, s.knows_w, z3.Not(s.accepted), z3.Or(by_mark, by_store),
-            ),
+            z3.And(present, s.knows_w, z3.Not(s.accepted), z3.Or(by_mark, by_store)),
             {"accepted": True, "accepted_s": s.now_s},
         ),
-    ]  # fmt: skip
-    for i in ENTRIES:
-        found.append(
-            Action(
-                f"{i} writes the withdrawal to the store",
-                z3.And(_get(s, "knows", i), z3.Not(_get(s, "dead", i))),
-                {"stored": True},
-            )
+        Action(
+            "an entry writes the withdrawal to the store",
+            z3.Or(*(_get(s, "knows", i) for i in ENTRIES)),
+            {"stored": True},
+        ),
+    ]
+    for i, other in (INFORMED, INFORMED[::-1]):
+        one = guard(
+            "one informed entry is lost at most", z3.Not(_get(s, "gone", other))
         )
-    # Not both entries that know of a withdrawal are lost.
-    for i in ("c", "w"):
-        other = "w" if i == "c" else "c"
-        one = guard("one entry is lost at most", z3.Not(_get(s, "dead", other)))
-        found.append(Action(f"{i} dies", one, {f"dead_{i}": True}))
-        truly = guard("list names only dead entries as gone", _get(s, "dead", i))
-        found.append(Action(f"list shows {i} gone", truly, {f"gone_{i}": True}))
+        found.append(Action(f"{i} dies, list shows it gone", one, {f"gone_{i}": True}))
     return found
 
 
@@ -219,10 +194,10 @@
     now_s = s.now_s + s.passed_s
     later = State(**(vars(s) | {"now_s": now_s}))
     found = _withdrawal(later, guard)
-    for i in ENTRIES:
+    for i in LEARNERS:
         found += [*_reads(later, i, guard), _census(later, i, guard)]
     for i, j in PAIRS:
-        found += _exchanges(later, i, j, guard)
+        found += _calls(later, i, j, guard)
     return [
         Action(
             a.name, z3.And(s.passed_s >= 0, a.condition), {"now_s": now_s} | a.updates
@@ -243,17 +218,15 @@
     :returns: the model; its property says that ``x`` accepts no withdrawn key once the
         bound has passed since the withdrawal was reported as accepted.
     """
-    refused = "withdrawn key is refused"
     names = (
         "read age counts from before the read",
         "message age counts from before the call",
         "knowledge is merged before its age counts",
         "roster lists every registered entry",
         "every registered entry is heard",
-        "a mark needs every entry",
-        "a stored withdrawal needs a second entry",
-        "one entry is lost at most",
-        "list names only dead entries as gone",
+        "mark needs every entry",
+        "stored withdrawal needs a second entry",
+        "one informed entry is lost at most",
     )
     return Model(
         name="key freshness",
@@ -263,6 +236,6 @@
         start=_start,
         actions=_actions,
         properties=_properties,
-        guards=dict.fromkeys(names, refused),
-        depth=8,
+        guards=dict.fromkeys(names, "withdrawn key is refused"),
+        depth=10,
     )
--- a/src/cranberrywheel_spec/unit_transfers.py
+++ b/src/cranberrywheel_spec/unit_transfers.py
@@ -15,7 +15,7 @@
 NEVER = z3.BoolVal(False)
 # record: held_*; view, read and write of each holder: counts and revision.
 _COUNTS = (
-    "limit", "held_a", "held_b", "revision", "input_given", "input_freed",
+    "limit", "held_a", "held_b", "revision", "input_own", "input_given",
     *(
         f"{name}_{p}"
         for p in HOLDERS
@@ -72,39 +72,26 @@
 
 
 def _sends(s: State, h: _Holder, guard: Guard) -> list[Action]:
+    """A write changes the own count and only raises the other holder's count."""
     view, p, q = h.pair("view"), h.own, h.other
     # A write in flight that expects an older revision can only fail.
     idle = z3.And(
         z3.Not(h.waiting),
         z3.Or(z3.Not(h.in_flight), h.write_expects < h.view_revision),
     )
-    given, freed = s.input_given, s.input_freed
-    early = guard("count falls before the write", NEVER)
+    own, given = s.input_own, s.input_given
+    fits = guard("sum fits the limit", own + view[q] + given <= s.limit)
+    usable = z3.If(own < h.usable, own, h.usable)
+    usable = z3.If(guard("count falls before the write", NEVER), h.usable, usable)
     late = guard("count rises after the answer", NEVER)
-    fits = view["a"] + view["b"] + given <= s.limit
+    usable = z3.If(z3.And(late, own > usable), own, usable)
     return [
         Action(
-            f"{p} sends units away",
-            z3.And(
-                idle, 0 <= freed, 0 <= given, given + freed >= 1, h.usable == view[p],
-                given + freed <= view[p],
-            ),
-            _write(
-                h,
-                {p: view[p] - given - freed, q: view[q] + given},
-                z3.If(early, h.usable, h.usable - given - freed),
-            ),
-        ),
-        Action(
-            f"{p} asks for free units",
-            z3.And(idle, given >= 1, guard("sum fits the limit", fits)),
-            _write(
-                h,
-                {p: view[p] + given, q: view[q]},
-                z3.If(late, h.usable + given, h.usable),
-            ),
-        ),
-    ]  # fmt: skip
+            f"{p} sends a write",
+            z3.And(idle, own >= 0, given >= 0, fits),
+            _write(h, {p: own, q: view[q] + given}, usable),
+        )
+    ]
 
 
 def _store(s: State, h: _Holder, guard: Guard) -> list[Action]:
--- /dev/null
+++ b/tests/test_spec_models.py
@@ -0,0 +1,103 @@
+import contextlib
+import dataclasses
+import io
+
+import testtools
+import z3
+
+from cranberrywheel_spec import check
+from cranberrywheel_spec.bounded import Action, Model, prove
+from cranberrywheel_spec.bounded import check as search
+from cranberrywheel_spec.key_freshness import key_freshness
+from cranberrywheel_spec.pool_moves import pool_moves
+from cranberrywheel_spec.tickets import tickets
+from cranberrywheel_spec.unit_times import LONG, SHORT, SHORT_AS_DESIGNED, unit_times
+from cranberrywheel_spec.unit_transfers import unit_transfers
+
+
+class ModelChecks:
+    """Guards against a protocol change that breaks an invariant, and against a check
+    that would not notice: each guard that is dropped must give a violation."""
+
+    def test_properties_hold_to_the_depth(self):
+        self.assertEqual("", search(self.model).violated)
+        if self.model.invariant:
+            self.assertEqual([], prove(self.model))
+
+    def test_each_missing_guard_is_found(self):
+        found = {g: check.without(self.model, g).violated for g in self.model.guards}
+        self.assertEqual(self.model.guards, found)
+
+
+class ShortUnitTimesTest(ModelChecks, testtools.TestCase):
+    model = unit_times(SHORT)
+
+    def test_margin_over_token_and_task_lease_alone_is_too_short(self):
+        self.assertEqual(7, search(unit_times(SHORT_AS_DESIGNED)).depth)
+
+
+class LongUnitTimesTest(ModelChecks, testtools.TestCase):
+    model = unit_times(LONG)
+
+
+class UnitTransfersTest(ModelChecks, testtools.TestCase):
+    model = unit_transfers()
+
+
+class TicketsTest(ModelChecks, testtools.TestCase):
+    model = tickets()
+
+
+class PoolMovesTest(ModelChecks, testtools.TestCase):
+    model = pool_moves()
+
+
+class KeyFreshnessTest(ModelChecks, testtools.TestCase):
+    model = key_freshness()
+
+
+COUNTER = Model(
+    name="counter",
+    sorts={"n": z3.IntSort()},
+    inputs={},
+    start=lambda s: [s.n == 0],
+    actions=lambda s, guard: [
+        Action("add", guard("bound", s.n < 3), {"n": s.n + 1}),
+        Action("reset", s.n == 3, {"n": z3.IntVal(0)}),
+    ],
+    properties=lambda s: {"small": s.n <= 3},
+    guards={"bound": "small"},
+    depth=8,
+    invariant=lambda s: [s.n >= 0, s.n <= 3],
+)
+
+
+class SearchTest(testtools.TestCase):
+    """Guards against a search that misses violations or reports a wrong trace."""
+
+    def test_shortest_trace_is_found(self):
+        result = search(COUNTER, "bound")
+        self.assertEqual(("small", 4), (result.violated, result.depth))
+        self.assertEqual(
+            ["add: n=1", "add: n=2", "add: n=3", "add: n=4"], [*result.steps]
+        )
+
+    def test_depth_limits_the_search(self):
+        self.assertEqual("", search(COUNTER, "bound", depth=3).violated)
+
+    def test_proof_names_what_fails(self):
+        self.assertEqual([], prove(COUNTER))
+        self.assertEqual(["add"], prove(COUNTER, "bound"))
+        weak = dataclasses.replace(COUNTER, invariant=lambda s: [s.n >= 1])
+        self.assertEqual(["start", "small", "reset"], prove(weak))
+
+    def test_unlisted_guard_is_an_error(self):
+        model = dataclasses.replace(COUNTER, guards={})
+        self.assertRaises(KeyError, search, model)
+
+    def test_report_fails_for_a_guard_without_effect(self):
+        idle = dataclasses.replace(COUNTER, properties=lambda s: {"small": s.n >= 0})
+        with contextlib.redirect_stdout(io.StringIO()) as output:
+            self.assertTrue(check.report(COUNTER, deeper=0, traces=True))
+            self.assertFalse(check.report(idle, deeper=0, traces=False))
+        self.assertIn("without 'bound': HOLDS", output.getvalue())
