--- a/src/cranberrywheel_load/cluster.py
+++ b/src/cranberrywheel_load/cluster.py
@@ -387,11 +387,20 @@
 
         self._relay = wait_until(connect, READY_TIMEOUT_S, "relay listens")
 
-    def _command(self, command: dict[str, t.Any]) -> None:
+    def traffic(self) -> dict[int, int]:
+        """Return the payload bytes that relays have passed on, by target port."""
+        answer = self._command({"report": True})
+        return {int(port): n for port, n in answer["bytes_by_target"].items()}
+
+    def _command(self, command: dict[str, t.Any]) -> dict[str, t.Any]:
         assert self._relay is not None, "the plan has no relays"
         self._relay.sendall(json.dumps(command).encode() + b"\n")
-        answer = self._relay.recv(100)
-        assert answer.endswith(b"\n"), f"relay answered {answer!r}"
+        answer = b""
+        while not answer.endswith(b"\n"):
+            data = self._relay.recv(65_536)
+            assert data, "the relay process has ended"
+            answer += data
+        return json.loads(answer)
 
     def _relayed(self, port: int, zone: str, asking: str = "") -> int:
         """Return the port that others use for a listening port.
--- a/src/cranberrywheel_load/relay.py
+++ b/src/cranberrywheel_load/relay.py
@@ -12,6 +12,7 @@
 """
 
 import asyncio
+import collections
 import json
 import os
 import sys
@@ -58,6 +59,8 @@
         self._cut: frozenset[frozenset[str]] = frozenset()
         self._healed = asyncio.Event()
         self._servers: list[asyncio.Server] = []
+        #: Payload bytes in both directions by target port.
+        self.bytes_by_target: collections.Counter[int] = collections.Counter()
 
     async def listen(self, port: int, target_port: int, zone: str, asking: str) -> None:
         """Relay a port to a target in a zone.
@@ -111,8 +114,8 @@
         target_reader, target_writer = await asyncio.open_connection(HOST, target_port)
         try:
             await asyncio.gather(
-                self._copy(reader, target_writer, source, zone),
-                self._copy(target_reader, writer, source, zone),
+                self._copy(reader, target_writer, source, zone, target_port),
+                self._copy(target_reader, writer, source, zone, target_port),
             )
         finally:
             target_writer.close()
@@ -123,23 +126,28 @@
         writer: asyncio.StreamWriter,
         source: str,
         zone: str,
+        target_port: int,
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
             await self._passable(source, zone)
+            self.bytes_by_target[target_port] += len(data)
             writer.write(data)
             await writer.drain()
         await self._passable(source, zone)
         # Closing both ways is enough: neither HTTP nor gRPC uses half-closed sockets.
         writer.close()
 
-    async def obey(self, command: dict[str, t.Any]) -> None:
-        """Carry out one control command."""
+    async def obey(self, command: dict[str, t.Any]) -> dict[str, t.Any]:
+        """Carry out one control command and return its answer."""
         if "listen" in command:
             await self.listen(*command["listen"])
         if "owners" in command:
             self.zones_by_pid = {int(p): z for p, z in command["owners"].items()}
         if "cut" in command:
             self.set_cut(command["cut"])
+        if "report" in command:
+            return {"bytes_by_target": dict(self.bytes_by_target)}
+        return {}
 
 
 async def _serve(control_port: int) -> None:
@@ -150,8 +158,8 @@
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         while line := await reader.readline():
-            await relays.obey(json.loads(line))
-            writer.write(b"{}\n")
+            answer = await relays.obey(json.loads(line))
+            writer.write(json.dumps(answer).encode() + b"\n")
             await writer.drain()
         ended.set()
 
