--- a/src/cranberrywheel_load/cluster.py
+++ b/src/cranberrywheel_load/cluster.py
@@ -235,9 +235,15 @@
     ) -> None:
         parser = configparser.ConfigParser(interpolation=None)
         platform = {"url": self._platform_urls[values["zone"]]}
-        for title, part in {section: values, "platform": platform, **changed}.items():
-            known = dict(parser[title]) if parser.has_section(title) else {}
-            parser[title] = {**known, **{k: str(v) for k, v in part.items()}}
+        for title, part in (
+            (section, values),
+            ("platform", platform),
+            *changed.items(),
+        ):
+            if not parser.has_section(title):
+                parser.add_section(title)
+            for key, value in part.items():
+                parser.set(title, key, str(value))
         with (self.folder / f"{name}.ini").open("w") as file:
             parser.write(file)
 
--- a/src/cranberrywheel_standin/worker.py
+++ b/src/cranberrywheel_standin/worker.py
@@ -54,7 +54,7 @@
     run_ms: int = 100
     stop_ms: int = 10
     usage_lag_ms: int = 1_000
-    reboot_ms: int = 200
+    reboot_ms: int = 3_000
     addresses: t.Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
