Take test ports below the ephemeral range

Cause: free_ports gave out ephemeral ports, which outgoing connections of other processes could take first; an entry then exited with "address already in use". Change: ports from 10000 to 30000, another start per process; daemons report a bind error without a traceback.

--- a/src/cranberrywheel/programs/console.py
+++ b/src/cranberrywheel/programs/console.py
@@ -42,7 +42,7 @@
         :param path: settings file.
         :returns: functions that run it and that request its stop.
         :raises SettingsError: if the settings are refused.
-        :raises OSError: if an address cannot be bound.
+        :raises OSError: if an address cannot be bound; ``run`` may raise it too.
         """
         raise NotImplementedError
 
@@ -57,15 +57,15 @@
         logging.set_stderrthreshold("info")
         try:
             run, request_stop = self.create(path)
+            for number in (signal.SIGTERM, signal.SIGINT):
+                signal.signal(number, lambda *_: request_stop())
+            run()
         except SettingsError as error:
             self.line_error(f"<error>{error}</error>")
             return USAGE
         except OSError as error:
             self.line_error(f"<error>Cannot listen: {error}. Check the port.</error>")
             return REFUSED
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: request_stop())
-        run()
         return OK
 
 
--- a/src/cranberrywheel_load/processes.py
+++ b/src/cranberrywheel_load/processes.py
@@ -1,5 +1,6 @@
 """Processes that the load tool starts, and bounded waits."""
 
+import itertools
 import os
 import pathlib
 import signal
@@ -10,6 +11,10 @@
 import typing as t
 
 POLL_S = 0.05
+FIRST_PORT = 10_000
+PORT_COUNT = 20_000
+#: A run of a cluster with all workers and relays takes fewer.
+PORTS_PER_PROCESS = 500
 #: how long a process may take to exit after SIGTERM before it is killed.
 EXIT_WAIT_S = 20.0
 
@@ -36,15 +41,31 @@
 
 
 def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Return distinct ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind((host, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Return distinct ports that are free now.
+
+    They lie below the range from which the kernel takes the ports of outgoing
+    connections; one of those could take a port before its server binds it. Each
+    process starts at another place, because tests run side by side.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(_candidate_ports)
+        with socket.socket() as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
+
+
+def _count_ports() -> t.Iterator[int]:
+    first = os.getpid() * PORTS_PER_PROCESS
+    for number in itertools.count(first):
+        yield FIRST_PORT + number % PORT_COUNT
+
+
+_candidate_ports = _count_ports()
 
 
 class ManagedProcess:
