--- a/src/cranberrywheel/process/exchange.py
+++ b/src/cranberrywheel/process/exchange.py
@@ -293,11 +293,12 @@
                     self._membership.heard(word.process_id, sent_ms - word.age_ms)
             if state.has_store_read:
                 self._store_read.proven(sent_ms - state.store_read_age_ms)
-            all_heard_ms = self._membership.all_heard_ms()
-            use_messages = self._is_store_down()
+            all_heard_ms = None
+            if self._is_store_down():
+                all_heard_ms = self._membership.all_heard_ms()
         if state.has_proof:
             self._prove(sent_ms - state.proof_age_ms)
-        if all_heard_ms is not None and use_messages:
+        if all_heard_ms is not None:
             self._prove(all_heard_ms)
 
     @staticmethod
--- a/src/cranberrywheel/process/membership.py
+++ b/src/cranberrywheel/process/membership.py
@@ -4,16 +4,18 @@
 import ipaddress
 import json
 import secrets
+import typing as t
 
 import pydantic
 
 from cranberrywheel.connection.store_client import InstanceList, Record
 from cranberrywheel.errors import StoreError
-from cranberrywheel.process.limit_record import HolderRow, LimitRecord
+from cranberrywheel.process.limit_record import LimitRecord
 from cranberrywheel.process.limit_units import Absence
 from cranberrywheel.settings import EntrySettings
 
 ENTRIES_PREFIX = "entries/"
+Place = tuple[str, str, str]
 
 
 def new_process_id(settings: EntrySettings) -> str:
@@ -57,6 +59,11 @@
     peer_address: str
     revision: int = 0
 
+    @property
+    def place(self) -> Place:
+        """Instance, zone and address; only one process can be there."""
+        return self.instance, self.zone, self.peer_address
+
     def replaces(self, other: "Registration", answers_now: bool = False) -> bool:
         """Tell whether this process proves that another one is dead.
 
@@ -67,11 +74,20 @@
         return (
             self.process_id != other.process_id
             and (answers_now or self.revision > other.revision)
-            and (self.instance, self.zone, self.peer_address)
-            == (other.instance, other.zone, other.peer_address)
+            and self.place == other.place
         )
 
 
+def group_by_place(
+    registrations: t.Iterable[Registration],
+) -> dict[Place, list[Registration]]:
+    """Group registrations by the place of their process."""
+    groups: dict[Place, list[Registration]] = {}
+    for registration in registrations:
+        groups.setdefault(registration.place, []).append(registration)
+    return groups
+
+
 def own_registration(settings: EntrySettings, process_id: str) -> Registration:
     """Build the registration of this process."""
     host = f"[{settings.host}]" if ":" in settings.host else settings.host
@@ -172,16 +188,17 @@
         """Return all other processes that may be alive, one per address."""
         known = {**self._learned_by_id, **(self._roster_by_id or {})}
         known.pop(self._process_id, None)
-        return [r for r in known.values() if not self._is_gone(r, known)]
+        groups = group_by_place(known.values())
+        return [r for r in known.values() if not self._is_gone(r, groups[r.place])]
 
     def _is_gone(
-        self, registration: Registration, known: dict[str, Registration]
+        self, registration: Registration, same_place: list[Registration]
     ) -> bool:
         if registration.instance in self._gone_instances:
             return True
         return any(
             other.replaces(registration, other.process_id in self._answering_ids)
-            for other in known.values()
+            for other in same_place
         )
 
     def all_heard_ms(self) -> int | None:
@@ -200,19 +217,6 @@
         return min(time for time in times if time is not None)
 
 
-def replaces_holder(registration: Registration, holder: str, row: HolderRow) -> bool:
-    """Tell whether a registered process proves that a holder of units is dead."""
-    old = Registration(
-        process_id=holder,
-        instance=row.instance,
-        zone=row.zone,
-        http_address="",
-        peer_address=row.address,
-        revision=row.registration,
-    )
-    return registration.replaces(old)
-
-
 class MissingHolders:
     """Tracks since when holders of units are unregistered or replaced."""
 
@@ -229,19 +233,23 @@
     ) -> None:
         """Compare holders with the registrations, which were read afterwards."""
         registered = {r.process_id for r in registrations}
+        newest = {
+            place: max(group, key=lambda r: r.revision)
+            for place, group in group_by_place(registrations).items()
+        }
         seen: dict[tuple[str, int], Absence] = {}
         for record in records:
             for holder, row in record.holders.items():
                 key = (holder, row.registration)
                 before = self._absences.get(key, Absence(None))
-                missing_ms = replaced_ms = None
+                missing_ms, replaced_ms = None, before.replaced_ms
                 if holder not in registered:
                     missing_ms = before.missing_ms
                     missing_ms = now_ms if missing_ms is None else missing_ms
-                if any(replaces_holder(r, holder, row) for r in registrations):
-                    replaced_ms = now_ms
-                if before.replaced_ms is not None:
-                    replaced_ms = before.replaced_ms
+                there = newest.get((row.instance, row.zone, row.address))
+                if there and there.process_id != holder and replaced_ms is None:
+                    if there.revision > row.registration:
+                        replaced_ms = now_ms
                 if missing_ms is not None or replaced_ms is not None:
                     seen[key] = Absence(missing_ms, replaced_ms)
         self._absences = seen
--- a/src/cranberrywheel/process/unit_keeper.py
+++ b/src/cranberrywheel/process/unit_keeper.py
@@ -15,6 +15,7 @@
     ENTRIES_PREFIX,
     MissingHolders,
     Registration,
+    group_by_place,
 )
 from cranberrywheel.process.messages import (
     ConfigurationSnapshot,
@@ -90,14 +91,18 @@
     ) -> None:
         """Take all limit records and the registrations read after them."""
         for record in records:
+            team = record.key.removeprefix(LIMITS_PREFIX)
+            state = self._states_by_team.get(team)
+            if state and state.stored and record.revision <= state.stored.revision:
+                # Older than the last write of this process, or unchanged.
+                continue
             try:
                 self._adopt(parse_record(record))
             except StoreError as error:
                 _log.warning("ignored limit record", cause=error.message)
         self._registered_ids = {
-            r.process_id
-            for r in registrations
-            if not any(other.replaces(r) for other in registrations)
+            max(group, key=lambda r: r.revision).process_id
+            for group in group_by_place(registrations).values()
         }
         known = [s.record for s in self._states_by_team.values() if s.record]
         self._missing.observe(known, registrations, now_ms)
@@ -105,8 +110,6 @@
     def _adopt(self, stored: StoredRecord, force: bool = False) -> None:
         """Take a newer state of a record and tell the dispatcher its units.
 
-        A list may be older than the last write of this process.
-
         :param force: tell the dispatcher also if the state is not newer.
         """
         team = stored.key.removeprefix(LIMITS_PREFIX)
