Exchange with two peers in turn and read lists only when they changed

Cause: control_cost showed an idle entry over its bounds at 7 entries: each entry exchanged with every peer twice a second and read four whole lists every 2 s. Change: exchange_fanout defaults to 2 and gives each peer its turn; list reads of the store and the instance list carry the revision known; an unchanged instance list is not processed again; store writes use fresh connections, because libcurl would repeat one on a dying connection and the repetition looks like a conflict.

--- a/src/cranberrywheel/connection/peer_service.py
+++ b/src/cranberrywheel/connection/peer_service.py
@@ -170,6 +170,7 @@
         self._forward_channels: dict[str, grpclib.client.Channel] = {}
         self._exchanges: set[asyncio.Task[None]] = set()
         self._busy_addresses: set[str] = set()
+        self._turns: list[str] = []
         self._stop_event = asyncio.Event()
         self._random = random.Random()
         #: Messages dropped because they were malformed.
@@ -276,11 +277,21 @@
             await asyncio.sleep(self._settings.exchange_interval_ms / 1000)
 
     def _choose_addresses(self) -> list[str]:
-        addresses = sorted({peer.peer_address for peer in self._exchange.peers()})
+        """Return the peers of this round.
+
+        Each peer gets its turn before any gets a second one; a random choice would
+        leave some unheard for longer than the freshness bound.
+        """
+        addresses = {peer.peer_address for peer in self._exchange.peers()}
         fanout = self._settings.exchange_fanout
         if fanout and len(addresses) > fanout:
-            addresses = self._random.sample(addresses, fanout)
-        return [a for a in addresses if a not in self._busy_addresses]
+            self._turns = [a for a in self._turns if a in addresses]
+            if len(self._turns) < fanout:
+                others = sorted(addresses - set(self._turns))
+                self._random.shuffle(others)
+                self._turns += others
+            addresses, self._turns = set(self._turns[:fanout]), self._turns[fanout:]
+        return [a for a in sorted(addresses) if a not in self._busy_addresses]
 
     async def _exchange_with(self, address: str) -> None:
         self._busy_addresses.add(address)
--- a/src/cranberrywheel/connection/store_client.py
+++ b/src/cranberrywheel/connection/store_client.py
@@ -60,6 +60,8 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self._settings = settings
         self._curl = pycurl.Curl()
+        self._listings_by_prefix: dict[str, tuple[int, list[Record]]] = {}
+        self._instance_list = InstanceList(0, 0, ())
 
     def close(self) -> None:
         """Close the connection."""
@@ -88,6 +90,10 @@
         curl.setopt(pycurl.TIMEOUT_MS, self._settings.timeout_ms + extra_wait_ms)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, self._settings.timeout_ms)
         curl.setopt(pycurl.WRITEFUNCTION, write)
+        if method != "GET":
+            # libcurl repeats a request when a reused connection dies before the
+            # answer; the repeated write would look like a conflict.
+            curl.setopt(pycurl.FRESH_CONNECT, 1)
         if body is not None:
             data = json.dumps(body).encode()
             curl.setopt(pycurl.POSTFIELDS, data)
@@ -153,14 +159,22 @@
     def list(self, prefix: str) -> list[Record]:
         """Read all records under a prefix.
 
+        The store sends them only if something under the prefix has changed since
+        the last call; otherwise the same list is returned again.
+
         :param prefix: start of the keys.
         :raises StoreUnavailableError: without a usable answer.
         """
-        query = urllib.parse.urlencode({"prefix": prefix})
+        known, records = self._listings_by_prefix.get(prefix, (0, []))
+        query = urllib.parse.urlencode({"prefix": prefix, "newer_than": known})
         status, body = self._call("GET", f"/v1/kv?{query}")
+        if status == 304:
+            return records
         try:
-            return [self._record(item["key"], status, item) for item in body["items"]]
-        except (KeyError, TypeError):
+            records = [self._record(i["key"], status, i) for i in body["items"]]
+            self._listings_by_prefix[prefix] = (int(body["revision"]), records)
+            return records
+        except (KeyError, TypeError, ValueError):
             raise StoreUnavailableError(
                 f"Listing {prefix} gave status {status} and no items.",
                 "Check the platform's key-value service.",
@@ -245,12 +259,15 @@
         self._call("DELETE", f"/v1/leases/{lease}")
 
     def instances(self) -> InstanceList:
-        """Read the lagging instance list.
+        """Read the lagging instance list; an unchanged one is not sent again.
 
         :raises StoreUnavailableError: without a usable answer.
         """
-        _, body = self._call("GET", "/v1/instances")
+        known = self._instance_list
+        _, body = self._call("GET", f"/v1/instances?newer_than={known.revision}")
         try:
+            if "instances" not in body and int(body["revision"]) == known.revision:
+                return dataclasses.replace(known, age_ms=int(body["age_ms"]))
             rows = tuple(
                 Instance(
                     instance_id=str(row["id"]),
@@ -264,7 +281,9 @@
                 )
                 for row in body["instances"]
             )
-            return InstanceList(int(body["revision"]), int(body["age_ms"]), rows)
+            revision, age_ms = int(body["revision"]), int(body["age_ms"])
+            self._instance_list = InstanceList(revision, age_ms, rows)
+            return self._instance_list
         except (KeyError, TypeError, ValueError):
             raise StoreUnavailableError(
                 "The instance list could not be read.", "Check the platform."
--- a/src/cranberrywheel/process/fleet_view.py
+++ b/src/cranberrywheel/process/fleet_view.py
@@ -60,7 +60,16 @@
         self._refresh_workers()
 
     def set_instances(self, listed: InstanceList) -> None:
-        """Use a new instance list."""
+        """Use a new instance list.
+
+        A list of the same revision is the same list; only refusals that it did not
+        confirm are forgotten.
+        """
+        if listed.revision == self._listed.revision:
+            if self._refused_as_leaving:
+                self._refused_as_leaving.clear()
+                self._set_leaving()
+            return
         self._listed = listed
         self._instances_by_id = {
             i.instance_id: i for i in listed.instances if i.kind == "worker"
--- a/src/cranberrywheel/settings.py
+++ b/src/cranberrywheel/settings.py
@@ -83,7 +83,7 @@
     max_body_bytes: int = 1_000_000
     key_freshness_ms: int = 5_000
     exchange_interval_ms: int = 500
-    exchange_fanout: int = 0
+    exchange_fanout: int = 2
     advertised_peer_port: int = 0
     ticket_lifetime_ms: int = 600_000
     ticket_retention_ms: int = 600_000
--- a/src/cranberrywheel_standin/platform.py
+++ b/src/cranberrywheel_standin/platform.py
@@ -60,8 +60,10 @@
         self.entries_by_key: dict[str, Entry] = {}
         self._lease_ends_by_id: dict[str, tuple[float, int]] = {}
         self._revision = 0
+        self._revision_by_key: dict[str, int] = {}
         self._ids = itertools.count(1)
         self.instances_by_id: dict[str, dict[str, t.Any]] = {}
+        self._list_revision = 0
         self._snapshots: list[tuple[float, int, str]] = []
         self._fence_by_instance: dict[str, int] = {}
         self.faults = Faults()
@@ -82,7 +84,7 @@
         self._lease_ends_by_id.pop(lease, None)
         for key in [k for k, e in self.entries_by_key.items() if e.lease == lease]:
             del self.entries_by_key[key]
-            self._revision += 1
+            self._note_change(key)
         self.changed.notify_all()
 
     def get(self, key: str) -> Entry | None:
@@ -112,6 +114,19 @@
                     return "unchanged" if entry is not None else None
                 self.changed.wait(min(left, 0.2))
 
+    def _note_change(self, key: str) -> None:
+        self._revision += 1
+        self._revision_by_key[key] = self._revision
+
+    def list_revision(self, prefix: str) -> int:
+        """Return the revision of the last change or deletion under a prefix."""
+        with self.changed:
+            self._expire()
+            return max(
+                (r for k, r in self._revision_by_key.items() if k.startswith(prefix)),
+                default=0,
+            )
+
     def list(self, prefix: str) -> list[dict[str, t.Any]]:
         """Read all values under a prefix."""
         with self.changed:
@@ -136,7 +151,7 @@
             revision = entry.revision if entry else 0
             if revision != expected:
                 return 412, {"revision": revision}
-            self._revision += 1
+            self._note_change(key)
             self.entries_by_key[key] = Entry(value, self._revision, lease)
             self._on_write(key, value, self._revision)
             self.changed.notify_all()
@@ -152,7 +167,7 @@
                 return 412, {"revision": revision}
             if entry:
                 del self.entries_by_key[key]
-                self._revision += 1
+                self._note_change(key)
                 self.changed.notify_all()
             return 200, {}
 
@@ -208,7 +223,13 @@
 
     def _snapshot(self) -> None:
         rows = json.dumps(list(self.instances_by_id.values()))
-        self._snapshots.append((self._now_s(), len(self._snapshots) + 1, rows))
+        now_s = self._now_s()
+        seen_s = now_s - self.faults.list_lag_ms / 1000
+        # Of the snapshots older than the lag only the newest can still be shown.
+        while len(self._snapshots) > 1 and self._snapshots[1][0] <= seen_s:
+            del self._snapshots[0]
+        self._list_revision += 1
+        self._snapshots.append((now_s, self._list_revision, rows))
 
     def instance_list(self) -> dict[str, t.Any]:
         """Return the newest list that is older than the lag."""
@@ -338,7 +359,13 @@
         return self._entry(self.platform.get(key))
 
     def _list(self, request: werkzeug.Request) -> werkzeug.Response:
-        return self._json({"items": self.platform.list(request.args.get("prefix", ""))})
+        prefix = request.args.get("prefix", "")
+        revision = self.platform.list_revision(prefix)
+        if revision and revision <= request.args.get("newer_than", 0, type=int):
+            return werkzeug.Response(status=304)
+        # The revision is read first: a change in between is sent again next time.
+        items = self.platform.list(prefix)
+        return self._json({"items": items, "revision": revision})
 
     def _put(self, request: werkzeug.Request, key: str) -> werkzeug.Response:
         body = request.get_json()
@@ -364,6 +391,9 @@
 
     def _instances(self, request: werkzeug.Request) -> werkzeug.Response:
         listed = self.platform.instance_list()
+        newer_than = request.args.get("newer_than", 0, type=int)
+        if listed["revision"] and listed["revision"] == newer_than:
+            return self._json({"revision": newer_than, "age_ms": listed["age_ms"]})
         for row in listed["instances"]:
             seen = row.pop("addresses", {}).get(request.environ.get(VIEW))
             row["address"] = seen or row["address"]
