Predict the wait of a request from its team's share

Cause: the predicted wait counted the whole queue, so a bursting team made the requests of other teams be refused; and requests were admitted that could start but not finish before their deadline. Change: FairQueue.ahead_of(team, urgent, share) counts the team's own requests at the rate of its share; the benchmark's admission adds the run time to the wait. Conclusion: the dispatcher should pass ahead_of to wait_ms and add run_ms.

--- a/src/cranberrywheel/request/estimates.py
+++ b/src/cranberrywheel/request/estimates.py
@@ -67,7 +67,7 @@
         weight = DECLARED_WEIGHT + runs.runs
         return (DECLARED_WEIGHT * declared_ms + learned_ms) / weight
 
-    def wait_ms(self, queue: str, declared_ms: int, queued: int, slots: int) -> float:
+    def wait_ms(self, queue: str, declared_ms: int, queued: float, slots: int) -> float:
         """Return the expected wait of a request that arrives now.
 
         :param queue: queue name.
--- a/src/cranberrywheel/request/fair_queue.py
+++ b/src/cranberrywheel/request/fair_queue.py
@@ -33,6 +33,7 @@
         self._requests_by_id: dict[str, Request] = {}
         self._urgent_by_team: dict[str, _Requests] = {}
         self._normal_by_team: dict[str, _Requests] = {}
+        self._urgent_count = 0
         self._deadlines: list[tuple[int, str]] = []
         self._expired: list[Request] = []
 
@@ -57,6 +58,7 @@
                 f"The queue of service {request.service!r} is full.", "Retry later."
             )
         self._requests_by_id[request.request_id] = request
+        self._urgent_count += request.urgent
         by_team = self._requests_by_team(request)
         requests = by_team.get(request.team)
         if requests is None:
@@ -73,6 +75,7 @@
         request = self._requests_by_id.pop(request_id, None)
         if request is None:
             return None
+        self._urgent_count -= request.urgent
         by_team = self._requests_by_team(request)
         requests = by_team[request.team]
         del requests[request_id]
@@ -110,6 +113,24 @@
                 return self.remove(next(iter(requests)))
         return None
 
+    def ahead_of(self, team: str, urgent: bool, share: float) -> float:
+        """Estimate how many requests start before one that is pushed now.
+
+        A team waits for its own requests at the rate that its share gives, not for
+        the whole queue. Use the result for the predicted wait.
+
+        :param team: team of the request.
+        :param urgent: whether the request is urgent.
+        :param share: share of the team.
+        :returns: a number of requests, at most all that are queued.
+        """
+        by_team = self._urgent_by_team if urgent else self._normal_by_team
+        own = len(by_team.get(team, ()))
+        if urgent:
+            return min(self._urgent_count, own / (share or MIN_SHARE))
+        normal_count = len(self._requests_by_id) - self._urgent_count
+        return self._urgent_count + min(normal_count, own / (share or MIN_SHARE))
+
     def take_expired(self, now_ms: int) -> list[Request]:
         """Remove the requests whose deadline has passed.
 
--- a/src/cranberrywheel_load/bench_schedulers.py
+++ b/src/cranberrywheel_load/bench_schedulers.py
@@ -51,9 +51,11 @@
 
     def admit(self, request: Request, now_ms: int) -> bool:
         """Queue a request unless it is refused."""
-        queued = 0 if request.urgent else len(self._queue)
+        share = SHARES[request.team]
+        queued = self._queue.ahead_of(request.team, request.urgent, share)
         wait_ms = self._estimates.wait_ms(request.queue, DECLARED_MS, queued, CAPACITY)
-        if now_ms + wait_ms > request.deadline_ms:
+        run_ms = self._estimates.run_ms(request.queue, DECLARED_MS)
+        if now_ms + wait_ms + run_ms > request.deadline_ms:
             return False
         if request.request_id not in self._failed_workers:
             self._budget.note_request(now_ms)
