Probe ejected workers only with requests that can be retried

Cause: a probe of a worker that still fails loses a non-idempotent request. Change: WorkerTable.choose takes may_probe; the benchmark passes it for idempotent requests that are not urgent and prints the failures that callers got. Conclusion: the dispatcher should pass request.idempotent and not request.urgent.

--- a/src/cranberrywheel/process/worker_table.py
+++ b/src/cranberrywheel/process/worker_table.py
@@ -143,6 +143,7 @@
         now_ms: int,
         excluded: t.Collection[str] = (),
         avoided_racks: t.Collection[str] = (),
+        may_probe: bool = True,
     ) -> WorkerRow | None:
         """Choose the worker for one attempt.
 
@@ -150,15 +151,16 @@
         :param now_ms: clock reading.
         :param excluded: workers that must not be chosen.
         :param avoided_racks: racks that are used only if no other has room.
-        :returns: a worker with a free slot as far as known, or ``None``. An ejected
-            worker whose backoff has passed is returned for one probe, but never for a
-            retry.
+        :param may_probe: whether an ejected worker whose backoff has passed may be
+            probed with this request. Pass false if it cannot be retried, because
+            probes of a dead worker fail. Retries are never spent on probes.
+        :returns: a worker with a free slot as far as known, or ``None``.
         """
         self._advance(now_ms)
         state = self._pools_by_name.get(pool)
         if state is None:
             return None
-        if state.probes and not excluded:
+        if state.probes and may_probe and not excluded:
             return state.probes[0].row
 
         def load(
--- a/src/cranberrywheel_load/bench_schedulers.py
+++ b/src/cranberrywheel_load/bench_schedulers.py
@@ -76,7 +76,8 @@
         if request is None:
             return None
         failed = self._failed_workers.get(request.request_id, ())
-        worker = self._table.choose(POOL, now_ms, failed)
+        may_probe = request.idempotent and not request.urgent
+        worker = self._table.choose(POOL, now_ms, failed, may_probe=may_probe)
         worker = worker or self._table.choose(POOL, now_ms)
         if worker is None:
             raise RuntimeError("the pool had room")
--- a/src/cranberrywheel_load/policy_bench.py
+++ b/src/cranberrywheel_load/policy_bench.py
@@ -52,6 +52,7 @@
     :param attempts: attempts started.
     :param bad_attempts: attempts on the bad worker.
     :param requests: requests that arrived.
+    :param lost: requests whose caller got a failure.
     :param urgent_waits_ms: wait of each urgent request that its caller did not
         cancel first; infinite if it was never started.
     :param used_ms: slot time per window and team.
@@ -65,6 +66,7 @@
     attempts: int = 0
     bad_attempts: int = 0
     requests: int = 0
+    lost: int = 0
     urgent_waits_ms: list[float] = dataclasses.field(default_factory=list)
     used_ms: collections.Counter[tuple[int, str]] = dataclasses.field(
         default_factory=collections.Counter
@@ -227,6 +229,7 @@
             attempts = self._attempts[request.request_id]
             delay_ms = self._scheduler.retry_ms(request, attempts, now_ms)
             if delay_ms is None:
+                self.measures.lost += 1
                 self._close(request)
             else:
                 self._at(now_ms + delay_ms, self._enqueue, request)
@@ -323,6 +326,7 @@
         f" useful={_mean(useful):.3f} ({min(useful):.3f}-{max(useful):.3f})"
         f" attempts={_mean(r.attempts / r.requests for r in runs):.2f}"
         f" bad={_mean(r.bad_attempts / max(1, r.attempts) for r in runs):.3f}"
+        f" lost={_mean(1000 * r.lost / r.requests for r in runs):.2f}"
         f" closeness={_mean(_mean(c.values()) for c in closeness):.3f}"
         f" worst={_mean(min(c.values()) for c in closeness):.3f}"
         f" urgent_ms={_percentile(waits_ms, 0.5):.0f}/{_percentile(waits_ms, 0.95):.0f}"
@@ -348,8 +352,8 @@
         f"workload={options.workload} seeds={list(seeds)} seconds={options.seconds}"
         f" workers={WORKERS} slots={SLOTS}"
     )
-    print("bad: attempts on the bad worker; urgent_ms: start after p50/p95/p99;")
-    print("late: not started within 1.5 s")
+    print("bad: part of the attempts on the bad worker; lost: failures per 1000;")
+    print("urgent_ms: start after p50/p95/p99; late: not started within 1.5 s")
     cases = [
         Case(name, options.workload, load, fault, options.seconds)
         for fault, load, name in itertools.product(FAULTS, LOADS, names)
--- a/tests/test_worker_table.py
+++ b/tests/test_worker_table.py
@@ -107,6 +107,8 @@
         self.assertEqual("w0", self.choose())
         # A retry must not be spent on a probe.
         self.assertNotEqual("w0", self.choose("w2"))
+        # Nor a request that cannot be retried.
+        self.assertNotEqual("w0", self.choose(may_probe=False))
         self.table.started("w0", self.clock.now_ms())
         # One probe at a time.
         self.assertNotIn("w0", {self.choose() for _ in range(50)})
