Bound a team's part of the ticket book

Cause: one team that asks for many tickets could fill the book, and other teams could then start nothing on non-idempotent queues. Change: a team may hold four times the free places. The test of a full book now fills it with ten teams, because one team no longer can; it checks the same refusals. Figures: with 10 places one team gets 8 and another 2 of the rest; before, 10 and 0.

--- a/src/cranberrywheel/request/ticket.py
+++ b/src/cranberrywheel/request/ticket.py
@@ -1,5 +1,6 @@
 """Tickets that let a non-idempotent request start at most once."""
 
+import collections
 import dataclasses
 import enum
 import hashlib
@@ -20,6 +21,9 @@
 #: the names of teams, queues and processes.
 SEPARATOR = "~"
 MAC_BYTES = 16
+#: A team may hold this many times the free places of the book, so that one team that
+#: asks for many tickets leaves some for the others.
+PLACES_PER_FREE_PLACE = 4
 
 
 class ClaimState(enum.Enum):
@@ -121,6 +125,7 @@
         self._secret = secret
         self._serials = itertools.count(1)
         self._records_by_ticket: dict[str, _Record] = {}
+        self._reserved_by_team: collections.Counter[str] = collections.Counter()
         self._reserved = 0
         #: Clock readings at which a ticket's record may be dropped.
         self._drops: list[tuple[int, str]] = []
@@ -134,16 +139,20 @@
         :param queue: queue that it is for.
         :param now_ms: clock reading.
         :returns: the ticket.
-        :raises OverloadedError: if the book is full or was handed over.
+        :raises OverloadedError: if the book is full or was handed over, or if the
+            team holds so many tickets that the rest must be left to others.
         """
         self.expire(now_ms)
-        if self._exported or self._reserved >= self._settings.max_tickets:
+        free = self._settings.max_tickets - self._reserved
+        held = self._reserved_by_team[team]
+        if self._exported or held >= PLACES_PER_FREE_PLACE * free:
             raise OverloadedError("No ticket can be issued now.", "Retry later.")
         expires_ms = now_ms + self._settings.ticket_lifetime_ms
         fields = (self._process_id, team, queue, str(next(self._serials)))
         signed = SEPARATOR.join((*fields, str(expires_ms)))
         ticket = signed + SEPARATOR + self._mac(signed)
         self._reserved += 1
+        self._reserved_by_team[team] += 1
         heapq.heappush(self._drops, (expires_ms, ticket))
         return ticket
 
@@ -223,18 +232,19 @@
         while self._drops and self._drops[0][0] <= now_ms:
             due_ms, ticket = heapq.heappop(self._drops)
             record = self._records_by_ticket.get(ticket)
-            expires_ms = _parse(ticket)[0].expires_ms
+            fields = _parse(ticket)[0]
             finished = record is not None and record.phase is _Phase.FINISHED
             running = record is not None and record.phase in (
                 _Phase.CLAIMED,
                 _Phase.STARTED,
             )
-            if running or (finished and due_ms < expires_ms + retention_ms):
+            if running or (finished and due_ms < fields.expires_ms + retention_ms):
                 later_ms = max(due_ms, now_ms if running else 0) + retention_ms
                 heapq.heappush(self._drops, (later_ms, ticket))
             else:
                 self._records_by_ticket.pop(ticket, None)
                 self._reserved -= 1
+                self._reserved_by_team[fields.team] -= 1
         self._expire_handed_over(now_ms)
 
     def export_results(self) -> list[tuple[str, Answer]]:
--- a/tests/test_ticket.py
+++ b/tests/test_ticket.py
@@ -102,15 +102,30 @@
 
     def test_full_book_refuses_new_tickets_and_keeps_the_old(self):
         self.run_request()
-        others = [self.book.issue("team", "queue", 0) for _ in range(9)]
-        self.assertRaises(OverloadedError, self.book.issue, "team", "queue", 1)
-        self.assertEqual(ClaimState.NEW, self.claim(ticket=others[-1]).state)
+        others = [self.book.issue(f"team{n}", "queue", 0) for n in range(9)]
+        self.assertRaises(OverloadedError, self.book.issue, "new", "queue", 1)
+        claim = self.book.claim(others[-1], "team8", "queue", 1)
+        self.assertEqual(ClaimState.NEW, claim.state)
         self.assertEqual(ClaimState.NOT_RUN, self.book.query(others[0], 1).state)
-        # Unclaimed and void tickets make room at expiry, the answer does not.
-        for _ in range(8):
-            self.book.issue("team", "queue", LIFETIME_MS)
+        # Unclaimed and void tickets make room at expiry, answer and run do not.
+        for number in range(8):
+            self.book.issue(f"late{number}", "queue", LIFETIME_MS)
         self.assertRaises(OverloadedError, self.book.issue, "", "", LIFETIME_MS)
 
+    def test_one_team_cannot_take_all_tickets(self):
+        # Guards against a team that locks the others out of non-idempotent queues.
+        def take(team):
+            for count in range(100):
+                try:
+                    self.book.issue(team, "queue", 0)
+                except OverloadedError:
+                    return count
+            return 100
+
+        # One ticket was issued in setUp.
+        self.assertEqual(7, take("team"))
+        self.assertEqual(2, take("other"))
+
     def test_forged_and_malformed_tickets_are_refused(self):
         head, _, mac = self.ticket.rpartition("~")
         longer = head[:-4] + "9999" + "~" + mac
