Do not start requests that cannot end before their deadline

Cause: under overload the oldest requests are close to their deadline; a run that ends after it is wasted. Change: FairQueue.push takes the last useful start; from then on the request counts as expired.

--- a/src/cranberrywheel/request/fair_queue.py
+++ b/src/cranberrywheel/request/fair_queue.py
@@ -34,19 +34,22 @@
         self._urgent_by_team: dict[str, _Requests] = {}
         self._normal_by_team: dict[str, _Requests] = {}
         self._urgent_count = 0
+        self._start_by_ms: dict[str, int] = {}
         self._deadlines: list[tuple[int, str]] = []
         self._expired: list[Request] = []
 
     def __len__(self) -> int:
         return len(self._requests_by_id)
 
-    def push(self, request: Request) -> None:
+    def push(self, request: Request, start_by_ms: int | None = None) -> None:
         """Append a request.
 
         Expired requests are evicted first when the queue is full; the next
         :meth:`take_expired` returns them.
 
         :param request: its id must not be queued.
+        :param start_by_ms: clock reading from which a start is of no use, because
+            the request would not end before its deadline. It then counts as expired.
         :raises OverloadedError: if the queue is full, or if the team holds so much
             of it that the rest must be left to others; urgent requests may use the
             rest.
@@ -64,7 +67,10 @@
         if requests is None:
             requests = by_team[request.team] = _Requests()
         requests[request.request_id] = request
-        heapq.heappush(self._deadlines, (request.deadline_ms, request.request_id))
+        if start_by_ms is None:
+            start_by_ms = request.deadline_ms
+        self._start_by_ms[request.request_id] = start_by_ms
+        heapq.heappush(self._deadlines, (start_by_ms, request.request_id))
 
     def remove(self, request_id: str) -> Request | None:
         """Remove a request, for example when its caller cancelled it.
@@ -76,6 +82,7 @@
         if request is None:
             return None
         self._urgent_count -= request.urgent
+        del self._start_by_ms[request_id]
         by_team = self._requests_by_team(request)
         requests = by_team[request.team]
         del requests[request_id]
@@ -132,7 +139,7 @@
         return self._urgent_count + min(normal_count, own / (share or MIN_SHARE))
 
     def take_expired(self, now_ms: int) -> list[Request]:
-        """Remove the requests whose deadline has passed.
+        """Remove the requests whose deadline or last useful start has passed.
 
         :param now_ms: clock reading.
         :returns: each expired request once, also those evicted by other calls.
@@ -160,18 +167,19 @@
         return self._urgent_by_team if request.urgent else self._normal_by_team
 
     def _evict_expired(self, now_ms: int) -> None:
-        deadlines = self._deadlines
-        while deadlines and deadlines[0][0] <= now_ms:
-            _, request_id = heapq.heappop(deadlines)
-            if request := self.remove(request_id):
-                self._expired.append(request)
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            start_by_ms, request_id = heapq.heappop(self._deadlines)
+            # A request that came back may have an older entry.
+            if self._start_by_ms.get(request_id) == start_by_ms:
+                self._expired.append(self._requests_by_id[request_id])
+                self.remove(request_id)
 
     def _compact_deadlines(self) -> None:
         # Removed requests leave their entry behind. Rebuilding at twice the live
         # size keeps the cost per removal constant.
         if len(self._deadlines) > 2 * len(self._requests_by_id) + 64:
             self._deadlines = [
-                (request.deadline_ms, request_id)
-                for request_id, request in self._requests_by_id.items()
+                (start_by_ms, request_id)
+                for request_id, start_by_ms in self._start_by_ms.items()
             ]
             heapq.heapify(self._deadlines)
--- a/src/cranberrywheel_load/bench_schedulers.py
+++ b/src/cranberrywheel_load/bench_schedulers.py
@@ -60,7 +60,7 @@
         if request.request_id not in self._failed_workers:
             self._budget.note_request(now_ms)
         try:
-            self._queue.push(request)
+            self._queue.push(request, request.deadline_ms - round(run_ms))
         except OverloadedError:
             return False
         return True
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -74,6 +74,16 @@
         self.assertEqual("r2", queue.pop(5, {}, {}, always).request_id)
         self.assertEqual(["old"], [r.request_id for r in queue.take_expired(5)])
 
+    def test_request_that_cannot_end_in_time_is_not_started(self):
+        queue = FairQueue(10)
+        queue.push(request("late"), start_by_ms=50)
+        self.assertEqual("late", queue.pop(49, {}, {}, always).request_id)
+        # The entry of the first push must not evict the second.
+        queue.push(request("late"), start_by_ms=90)
+        self.assertEqual([], queue.take_expired(89))
+        self.assertIs(None, queue.pop(90, {}, {}, always))
+        self.assertEqual(["late"], [r.request_id for r in queue.take_expired(90)])
+
     def test_cancelled_request_leaves_nothing_behind(self):
         queue = self.queue(request("r1"), request("r2"))
         self.assertEqual("r1", queue.remove("r1").request_id)
