--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -74,6 +74,16 @@
         self.assertEqual("r2", queue.pop(5, {}, {}, always).request_id)
         self.assertEqual(["old"], [r.request_id for r in queue.take_expired(5)])
 
+    def test_request_that_cannot_end_in_time_is_not_started(self):
+        queue = FairQueue(10)
+        queue.push(request("late"), start_by_ms=50)
+        self.assertEqual("late", queue.pop(49, {}, {}, always).request_id)
+        # The entry of the first push must not evict the second.
+        queue.push(request("late"), start_by_ms=90)
+        self.assertEqual([], queue.take_expired(89))
+        self.assertIs(None, queue.pop(90, {}, {}, always))
+        self.assertEqual(["late"], [r.request_id for r in queue.take_expired(90)])
+
     def test_cancelled_request_leaves_nothing_behind(self):
         queue = self.queue(request("r1"), request("r2"))
         self.assertEqual("r1", queue.remove("r1").request_id)
@@ -90,6 +100,18 @@
             queue.remove(f"r{number}")
         self.assertTrue(len(queue._deadlines) < 200)
 
+    def test_predicted_position_follows_the_share(self):
+        # Guards against refusing a team because of another team's long queue.
+        queue = self.queue(*(request(f"a{n}") for n in range(50)), request("b", "b"))
+        self.assertEqual(0, queue.ahead_of("c", False, 0.1))
+        self.assertEqual(10, queue.ahead_of("b", False, 0.1))
+        self.assertEqual(51, queue.ahead_of("a", False, 0.1))
+        queue.push(request("u", "a", urgent=True))
+        self.assertEqual(0, queue.ahead_of("b", True, 0.1))
+        self.assertEqual(1, queue.ahead_of("c", False, 0.1))
+        queue.remove("u")
+        self.assertEqual(0, queue.ahead_of("c", False, 0.0))
+
     def test_no_team_starves_when_another_bursts_to_five_times_its_mean(self):
         # Team "a" offers ten times what the others do; all have the same share.
         shares = dict.fromkeys("abcde", 0.2)
