Report a withdrawal as complete only with a roster read after it

Cause: over real sockets an entry that had just started reported a withdrawal as confirmed by all, because it had not read the roster yet. Change: completion needs a roster that was read after the withdrawal came in. A test runs two entries with threads, sockets and the platform's HTTP service.

--- a/src/cranberrywheel/process/configuration_writer.py
+++ b/src/cranberrywheel/process/configuration_writer.py
@@ -65,6 +65,7 @@
 @dataclasses.dataclass(eq=False)
 class _Withdrawal:
     message: WithdrawKey
+    accepted_ms: int
     deadline_ms: int
 
 
@@ -190,7 +191,7 @@
         self._peers.add_mark(message.key_id)
         self._mark_due_ms_by_id[message.key_id] = now_ms
         deadline_ms = now_ms + self._settings.key_freshness_ms
-        self._withdrawals.append(_Withdrawal(message, deadline_ms))
+        self._withdrawals.append(_Withdrawal(message, now_ms, deadline_ms))
 
     def _check_known(self, key_id: str) -> None:
         snapshot = self._peers.holder.snapshot
@@ -306,7 +307,9 @@
             key_id = withdrawal.message.key_id
             stored = snapshot is not None and key_id in snapshot.withdrawn_ids
             confirmed, unconfirmed = self._peers.confirmations(key_id)
-            complete = stored and not unconfirmed
+            # An older roster may lack an entry that has the key.
+            known = self._peers.knows_roster_of(withdrawal.accepted_ms)
+            complete = stored and known and not unconfirmed
             if complete or now_ms >= withdrawal.deadline_ms:
                 self._withdrawals.remove(withdrawal)
                 result = {
--- a/src/cranberrywheel/process/exchange.py
+++ b/src/cranberrywheel/process/exchange.py
@@ -97,6 +97,7 @@
         self._marks: set[str] = set()
         self._states_by_id: dict[str, PeerState] = {}
         self._seen_ms_by_id: dict[str, int] = {}
+        self._roster_read_ms: int | None = None
         self._load = LoadReport((), {}, (), False)
 
     def _adopted(self, snapshot: ConfigurationSnapshot) -> None:
@@ -104,10 +105,19 @@
 
     # Called by the store session.
 
-    def set_roster(self, registrations: list[Registration]) -> None:
-        """Take the registered entries as read from the store."""
+    def set_roster(self, registrations: list[Registration], read_ms: int) -> None:
+        """Take the registered entries as read from the store.
+
+        :param read_ms: own clock reading before the read was sent.
+        """
         with self._lock:
             self._membership.set_roster(registrations)
+            self._roster_read_ms = read_ms
+
+    def knows_roster_of(self, at_ms: int) -> bool:
+        """Tell whether the roster was read from the store at or after a time."""
+        with self._lock:
+            return self._roster_read_ms is not None and self._roster_read_ms >= at_ms
 
     def set_instances(self, listed: InstanceList) -> None:
         """Take the platform's instance list."""
--- a/src/cranberrywheel/process/store_reader.py
+++ b/src/cranberrywheel/process/store_reader.py
@@ -154,8 +154,9 @@
         :raises StoreUnavailableError: if the store gives no answer.
         """
         limits = self._client.list(LIMITS_PREFIX)
+        read_ms = self._clock.now_ms()
         registrations = self._read_roster()
-        self._peers.set_roster(registrations)
+        self._peers.set_roster(registrations, read_ms)
         self._to_session(LimitsListed(limits, registrations))
         for record in self._client.list(POOLS_PREFIX):
             self._take_pools(record)
--- /dev/null
+++ b/tests/test_sharing_network.py
@@ -0,0 +1,72 @@
+import concurrent.futures
+import dataclasses
+import json
+import threading
+
+import testtools
+from small_deployment import TEXT
+from test_peer_service import WAIT_S, Peer, free_ports
+from werkzeug.serving import make_server
+
+from cranberrywheel.clock import Clock
+from cranberrywheel.connection.store_client import StoreClient
+from cranberrywheel.errors import StoreConflictError, StoreUnavailableError
+from cranberrywheel.process.messages import ApplyText, GrantKey, Stop, WithdrawKey
+from cranberrywheel.process.store_session import StoreSession
+from cranberrywheel.settings import PlatformSettings
+from cranberrywheel_standin.platform import Faults, Platform, PlatformApp
+
+
+class SharingNetworkTest(testtools.TestCase):
+    """Two entries with threads and sockets; guards the wiring of the parts."""
+
+    def setUp(self):
+        super().setUp()
+        self.platform = Platform()
+        server = make_server("127.0.0.1", 0, PlatformApp(self.platform), threaded=True)
+        thread = threading.Thread(target=server.serve_forever, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(server.shutdown)
+        url = f"http://127.0.0.1:{server.server_port}"
+        self.store = PlatformSettings(url=url, timeout_ms=5_000)
+
+    def start_entry(self, number, port):
+        peer = Peer(number, port, lambda incoming: None)
+        settings = dataclasses.replace(peer.settings, platform=self.store)
+        peer.session = StoreSession(settings, Clock(), peer.dispatch, peer.exchange)
+        peer.service.start()
+        peer.session.start()
+        self.addCleanup(self.stop_entry, peer)
+        return peer
+
+    def ask(self, peer, kind, *fields):
+        future = concurrent.futures.Future()
+        peer.session.inbox.put(kind(*fields, future))
+        return future
+
+    def stop_entry(self, peer):
+        self.ask(peer, Stop).result(WAIT_S)
+        peer.service.stop()
+
+    def test_grant_and_withdrawal_reach_the_other_entry(self):
+        a, b = (self.start_entry(n, p) for n, p in enumerate(free_ports(2)))
+        self.assertEqual(1, self.ask(a, ApplyText, TEXT, 0).result(WAIT_S))
+        key_id = self.ask(b, GrantKey, "t").result(WAIT_S).partition(".")[0]
+        result = self.ask(a, WithdrawKey, key_id).result(WAIT_S)
+        ids = [a.exchange.process_id, b.exchange.process_id]
+        expected = {"stored": True, "confirmed": ids, "unconfirmed": []}
+        self.assertEqual(expected, result)
+        self.assertIn(key_id, b.exchange.holder.snapshot.withdrawn_ids)
+
+    def test_store_client_reports_what_the_platform_answers(self):
+        client = StoreClient(self.store)
+        self.addCleanup(client.close)
+        revision = client.put("limits/a b", "{}", 0)
+        self.assertEqual("unchanged", client.get("limits/a b", newer_than=revision))
+        self.assertEqual(["limits/a b"], [r.key for r in client.list("limits/")])
+        error = self.assertRaises(StoreConflictError, client.put, "limits/a b", "", 9)
+        self.assertEqual(revision, error.revision)
+        self.platform.faults = Faults(lose_answers=1)
+        self.assertRaises(StoreUnavailableError, client.put, "k", json.dumps({}), 0)
+        self.assertEqual("{}", client.get("k").value)
