Refuse withdrawals at unregistered entries, settle open changes at shutdown

Cause: an entry that started during an outage accepted a withdrawal of a key that it knew from peers, although the proofs of others do not cover it. Futures of open changes were never set when the session stopped. A stopping peer service let callers of forwarded requests wait for their whole timeout. Change: such withdrawals are refused; open changes fail at shutdown; cancelled calls are answered. Learned processes and old message times are dropped with each roster, and an older instance list is ignored. Conclusion: no open future is left behind by a stop.

--- a/src/cranberrywheel/connection/peer_service.py
+++ b/src/cranberrywheel/connection/peer_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import concurrent.futures
+import contextlib
 import random
 import threading
 import typing as t
@@ -39,6 +40,7 @@
 #: Time beyond the request's timeout in which its answer may still arrive.
 FORWARD_GRACE_MS = 500
 START_TIMEOUT_MS = 10_000
+CLOSE_TIMEOUT_MS = 1_000
 
 #: How long requests may still run on a connection that is no longer used.
 RETIRED_CHANNEL_MS = 120_000
@@ -108,6 +110,10 @@
             )
         except CranberrywheelError as error:
             answer = error_answer(incoming.request_id, error)
+        except asyncio.CancelledError:
+            # The service stops. grpclib answers nothing to a cancelled call, and
+            # the caller would wait for its whole timeout.
+            raise grpclib.exceptions.GRPCError(Status.UNAVAILABLE) from None
         await stream.send_message(encode_answer(answer))
 
     async def HandOver(self, stream: t.Any) -> None:
@@ -247,6 +253,9 @@
         await self._stop_event.wait()
         rounds.cancel()
         server.close()
+        # Running calls are answered with an error first.
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(server.wait_closed(), CLOSE_TIMEOUT_MS / 1000)
         for channels in (self._exchange_channels, self._forward_channels):
             for channel in channels.values():
                 channel.close()
--- a/src/cranberrywheel/process/configuration_writer.py
+++ b/src/cranberrywheel/process/configuration_writer.py
@@ -8,6 +8,7 @@
 from cranberrywheel.errors import (
     ConfigurationError,
     CranberrywheelError,
+    NotReadyError,
     StoreConflictError,
     StoreError,
     StoreUnavailableError,
@@ -36,6 +37,8 @@
 #: delay in this range, so that usually one of them does.
 MARK_DELAY_MS = (1_000, 3_000)
 
+STOPPING = NotReadyError("This entry is shutting down.", "Ask another entry.")
+
 #: Derives the next body from the present record, and the operator's result.
 Change = t.Callable[[StoredRecord | None], tuple[dict[str, t.Any], t.Any]]
 _log = PartLogger("configuration")
@@ -176,15 +179,22 @@
     def withdraw_key(self, message: WithdrawKey, now_ms: int, registered: bool) -> None:
         """Stop a key here at once, then in the store and on the peers.
 
-        :param registered: whether this process is known to be registered. The
-            proofs of other entries do not cover one that is not.
+        An unavailable store does not prevent it: the mark is written later.
+
+        :param registered: whether this process has registered. The proofs of
+            other entries do not cover a process that they do not know.
         """
         try:
-            self._check_known(message.key_id)
-        except StoreUnavailableError as error:
             if not registered:
-                settle(message.result, error=error)
-                return
+                raise StoreUnavailableError(
+                    "This entry is not registered in the store yet.",
+                    "Withdraw the key at another entry.",
+                )
+            if not self._is_known(message.key_id):
+                raise ConfigurationError(
+                    f"There is no key {message.key_id!r}.",
+                    "Check the key id, which is the part before the dot.",
+                )
         except CranberrywheelError as error:
             settle(message.result, error=error)
             return
@@ -193,20 +203,22 @@
         deadline_ms = now_ms + self._settings.key_freshness_ms
         self._withdrawals.append(_Withdrawal(message, now_ms, deadline_ms))
 
-    def _check_known(self, key_id: str) -> None:
+    def _is_known(self, key_id: str) -> bool:
+        """Tell whether a key exists or existed, or may exist."""
         snapshot = self._peers.holder.snapshot
-        if snapshot is not None and (
+        if snapshot is None or key_id not in {
+            *snapshot.keys_by_id,
+            *snapshot.withdrawn_ids,
+        }:
+            # Another entry may have granted it a moment ago.
+            try:
+                stored = self._writer.read(CONFIGURATION_KEY)
+            except StoreUnavailableError:
+                return True
+            snapshot = read_snapshot(stored) if stored else None
+        return snapshot is not None and (
             key_id in snapshot.keys_by_id or key_id in snapshot.withdrawn_ids
-        ):
-            return
-        stored = self._writer.read(CONFIGURATION_KEY)
-        present = read_snapshot(stored) if stored else None
-        if present is None or (
-            key_id not in present.keys_by_id and key_id not in present.withdrawn_ids
-        ):
-            raise ConfigurationError(
-                f"There is no key {key_id!r}.", "Check the key id, before the dot."
-            )
+        )
 
     def step(self, now_ms: int, store_allowed: bool) -> None:
         """Carry on with open changes.
@@ -256,7 +268,7 @@
         except StoreError as error:
             self._finish(operation, error=error)
         else:
-            self._peers.holder.adopt(stored.record)
+            self._adopt(stored)
             self._finish(operation, result)
 
     def _resolve_lost(self) -> None:
@@ -266,13 +278,28 @@
         outcome, current = self._writer.resolve(CONFIGURATION_KEY)
         self._lost = None
         if current is not None:
-            self._peers.holder.adopt(current.record)
+            self._adopt(current)
         if outcome is WriteOutcome.WRITTEN:
             self._finish(operation, self._lost_result)
         elif outcome is WriteOutcome.UNKNOWN:
             self._finish(operation, error=self._unknown_error())
         # After NOT_WRITTEN the operation is still in the queue and runs again.
 
+    def _adopt(self, stored: StoredRecord) -> None:
+        try:
+            self._peers.holder.adopt(stored.record)
+        except StoreError as error:
+            _log.warning("ignored malformed record", cause=error.message)
+
+    def abandon(self) -> None:
+        """Fail all open changes at shutdown."""
+        for operation in list(self._operations):
+            error = self._unknown_error() if operation is self._lost else STOPPING
+            self._finish(operation, error=error)
+        for withdrawal in self._withdrawals:
+            settle(withdrawal.message.result, error=STOPPING)
+        self._withdrawals.clear()
+
     @staticmethod
     def _unknown_error() -> StoreUnavailableError:
         return StoreUnavailableError(
--- a/src/cranberrywheel/process/exchange.py
+++ b/src/cranberrywheel/process/exchange.py
@@ -1,5 +1,6 @@
 """Knowledge that entries exchange: versions, proofs, withdrawal marks and load."""
 
+import dataclasses
 import re
 import threading
 import typing as t
@@ -166,8 +167,8 @@
             if snapshot is not None and key_id in snapshot.withdrawn_ids:
                 return
             self._marks.add(key_id)
+            self._to_dispatcher(MarkWithdrawn(key_id))
         _log.event("marked key as withdrawn", key_id=key_id)
-        self._to_dispatcher(MarkWithdrawn(key_id))
 
     def unwritten_marks(self) -> set[str]:
         """Return withdrawals that are not known to be in the store."""
@@ -248,13 +249,7 @@
             for key_id in sorted(marks):
                 state.marks.add(key_id=key_id)
             for row in load.loads:
-                state.loads.add(
-                    team=row.team,
-                    service=row.service,
-                    running=row.running,
-                    queued=row.queued,
-                    idle_units=row.idle_units,
-                )
+                state.loads.add(**dataclasses.asdict(row))
             for worker, in_flight in load.in_flight_by_worker.items():
                 state.workers.add(worker=worker, in_flight=in_flight)
             return state
--- a/src/cranberrywheel/process/limit_units.py
+++ b/src/cranberrywheel/process/limit_units.py
@@ -144,6 +144,33 @@
         return {team: len(r) for team, r in self._running_by_team.items() if r}
 
 
+@dataclasses.dataclass(frozen=True)
+class Need:
+    """Units with a running request, and requests that wait for one."""
+
+    in_use: int
+    waiting: int
+
+    @property
+    def total(self) -> int:
+        """Units that would all be used at once."""
+        return self.in_use + self.waiting
+
+
+@dataclasses.dataclass(frozen=True)
+class Absence:
+    """Since when a holder is known to be gone, on the observer's clock.
+
+    :param missing_ms: when its registration was first seen missing; ``None``
+        while it is there.
+    :param replaced_ms: when another process was first seen registered with its
+        instance, zone and address; ``None`` if that was not seen.
+    """
+
+    missing_ms: int | None
+    replaced_ms: int | None = None
+
+
 def split_units(total: int, long_fraction: float) -> tuple[int, int]:
     """Split a holder's units into long and short ones.
 
@@ -189,11 +216,9 @@
     :param holder: process id.
     :param row: identity of the holder; its units are ignored.
     """
-    old = record.holders.get(holder)
-    units = {"long": old.long, "short": old.short} if old else {"long": 0, "short": 0}
-    if old:
-        units["target"] = old.target
-    new = row.model_copy(update=units)
+    old = record.holders.get(holder, HolderRow.model_construct())
+    kept = {"long": old.long, "short": old.short, "target": old.target}
+    new = row.model_copy(update=kept)
     return record.model_copy(update={"holders": {**record.holders, holder: new}})
 
 
@@ -226,19 +251,6 @@
     return changed.model_copy(update={"holders": holders})
 
 
-@dataclasses.dataclass(frozen=True)
-class Need:
-    """Units with a running request, and requests that wait for one."""
-
-    in_use: int
-    waiting: int
-
-    @property
-    def total(self) -> int:
-        """Units that would all be used at once."""
-        return self.in_use + self.waiting
-
-
 def shrink(
     record: LimitRecord, holder: str, in_use: int, long_fraction: float
 ) -> LimitRecord:
@@ -337,20 +349,6 @@
     return record.model_copy(update={"holders": holders})
 
 
-@dataclasses.dataclass(frozen=True)
-class Absence:
-    """Since when a holder is known to be gone, on the observer's clock.
-
-    :param missing_ms: when its registration was first seen missing; ``None``
-        while it is there.
-    :param replaced_ms: when another process was first seen registered with its
-        instance, zone and address; ``None`` if that was not seen.
-    """
-
-    missing_ms: int | None
-    replaced_ms: int | None = None
-
-
 def reclaim(
     record: LimitRecord,
     holder: str,
--- a/src/cranberrywheel/process/membership.py
+++ b/src/cranberrywheel/process/membership.py
@@ -137,15 +137,21 @@
         # Learned processes that answered a call to their address.
         self._answering_ids: set[str] = set()
         self._heard_ms_by_id: dict[str, int] = {}
+        self._list_revision = 0
         self._listed_instances: set[str] = set()
         self._gone_instances: set[str] = set()
 
     def set_roster(self, registrations: list[Registration]) -> None:
-        """Take the registered entries from the store."""
-        self._roster_by_id = {r.process_id: r for r in registrations}
-        self._learned_by_id = {
-            i: r for i, r in self._learned_by_id.items() if i not in self._roster_by_id
+        """Take the registered entries from the store.
+
+        Processes that are not registered are learned again when they next send.
+        """
+        roster = {r.process_id: r for r in registrations}
+        self._roster_by_id = roster
+        self._heard_ms_by_id = {
+            i: at_ms for i, at_ms in self._heard_ms_by_id.items() if i in roster
         }
+        self._learned_by_id.clear()
         self._answering_ids.clear()
 
     def learn(self, registration: Registration, answered: bool) -> None:
@@ -168,6 +174,9 @@
         Only an instance that was listed before can be gone: a new one may be
         absent because the list lags.
         """
+        if listed.revision < self._list_revision:
+            return
+        self._list_revision = listed.revision
         present = {row.instance_id for row in listed.instances}
         self._listed_instances |= present
         self._gone_instances = self._listed_instances - present
@@ -185,7 +194,7 @@
         return dict(self._heard_ms_by_id)
 
     def peers(self) -> list[Registration]:
-        """Return all other processes that may be alive, one per address."""
+        """Return all other processes that may be alive."""
         known = {**self._learned_by_id, **(self._roster_by_id or {})}
         known.pop(self._process_id, None)
         groups = group_by_place(known.values())
--- a/src/cranberrywheel/process/store_session.py
+++ b/src/cranberrywheel/process/store_session.py
@@ -15,7 +15,11 @@
     StoreUnavailableError,
 )
 from cranberrywheel.logs import PartLogger
-from cranberrywheel.process.configuration_writer import ConfigurationWriter, settle
+from cranberrywheel.process.configuration_writer import (
+    STOPPING,
+    ConfigurationWriter,
+    settle,
+)
 from cranberrywheel.process.exchange import PeerExchange
 from cranberrywheel.process.membership import ENTRIES_PREFIX, dump_registration
 from cranberrywheel.process.messages import (
@@ -243,9 +247,21 @@
         if renewed:
             self._to_dispatcher(HoldRenewed(self._lease.started_ms))
 
+    def _refuse_messages(self) -> None:
+        while not self.inbox.empty():
+            match self.inbox.get():
+                case (
+                    ApplyText(version=future)
+                    | GrantKey(key=future)
+                    | WithdrawKey(result=future)
+                ):
+                    settle(future, error=STOPPING)
+
     def stop(self, message: Stop) -> None:
         """Return the units and the lease, then end both threads."""
         self._stopping.set()
+        self._changes.abandon()
+        self._refuse_messages()
         for _ in range(STOP_ATTEMPTS):
             try:
                 self._units.return_all()
--- a/src/cranberrywheel/version/adoption.py
+++ b/src/cranberrywheel/version/adoption.py
@@ -124,10 +124,11 @@
         with self._lock:
             if snapshot.version <= self.version:
                 return False
+            # Under the lock, so that the receiver sees versions in order; and
+            # before others see the version and count it as proven.
+            self._on_adopted(snapshot)
             self._record = record
             self._snapshot = snapshot
-            # Under the lock, so that the receiver sees versions in order.
-            self._on_adopted(snapshot)
         _log.event(
             "adopted configuration",
             version=snapshot.version,
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -172,6 +172,7 @@
     def test_start_during_an_outage(self):
         """A replacement gets the version from peers that know its address."""
         group, entries = self.group()
+        key_id = entries[0].grant("t").result(0).partition(".")[0]
         group.run(5_000)
         version = entries[0].versions[-1]
         group.set_down(True)
@@ -180,7 +181,7 @@
         group.run(6_000)
         self.assertEqual([version], new.versions)
         self.assertTrue(all(e.is_fresh() for e in entries[:2]))
-        refused = new.withdraw("unknown")
+        refused = new.withdraw(key_id)
         self.assertEqual("store-unavailable", refused.exception(0).kind)
 
     def test_load_is_reported_and_silence_is_noticed(self):
--- a/tests/test_store_session.py
+++ b/tests/test_store_session.py
@@ -122,12 +122,13 @@
         self.assertEqual([self.b.process_id], answer.result(0)["unconfirmed"])
 
     def test_withdrawal_waits_for_a_roster_read_after_it(self):
-        """An entry that has just started knows no other yet."""
+        """An entry that has just registered knows no other yet."""
         self.a.apply(TEXT, 0).result(0)
         key_id = self.a.grant("t").result(0).partition(".")[0]
         self.group.run(4_000)
         new = self.group.replace(0, "b", number=5)
         new.session.reader.read_configuration()
+        self.assertEqual("store-unavailable", new.withdraw(key_id).exception(0).kind)
         answer = new.withdraw(key_id)
         self.assertFalse(answer.done())
         self.group.run(6_000)
