Move units to a burst in one round

Cause: entries with idle units answered a request for units at the same time; one write succeeded and the others waited for their next round. Change: a conflicting write is planned again from the new record at once, and an entry that waits for units reads that record every second. Conclusion: a burst of some seconds now gets its units; until then forwarding to peers with idle units has to help.

--- a/src/cranberrywheel/process/unit_keeper.py
+++ b/src/cranberrywheel/process/unit_keeper.py
@@ -31,7 +31,10 @@
 #: Longest wait for the dispatcher to release units. A late release is undone by
 #: the ``UnitsHeld`` that follows it.
 RELEASE_TIMEOUT_MS = 1_000
-#: Conflicts with other writers that the return of a team's units survives.
+#: Attempts to write a record that other entries write at the same time. Entries
+#: with idle units all answer the same request.
+CONFLICT_ATTEMPTS = 4
+#: The same at shutdown, which has no later attempt.
 RETURN_ATTEMPTS = 10
 
 _log = PartLogger("units")
@@ -223,22 +226,31 @@
     def _keep_team(self, team: str, limit: int, version: int) -> None:
         key = LIMITS_PREFIX + team
         state = self._states_by_team.setdefault(team, _TeamState())
-        before = state.record
-        following = self._plan(team, before, limit, version)
-        if following == before:
-            return
-        if not self._release(team, following):
-            self._tell_held(team)
-            return
-        try:
-            stored = self._writer.write(key, state.stored, limit_record.dump(following))
-        except StoreConflictError:
-            stored = self._writer.read(key)
-        except StoreUnavailableError:
-            raise
-        except StoreError:
-            self._tell_held(team)
-            raise
+        row = state.record.holders.get(self._own.process_id) if state.record else None
+        if row is not None and row.wanted:
+            # Others may have lent units since the last list.
+            self._refresh(team)
+        for _ in range(CONFLICT_ATTEMPTS):
+            following = self._plan(team, state.record, limit, version)
+            if following == state.record:
+                return
+            if not self._release(team, following):
+                self._tell_held(team)
+                return
+            try:
+                body = limit_record.dump(following)
+                self._adopt(self._writer.write(key, state.stored, body), force=True)
+                return
+            except StoreConflictError:
+                self._refresh(team)
+            except StoreUnavailableError:
+                raise
+            except StoreError:
+                self._tell_held(team)
+                raise
+
+    def _refresh(self, team: str) -> None:
+        stored = self._writer.read(LIMITS_PREFIX + team)
         if stored is not None:
             self._adopt(stored, force=True)
 
