--- a/src/cranberrywheel/process/capacity.py
+++ b/src/cranberrywheel/process/capacity.py
@@ -128,7 +128,8 @@
     counts = {pool: dict.fromkeys(zones, 0) for pool in configuration.pools_by_name}
     for instance in fleet.instances_by_name.values():
         pool = instance.row.target_pool or instance.pool
-        if pool in counts:
+        declared = instance.name in configuration.workers_by_name
+        if declared and pool in counts:
             counts[pool][instance.zone] += 1
     needed = dependency_pools(configuration)
     dependents = dict.fromkeys(counts, 1.0)
--- a/src/cranberrywheel/process/fleet_model.py
+++ b/src/cranberrywheel/process/fleet_model.py
@@ -275,6 +275,7 @@
     :param quarantine: instances to quarantine.
     :param repair: quarantined instances to reboot.
     :param recall: instances to return to service without maintenance.
+    :param drop: instances to remove from the record.
     :param waits_by_name: why each instance that is due waits.
     :param risks: domains whose loss breaks a budget even without maintenance.
     """
@@ -285,6 +286,7 @@
     quarantine: tuple[str, ...] = ()
     repair: tuple[str, ...] = ()
     recall: tuple[str, ...] = ()
+    drop: tuple[str, ...] = ()
     waits_by_name: dict[str, str] = dataclasses.field(default_factory=dict)
     risks: tuple[str, ...] = ()
 
--- a/src/cranberrywheel/process/planner.py
+++ b/src/cranberrywheel/process/planner.py
@@ -9,6 +9,8 @@
 import time
 import typing as t
 
+import statsd
+
 from cranberrywheel.clock import Clock
 from cranberrywheel.connection.store_client import InstanceList, StoreClient
 from cranberrywheel.errors import (
@@ -49,9 +51,11 @@
 
 #: A full round reads all pools and the instance list, about 300 bytes a worker. This
 #: interval per worker keeps that under 10 KB a second for any fleet.
-PLAN_INTERVAL_PER_WORKER_MS = 30
+PLAN_INTERVAL_PER_WORKER_MS = 40
 #: Sizes follow learned means, which change over hours.
 SIZING_INTERVAL_MS = 10 * 60_000
+#: The learned means weigh samples as one a minute.
+SAMPLE_INTERVAL_MS = 60_000
 #: The plan and the learned usage are written at most this often.
 PUBLISH_INTERVAL_MS = 60_000
 
@@ -98,7 +102,13 @@
         #: Rebooting instances that did not answer since the reboot was asked for.
         self._silent: set[str] = set()
         self._sizing: Sizing | None = None
-        self._next_plan_ms = self._next_sizing_ms = self._next_publish_ms = 0
+        self._next_plan_ms = self._next_sizing_ms = 0
+        self._next_publish_ms = self._next_sample_ms = 0
+        self._metrics = (
+            statsd.StatsClient(settings.statsd_host, settings.statsd_port)
+            if settings.statsd_host
+            else None
+        )
         #: The last plan of this zone, or ``None`` while another planner acts.
         self.plan: Plan | None = None
 
@@ -200,6 +210,9 @@
     ) -> PoolRow | None:
         if row.target_pool and row.target_pool not in configuration.pools_by_name:
             return moves.recall(row, self._now_wall_ms())
+        declared = name in configuration.workers_by_name
+        if row.state is InstanceState.EMPTY and not declared:
+            return None
         if row.state is InstanceState.DRAINING:
             self._checkpoint(configuration, name, tasks or ())
         if row.state is InstanceState.REBOOTING and tasks is None:
@@ -228,7 +241,9 @@
                 _log.event("checkpoint for drain", instance=name, request_id=key[1])
                 self._workers.checkpoint(addresses[name], task.task_id)
 
-    def _reconcile(self, configuration: Configuration) -> None:
+    def _reconcile(
+        self, configuration: Configuration, dropped: t.Collection[str] = ()
+    ) -> None:
         """Make ``disruptions`` agree with the zone's record."""
         listed = {name for names in self._disruptions.read().values() for name in names}
         rows = self._zone.pools.rows_by_name
@@ -237,7 +252,7 @@
         self._disruptions.change(
             configuration,
             added_pools_by_name={n: p for n, p in out.items() if n not in listed},
-            removed=[n for n in rows if n in listed and n not in out],
+            removed=[n for n in (*rows, *dropped) if n in listed and n not in out],
         )
 
     def _start_steps(self, configuration: Configuration) -> None:
@@ -260,7 +275,9 @@
         self.plan = plan
         rows = self._zone.pools.rows_by_name
         wall_ms = self._now_wall_ms()
-        changes = {name: moves.recall(rows[name], wall_ms) for name in plan.recall}
+        changes: dict[str, PoolRow | None] = dict.fromkeys(plan.drop)
+        for name in plan.recall:
+            changes[name] = moves.recall(rows[name], wall_ms)
         for name in plan.repair:
             changes[name] = moves.begin_repair(rows[name], wall_ms)
         for name in plan.quarantine:
@@ -272,9 +289,14 @@
             self._lease.check()
             self._disruptions.change(configuration, claimed)
         self._zone.change(changes)
-        if plan.recall:
-            self._reconcile(configuration)
+        if plan.recall or plan.drop:
+            self._reconcile(configuration, plan.drop)
         self._publish(fleet.now_ms)
+        if self._metrics:
+            prefix = f"planner.{self._settings.zone}"
+            self._metrics.gauge(f"{prefix}.out", len(plan.wave))
+            self._metrics.gauge(f"{prefix}.waiting", len(plan.waits_by_name))
+            self._metrics.gauge(f"{prefix}.recalled", len(plan.recall))
 
     def _read_fleet(self, configuration: Configuration) -> Fleet:
         """Read what a plan depends on; see ``Disruptions.read`` for the order."""
@@ -284,7 +306,9 @@
         usage = self._records.read_all("usage/")
         self._listed = self._client.instances()
         tasks_by_name = self._ask(self._zone.pools.rows_by_name)
-        self._usage.sample(tasks_by_name)
+        if self._clock.now_ms() >= self._next_sample_ms:
+            self._usage.sample(tasks_by_name)
+            self._next_sample_ms = self._clock.now_ms() + SAMPLE_INTERVAL_MS
         reports: dict[str, WorkerReport] = {
             name: report_of(configuration, tasks)
             for name, tasks in tasks_by_name.items()
--- a/src/cranberrywheel/process/waves.py
+++ b/src/cranberrywheel/process/waves.py
@@ -159,6 +159,28 @@
         )
         return self.fleet.now_ms - instance.row.since_ms < longest_ms
 
+    def take_removed(self) -> dict[str, str]:
+        """Start to drain workers that left the configuration."""
+        take = {}
+        declared = self.configuration.workers_by_name
+        for instance in [i for i in self.free if i.name not in declared]:
+            if reason := self._try(instance):
+                self.waits[instance.name] = f"removed from the configuration: {reason}"
+            else:
+                take[instance.name] = ""
+        self.free = [i for i in self.free if i.name in declared]
+        return take
+
+    def drop(self) -> tuple[str, ...]:
+        """Choose instances that left the configuration and do no work any more."""
+        declared = self.configuration.workers_by_name
+        return tuple(
+            i.name
+            for i in self.own
+            if i.name not in declared
+            and (not i.live or i.row.state is InstanceState.EMPTY)
+        )
+
     def take_transfers(self) -> dict[str, str]:
         """Start moves towards the decided sizes, as far as budgets allow."""
         take = {}
@@ -219,7 +241,10 @@
 
     def _try(self, instance: FleetInstance) -> str:
         pool = instance.pool
-        if self.out_by_pool[pool] >= self._most_out(pool):
+        most_out = self._most_out(pool)
+        if most_out == 0:
+            return f"budget of pool {pool} leaves no worker for maintenance"
+        if self.out_by_pool[pool] >= most_out:
             return f"{self.out_by_pool[pool]} of pool {pool} are out, the wave is full"
         if reason := self.ledger.take(instance):
             return f"budget of pool {pool}: {reason}"
@@ -253,7 +278,11 @@
     quarantine = round_.quarantine()
     repair = round_.repair()
     # Moves first: they restore capacity within minutes, a reboot only removes it.
-    take = {**round_.take_transfers(), **round_.take_maintenance()}
+    take = {
+        **round_.take_removed(),
+        **round_.take_transfers(),
+        **round_.take_maintenance(),
+    }
     return Plan(
         sizing=sizing,
         wave={
@@ -265,6 +294,7 @@
         quarantine=quarantine,
         repair=repair,
         recall=recall,
+        drop=round_.drop(),
         waits_by_name=round_.waits,
         risks=risks,
     )
--- a/src/cranberrywheel/process/worker_reports.py
+++ b/src/cranberrywheel/process/worker_reports.py
@@ -20,7 +20,7 @@
 #: Fewer failures than this say little about a worker.
 MIN_FAILURES = 5
 #: Weight of one sample in the learned means. At one sample a minute, half of the
-#: weight lies on the last four hours, which covers many bursts and lulls.
+#: weight lies on the last four hours, which cover many bursts and lulls.
 SAMPLE_WEIGHT = 0.003
 #: Fewer samples may all lie in one burst or one lull.
 MIN_SAMPLES = 30
--- a/src/cranberrywheel/process/zone_record.py
+++ b/src/cranberrywheel/process/zone_record.py
@@ -87,13 +87,22 @@
         self._stored = self._records.write(self._key, body, self._stored)
         self.pools = pools
 
-    def change(self, rows_by_name: t.Mapping[str, PoolRow]) -> None:
-        """Record new states, then make them true at the platform."""
+    def change(self, rows_by_name: t.Mapping[str, PoolRow | None]) -> None:
+        """Record new states, then make them true at the platform.
+
+        :param rows_by_name: new rows; ``None`` drops an instance.
+        """
         if not rows_by_name:
             return
         maintained = dict(self.pools.maintained_ms_by_name)
+        rows = dict(self.pools.rows_by_name)
         for name, row in rows_by_name.items():
-            before = self.pools.rows_by_name[name]
+            before = rows.pop(name)
+            if row is None:
+                maintained.pop(name, None)
+                _log.event("instance left the configuration", instance=name)
+                continue
+            rows[name] = row
             if before.state is InstanceState.REBOOTING:
                 maintained[name] = row.since_ms
             _log.event(
@@ -107,7 +116,7 @@
         self._write(
             dataclasses.replace(
                 self.pools,
-                rows_by_name={**self.pools.rows_by_name, **rows_by_name},
+                rows_by_name=rows,
                 maintained_ms_by_name=maintained,
             )
         )
--- a/tests/planner_fixtures.py
+++ b/tests/planner_fixtures.py
@@ -175,15 +175,21 @@
         self.platform = Platform(lambda: self.clock.now_ms() / 1000)
         self.workers = FakeWorkers()
         self.configuration = parse_configuration(configuration_text)
-        body = {"text_version": 1, "text": configuration_text}
-        value = json.dumps({"write_id": "1", "writer": "test", "body": body})
-        self.platform.put("configuration", value, 0, "")
+        self.apply(configuration_text)
         for worker in self.configuration.workers_by_name.values():
             self.platform.set_instance(
                 worker.name,
                 {"zone": worker.zone, "rack": worker.rack, "address": worker.name},
             )
 
+    def apply(self, configuration_text):
+        """Write the record ``configuration``."""
+        present = self.platform.get("configuration")
+        revision = present.revision if present else 0
+        body = {"text_version": revision + 1, "text": configuration_text}
+        value = json.dumps({"write_id": "1", "writer": "test", "body": body})
+        self.platform.put("configuration", value, revision, "")
+
     def planner(self, zone="x", instance="p1"):
         """Return a planner and its client."""
         settings = PlannerSettings(
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -190,6 +190,16 @@
         self.deployment.rounds(self.planner, 1)
         self.assertIn(("a2", "reboot"), self.client.actions)
 
+    def test_worker_removed_from_the_text_is_drained_and_dropped(self):
+        # Guards against work on a worker that operators took away.
+        self.deployment.rounds(self.planner, 1)
+        self.deployment.apply(text(["a1@x/r1", "a3@y/r2", "a4@y/r2"]))
+        self.deployment.rounds(self.planner, 600)
+        self.assertNotIn("a2", self.deployment.body("pools/x")["instances"])
+        self.assertNotIn("a2", self.deployment.out())
+        self.assertNotIn(("a2", "reboot"), self.client.actions)
+        self.assertEqual("drain", dict(self.client.actions)["a2"])
+
     def test_plan_is_published_for_operators(self):
         self.deployment.rounds(self.planner, 1)
         shown = self.deployment.body("plans/x")["plan"]
