--- a/src/cranberrywheel/process/planner.py
+++ b/src/cranberrywheel/process/planner.py
@@ -273,25 +273,34 @@
             fleet.instances_by_name
         )
         self.plan = plan
-        rows = self._zone.pools.rows_by_name
-        wall_ms = self._now_wall_ms()
-        changes: dict[str, PoolRow | None] = dict.fromkeys(plan.drop)
-        for name in plan.recall:
-            changes[name] = moves.recall(rows[name], wall_ms)
-        for name in plan.repair:
-            changes[name] = moves.begin_repair(rows[name], wall_ms)
-        for name in plan.quarantine:
-            changes[name] = moves.quarantine(rows[name], wall_ms)
-        for name, target in plan.take.items():
-            changes[name] = moves.begin_drain(rows[name], target, wall_ms)
-        claimed = {name: rows[name].pool for name in (*plan.take, *plan.quarantine)}
+        claimed = {
+            name: self._zone.pools.rows_by_name[name].pool
+            for name in (*plan.take, *plan.quarantine)
+        }
         if claimed:
             self._lease.check()
             self._disruptions.change(configuration, claimed)
-        self._zone.change(changes)
+        self._zone.change(self._changes_of(plan))
         if plan.recall or plan.drop:
             self._reconcile(configuration, plan.drop)
         self._publish(fleet.now_ms)
+        self._send_metrics(plan)
+
+    def _changes_of(self, plan: Plan) -> dict[str, PoolRow | None]:
+        rows = self._zone.pools.rows_by_name
+        now_ms = self._now_wall_ms()
+        changes: dict[str, PoolRow | None] = dict.fromkeys(plan.drop)
+        for name in plan.recall:
+            changes[name] = moves.recall(rows[name], now_ms)
+        for name in plan.repair:
+            changes[name] = moves.begin_repair(rows[name], now_ms)
+        for name in plan.quarantine:
+            changes[name] = moves.quarantine(rows[name], now_ms)
+        for name, target in plan.take.items():
+            changes[name] = moves.begin_drain(rows[name], target, now_ms)
+        return changes
+
+    def _send_metrics(self, plan: Plan) -> None:
         if self._metrics:
             prefix = f"planner.{self._settings.zone}"
             self._metrics.gauge(f"{prefix}.out", len(plan.wave))
--- a/src/cranberrywheel/process/record_store.py
+++ b/src/cranberrywheel/process/record_store.py
@@ -90,25 +90,20 @@
             must read the record before it writes again.
         """
         write_id = uuid.uuid4().hex
-        recent = (*(known.recent_write_ids if known else ()), write_id)
-        envelope = {
-            "write_id": write_id,
-            "writer": self._writer,
-            "recent_write_ids": recent[-RECENT_WRITES:],
-            "body": body,
-        }
+        before = known.recent_write_ids if known else ()
+        recent = (*before, write_id)[-RECENT_WRITES:]
+        value = self._dump(body, write_id, recent)
         expected = known.revision if known else 0
         for attempt in range(MAX_RESOLVE_ATTEMPTS):
             try:
-                revision = self._client.put(key, json.dumps(envelope), expected, lease)
-                stored = StoredBody(
+                revision = self._client.put(key, value, expected, lease)
+                self._known[key] = StoredBody(
                     body=body,
                     revision=revision,
                     write_id=write_id,
-                    recent_write_ids=envelope["recent_write_ids"],
+                    recent_write_ids=recent,
                 )
-                self._known[key] = stored
-                return stored
+                return self._known[key]
             except StoreUnavailableError:
                 # The read may show that the write took effect. If it did not, the
                 # same write can be sent again, because only one of both can win.
@@ -123,6 +118,17 @@
             "Check the platform's key-value service.",
         )
 
+    def _dump(
+        self, body: dict[str, t.Any], write_id: str, recent: tuple[str, ...]
+    ) -> str:
+        envelope = {
+            "write_id": write_id,
+            "writer": self._writer,
+            "recent_write_ids": recent,
+            "body": body,
+        }
+        return json.dumps(envelope)
+
     def _find_write(self, key: str, write_id: str) -> StoredBody | None:
         stored = self.read(key)
         if stored is None or write_id not in stored.recent_write_ids:
--- a/src/cranberrywheel/process/waves.py
+++ b/src/cranberrywheel/process/waves.py
@@ -228,6 +228,34 @@
                 take[instance.name] = ""
         return take
 
+    def plan(self) -> Plan:
+        """Make all choices; each one sees what those before it took."""
+        risks = self.ledger.risks()
+        recall = self.recall()
+        quarantine = self.quarantine()
+        # Moves before maintenance: they restore capacity within minutes, a reboot
+        # only removes it.
+        take = {
+            **self.take_removed(),
+            **self.take_transfers(),
+            **self.take_maintenance(),
+        }
+        return Plan(
+            sizing=self.sizing,
+            wave={
+                instance.name: str(instance.row.state)
+                for instance in self.own
+                if instance.row.state is not InstanceState.SERVING
+            },
+            take=take,
+            quarantine=quarantine,
+            repair=self.repair(),
+            recall=recall,
+            drop=self.drop(),
+            waits_by_name=self.waits,
+            risks=risks,
+        )
+
     def _most_out(self, pool: str) -> int:
         """Return how many may be out so that the decided capacity stays.
 
@@ -272,32 +300,7 @@
         reason = f"the instance list is {fleet.list_age_ms // 1000} s old"
         waits = dict.fromkeys(fleet.instances_by_name, reason)
         return Plan(sizing=sizing, waits_by_name=waits)
-    round_ = _Round(configuration, fleet, sizing, zone)
-    risks = round_.ledger.risks()
-    recall = round_.recall()
-    quarantine = round_.quarantine()
-    repair = round_.repair()
-    # Moves first: they restore capacity within minutes, a reboot only removes it.
-    take = {
-        **round_.take_removed(),
-        **round_.take_transfers(),
-        **round_.take_maintenance(),
-    }
-    return Plan(
-        sizing=sizing,
-        wave={
-            i.name: str(i.row.state)
-            for i in round_.own
-            if i.row.state is not InstanceState.SERVING
-        },
-        take=take,
-        quarantine=quarantine,
-        repair=repair,
-        recall=recall,
-        drop=round_.drop(),
-        waits_by_name=round_.waits,
-        risks=risks,
-    )
+    return _Round(configuration, fleet, sizing, zone).plan()
 
 
 def plan_preview(
