--- a/src/cranberrywheel/process/capacity.py
+++ b/src/cranberrywheel/process/capacity.py
@@ -89,8 +89,8 @@
 
     :param counts: workers at present, by pool, then by zone.
     :param min_healthy_by_pool: largest budget of the pool's services.
-    :param importance_by_pool: 1 plus the number of pools that depend on it, scaled
-        so that the mean is 1; a shortage in a dependency reaches its dependents.
+    :param importance_by_pool: 1 plus the number of pools that depend on it; a
+        shortage in a dependency reaches its dependents.
     :param spare_pools: pools whose idle workers are no buffer cost.
     """
 
@@ -136,7 +136,6 @@
     for others in needed.values():
         for other in others:
             dependents[other] += 1
-    scale = len(dependents) / sum(dependents.values())
     return SizingProblem(
         counts={
             pool: {zone: n for zone, n in by_zone.items() if n}
@@ -144,7 +143,7 @@
         },
         needs_by_pool=pool_needs(configuration, fleet.usage_by_queue),
         min_healthy_by_pool=min_healthy_by_pool(configuration),
-        importance_by_pool={pool: n * scale for pool, n in dependents.items()},
+        importance_by_pool=dependents,
         spare_pools=frozenset(
             pool.name for pool in configuration.pools_by_name.values() if pool.spare
         ),
