Reboot due instances on their way to another pool, mend faults found in review

Cause: a due instance that moved was drained twice. Change: a move of a due instance includes the reboot; moves leave long jobs alone; silence is forgotten at a takeover; malformed records raise StoreError; disruptions lists an instance only under the services of its pool.

--- a/src/cranberrywheel/process/disruptions.py
+++ b/src/cranberrywheel/process/disruptions.py
@@ -30,26 +30,26 @@
     def change(
         self,
         configuration: Configuration,
-        added_pools_by_name: t.Mapping[str, str],
+        out_pools_by_name: t.Mapping[str, str],
         removed: t.Collection[str] = (),
     ) -> None:
-        """Add and remove instances against the version last read.
+        """Write which instances are out, against the version last read.
 
-        :param added_pools_by_name: pools of the instances to add.
+        :param out_pools_by_name: instances to list under the services of their pool,
+            and under no other.
+        :param removed: instances to list nowhere unless they are out.
         :raises StoreConflictError: another planner changed the record; the plan
             that led to this change no longer holds.
         """
         present = self._stored.body["out"] if self._stored else {}
         out = {
-            service: [name for name in names if name not in removed]
+            service: {n for n in names if n not in {*removed, *out_pools_by_name}}
             for service, names in present.items()
         }
         names_by_pool = services_by_pool(configuration)
-        for name, pool in added_pools_by_name.items():
+        for name, pool in out_pools_by_name.items():
             for service in names_by_pool.get(pool, ()):
-                names = out.setdefault(service, [])
-                if name not in names:
-                    names.append(name)
-        out = {service: names for service, names in out.items() if names}
-        if out != present:
-            self._stored = self._records.write(KEY, {"out": out}, self._stored)
+                out.setdefault(service, set()).add(name)
+        listed = {service: sorted(names) for service, names in out.items() if names}
+        if listed != present:
+            self._stored = self._records.write(KEY, {"out": listed}, self._stored)
--- a/src/cranberrywheel/process/fleet_model.py
+++ b/src/cranberrywheel/process/fleet_model.py
@@ -9,6 +9,7 @@
 import typing as t
 
 from cranberrywheel.connection.store_client import InstanceList
+from cranberrywheel.errors import StoreError
 from cranberrywheel.version.configuration import Configuration
 
 
@@ -59,21 +60,28 @@
     """Read the body of a ``pools/<zone>`` record.
 
     :param body: the decoded JSON body.
+    :raises StoreError: if it has another form.
     """
-    return ZonePools(
-        fence=int(body["fence"]),
-        rows_by_name={
-            name: PoolRow(
-                pool=str(row["pool"]),
-                state=InstanceState(row["state"]),
-                target_pool=str(row.get("target_pool") or ""),
-                since_ms=int(row["since"]),
-            )
-            for name, row in body["instances"].items()
-        },
-        maintained_ms_by_name={
-            name: int(value) for name, value in body.get("maintained", {}).items()
-        },
+    try:
+        rows = {name: _parse_row(row) for name, row in body["instances"].items()}
+        maintained = {n: int(v) for n, v in body.get("maintained", {}).items()}
+        return ZonePools(
+            fence=int(body["fence"]),
+            rows_by_name=rows,
+            maintained_ms_by_name=maintained,
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise StoreError(
+            f"A record of pools cannot be read: {error!r}.", "Delete or correct it."
+        ) from None
+
+
+def _parse_row(row: t.Mapping[str, t.Any]) -> PoolRow:
+    return PoolRow(
+        pool=str(row["pool"]),
+        state=InstanceState(row["state"]),
+        target_pool=str(row.get("target_pool") or ""),
+        since_ms=int(row["since"]),
     )
 
 
--- a/src/cranberrywheel/process/moves.py
+++ b/src/cranberrywheel/process/moves.py
@@ -65,7 +65,7 @@
 
 
 def advance(
-    row: PoolRow, report: WorkerReport, rebooted: bool, now_ms: int
+    row: PoolRow, report: WorkerReport, rebooted: bool, due: bool, now_ms: int
 ) -> PoolRow | None:
     """Return the next row of an instance that is out, or ``None`` to wait.
 
@@ -73,6 +73,8 @@
     :param rebooted: whether the worker was silent since the platform was asked to
         reboot it, or had the time for a reboot. A worker that answers may otherwise
         not have been stopped yet.
+    :param due: whether maintenance is due; a move then includes the reboot, which
+        saves a second drain.
     """
     if row.state is InstanceState.DRAINING:
         # Only the worker's own answer shows that no task runs.
@@ -80,9 +82,10 @@
             return dataclasses.replace(row, state=InstanceState.EMPTY, since_ms=now_ms)
         return None
     if row.state is InstanceState.EMPTY:
-        if row.target_pool and row.target_pool != row.pool:
-            return PoolRow(pool=row.target_pool, since_ms=now_ms)
-        return PoolRow(pool=row.pool, state=InstanceState.REBOOTING, since_ms=now_ms)
+        pool = row.target_pool or row.pool
+        if pool != row.pool and not due:
+            return PoolRow(pool=pool, since_ms=now_ms)
+        return PoolRow(pool=pool, state=InstanceState.REBOOTING, since_ms=now_ms)
     if row.state is InstanceState.REBOOTING:
         if rebooted and report.reachable:
             return PoolRow(pool=row.pool, since_ms=now_ms)
--- a/src/cranberrywheel/process/planner.py
+++ b/src/cranberrywheel/process/planner.py
@@ -36,7 +36,7 @@
 )
 from cranberrywheel.process.record_store import RecordStore
 from cranberrywheel.process.size_search import choose_sizes
-from cranberrywheel.process.waves import plan_round
+from cranberrywheel.process.waves import is_due, plan_round
 from cranberrywheel.process.worker_reports import (
     TaskRow,
     UsageBook,
@@ -130,7 +130,9 @@
             configuration = self._read_configuration()
             if configuration is None:
                 return
-            self._zone.claim(configuration, self._now_wall_ms())
+            if self._zone.claim(configuration, self._now_wall_ms()):
+                # Recorded reboots are asked for again, so silence so far says nothing.
+                self._silent.clear()
             self._zone.confirm()
             self._finish_steps(configuration)
             if self._clock.now_ms() >= self._next_plan_ms:
@@ -198,7 +200,8 @@
                 changes[name] = after
         self._zone.change(changes)
         self._silent -= changes.keys()
-        if any(row.state is InstanceState.SERVING for row in changes.values()):
+        self._checkpointed = {k for k in self._checkpointed if k[0] not in changes}
+        if changes:
             self._reconcile(configuration)
 
     def _advance(
@@ -221,8 +224,11 @@
         rebooted = (
             name in self._silent or asked_ms >= configuration.reboot_minutes * 60_000
         )
+        now_ms = self._now_wall_ms()
+        maintained_ms = self._zone.pools.maintained_ms_by_name.get(name, 0)
+        due = is_due(configuration, maintained_ms, now_ms)
         report = report_of(configuration, tasks)
-        return moves.advance(row, report, rebooted, self._now_wall_ms())
+        return moves.advance(row, report, rebooted, due, now_ms)
 
     def _checkpoint(
         self, configuration: Configuration, name: str, tasks: tuple[TaskRow, ...]
@@ -245,15 +251,11 @@
         self, configuration: Configuration, dropped: t.Collection[str] = ()
     ) -> None:
         """Make ``disruptions`` agree with the zone's record."""
-        listed = {name for names in self._disruptions.read().values() for name in names}
+        self._disruptions.read()
         rows = self._zone.pools.rows_by_name
         out = {n: r.pool for n, r in rows.items() if r.state != InstanceState.SERVING}
         self._lease.check()
-        self._disruptions.change(
-            configuration,
-            added_pools_by_name={n: p for n, p in out.items() if n not in listed},
-            removed=[n for n in (*rows, *dropped) if n in listed and n not in out],
-        )
+        self._disruptions.change(configuration, out, removed={*rows, *dropped})
 
     def _start_steps(self, configuration: Configuration) -> None:
         """Plan, claim the budget and start the part of the plan in this zone."""
--- a/src/cranberrywheel/process/record_store.py
+++ b/src/cranberrywheel/process/record_store.py
@@ -6,7 +6,11 @@
 import uuid
 
 from cranberrywheel.connection.store_client import StoreClient
-from cranberrywheel.errors import StoreConflictError, StoreUnavailableError
+from cranberrywheel.errors import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
 
 #: Number of write ids that each writer carries forward.
 RECENT_WRITES = 16
@@ -27,14 +31,20 @@
     recent_write_ids: tuple[str, ...]
 
 
-def _parse(value: str, revision: int) -> StoredBody:
-    envelope = json.loads(value)
-    write_id = str(envelope.get("write_id", ""))
-    recent = [str(i) for i in envelope.get("recent_write_ids", ())]
+def _parse(key: str, value: str, revision: int) -> StoredBody:
+    try:
+        envelope = json.loads(value)
+        body = dict(envelope["body"])
+        write_id = str(envelope["write_id"])
+        recent = [str(i) for i in envelope.get("recent_write_ids", ())]
+    except (AttributeError, KeyError, TypeError, ValueError):
+        raise StoreError(
+            f"The record {key} has no valid envelope.", "Delete or correct it."
+        ) from None
     if write_id not in recent:
         recent.append(write_id)
     return StoredBody(
-        body=envelope["body"],
+        body=body,
         revision=revision,
         write_id=write_id,
         recent_write_ids=tuple(recent[-RECENT_WRITES:]),
@@ -64,13 +74,15 @@
         if record is None:
             self._known.pop(key, None)
             return None
-        self._known[key] = _parse(record.value, record.revision)
+        self._known[key] = _parse(key, record.value, record.revision)
         return self._known[key]
 
     def read_all(self, prefix: str) -> dict[str, StoredBody]:
         """Read all records under a prefix; keys are without the prefix."""
         return {
-            record.key.removeprefix(prefix): _parse(record.value, record.revision)
+            record.key.removeprefix(prefix): _parse(
+                record.key, record.value, record.revision
+            )
             for record in self._client.list(prefix)
         }
 
@@ -97,12 +109,7 @@
         for attempt in range(MAX_RESOLVE_ATTEMPTS):
             try:
                 revision = self._client.put(key, value, expected, lease)
-                self._known[key] = StoredBody(
-                    body=body,
-                    revision=revision,
-                    write_id=write_id,
-                    recent_write_ids=recent,
-                )
+                self._known[key] = _parse(key, value, revision)
                 return self._known[key]
             except StoreUnavailableError:
                 # The read may show that the write took effect. If it did not, the
--- a/src/cranberrywheel/process/waves.py
+++ b/src/cranberrywheel/process/waves.py
@@ -36,9 +36,12 @@
     return configuration.maintenance_period_hours * 3_600_000
 
 
-def is_due(configuration: Configuration, instance: FleetInstance, now_ms: int) -> bool:
-    """Tell whether maintenance of an instance is due."""
-    age_ms = now_ms - instance.maintained_ms
+def is_due(configuration: Configuration, maintained_ms: int, now_ms: int) -> bool:
+    """Tell whether maintenance of an instance is due.
+
+    :param maintained_ms: end of its last maintenance, or 0.
+    """
+    age_ms = now_ms - maintained_ms
     return age_ms >= DUE_FRACTION * _period_ms(configuration)
 
 
@@ -143,6 +146,8 @@
                 self.waits[instance.name] = (
                     "fails again shortly after its repair; replace it"
                 )
+            elif not instance.live:
+                self.waits[instance.name] = _why_unhealthy(instance)
             elif self._may_have_work(instance):
                 self.waits[instance.name] = "quarantined, work may still run"
             else:
@@ -190,7 +195,8 @@
             if declared and is_healthy(instance) and instance.pool not in pools:
                 # Its pool left the configuration, so no service needs it there.
                 take[instance.name] = declared.pool
-        for instance, target in choose_transfers(self.fleet, self.sizing, self.free):
+        movable = [i for i in self.free if i.report.drain_ms <= LONG_DRAIN_MS]
+        for instance, target in choose_transfers(self.fleet, self.sizing, movable):
             if reason := self._try(instance):
                 self.waits[instance.name] = f"move to {target}: {reason}"
             else:
@@ -201,10 +207,12 @@
         """Start maintenance of due instances, dependencies first."""
         take = {}
         now_ms, needed = self.fleet.now_ms, dependency_pools(self.configuration)
-        due = [i for i in self.free if is_due(self.configuration, i, now_ms)]
+        due = [
+            i for i in self.free if is_due(self.configuration, i.maintained_ms, now_ms)
+        ]
         for instance in self.own:
             if not is_healthy(instance) and is_due(
-                self.configuration, instance, now_ms
+                self.configuration, instance.maintained_ms, now_ms
             ):
                 self.waits.setdefault(instance.name, _why_unhealthy(instance))
         due.sort(
--- a/src/cranberrywheel/process/zone_record.py
+++ b/src/cranberrywheel/process/zone_record.py
@@ -55,9 +55,10 @@
         self._confirmed_ms_by_name: dict[str, int] = {}
         self.pools = ZonePools(fence=0, rows_by_name={})
 
-    def claim(self, configuration: Configuration, now_ms: int) -> None:
+    def claim(self, configuration: Configuration, now_ms: int) -> bool:
         """Read the record, write the own fence into it and add new workers.
 
+        :returns: whether this is the first claim with the present fence.
         :raises LeaseLostError: if a later planner wrote the record.
         """
         self._stored = self._records.read(self._key)
@@ -69,7 +70,8 @@
         if seeded != known:
             self._write(seeded)
         self.pools = seeded
-        if self._claimed_fence != fence:
+        is_first = self._claimed_fence != fence
+        if is_first:
             # The platform must see the new fence for each instance, also for those
             # that serve: a paused planner could otherwise still drain them.
             self._confirmed_ms_by_name.clear()
@@ -80,6 +82,7 @@
                 fence=fence,
                 instances=len(seeded.rows_by_name),
             )
+        return is_first
 
     def _write(self, pools: ZonePools) -> None:
         self._lease.check()
--- a/src/cranberrywheel_load/fortnight.py
+++ b/src/cranberrywheel_load/fortnight.py
@@ -47,7 +47,7 @@
         if (
             instance.pool not in busy
             and instance.live
-            and is_due(configuration, instance, fleet.now_ms)
+            and is_due(configuration, instance.maintained_ms, fleet.now_ms)
         ):
             busy.add(instance.pool)
             take[instance.name] = ""
--- a/src/cranberrywheel_load/fortnight_world.py
+++ b/src/cranberrywheel_load/fortnight_world.py
@@ -11,7 +11,7 @@
     PoolRow,
     WorkerReport,
 )
-from cranberrywheel.process.waves import DUE_FRACTION
+from cranberrywheel.process.waves import DUE_FRACTION, is_due
 from cranberrywheel.version.configuration import Configuration
 from cranberrywheel_load.fortnight_faults import FaultSchedule
 
@@ -132,7 +132,9 @@
             report = self._report(name, now_ms)
             if self.is_down(name, now_ms):
                 report = dataclasses.replace(report, reachable=False)
-            after = moves.advance(row, report, rebooted, now_ms)
+            maintained_ms = self.maintained_ms_by_name[name]
+            due = not maintained_ms or is_due(self.configuration, maintained_ms, now_ms)
+            after = moves.advance(row, report, rebooted, due, now_ms)
             if after is None:
                 continue
             self.rows_by_name[name] = after
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -1,6 +1,7 @@
 import testtools
 from planner_fixtures import NOW_MS, Deployment, text
 
+from cranberrywheel.process.disruptions import Disruptions
 from cranberrywheel.process.record_store import RecordStore
 from cranberrywheel.process.worker_reports import (
     TaskRow,
@@ -200,11 +201,28 @@
         self.assertNotIn(("a2", "reboot"), self.client.actions)
         self.assertEqual("drain", dict(self.client.actions)["a2"])
 
+    def test_instance_is_listed_only_under_the_services_of_its_pool(self):
+        # Guards against a moved instance that uses up its old pool's budget.
+        configuration = self.deployment.configuration
+        disruptions = Disruptions(RecordStore(self.client, "p1"))
+        for pool in ("a", "b"):
+            disruptions.read()
+            disruptions.change(configuration, {"a1": pool})
+            self.assertEqual({pool: ["a1"]}, self.deployment.body("disruptions")["out"])
+
     def test_plan_is_published_for_operators(self):
         self.deployment.rounds(self.planner, 1)
         shown = self.deployment.body("plans/x")["plan"]
         self.assertIn("waits_by_name", shown)
 
+    def test_malformed_records_end_the_round_with_a_remedy(self):
+        # Guards against a planner that dies of one bad record.
+        for value in ("no JSON", '{"write_id": "w", "body": {"fence": 1}}'):
+            self.deployment.platform.entries_by_key.pop("pools/y", None)
+            self.deployment.platform.put("pools/y", value, 0, "")
+            self.deployment.rounds(self.planner, 1)
+        self.assertEqual(set(), self.deployment.out())
+
 
 class WorkerReportsTest(testtools.TestCase):
     def test_tasks_are_read_and_summarized(self):
