Test store outages with a reachable platform, and moves of busy workers

Cause: the outage test had the platform's calls down too, so it did not show which recorded states are still confirmed; nothing guarded jobs against moves. Change: two tests.

--- a/tests/planner_fixtures.py
+++ b/tests/planner_fixtures.py
@@ -92,6 +92,7 @@
         self.platform = platform
         self.before_put = lambda key: None
         self.actions = []
+        self.control_outage = False
 
     def _check(self):
         if self.platform.faults.outage:
@@ -146,7 +147,8 @@
         return InstanceList(body["revision"], body["age_ms"], rows)
 
     def control_instance(self, instance, action, fence):
-        self._check()
+        if self.control_outage:
+            raise StoreUnavailableError("No answer.")
         accepted = self.platform.check_fence(instance, fence)
         if accepted:
             self.actions.append((instance, str(action)))
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -169,7 +169,7 @@
         self.assertIn("w", first.read("foreign").recent_write_ids)
         self.assertIn(mine.write_id, first.read("k").recent_write_ids)
 
-    def test_store_outage_starts_nothing_and_confirms_nothing_late(self):
+    def test_store_outage_starts_nothing(self):
         # Guards against drains without a claimed budget.
         self.deployment.rounds(self.planner, 1)
         states = self.deployment.states()
@@ -177,11 +177,25 @@
         self.deployment.platform.faults.outage = True
         self.deployment.rounds(self.planner, 50)
         self.assertEqual([], self.client.actions)
-        self.deployment.platform.faults.outage = False
         self.assertEqual(states, self.deployment.states())
+        self.deployment.platform.faults.outage = False
         self.deployment.rounds(self.planner, 2)
         self.assertNotEqual([], self.client.actions)
 
+    def test_recorded_drains_are_confirmed_without_the_store_while_leased(self):
+        # Guards against a recorded drain that the platform never hears of, and
+        # against acting for a zone whose lease may have ended.
+        for wait_ms, confirmed in ((2_000, True), (20_000, False)):
+            deployment = Deployment(text())
+            planner, client = deployment.planner()
+            client.control_outage = True
+            deployment.rounds(planner, 1, 0)
+            client.control_outage = False
+            deployment.platform.faults.outage = True
+            deployment.clock.advance(wait_ms)
+            deployment.rounds(planner, 1)
+            self.assertEqual(confirmed, bool(client.actions))
+
     def test_worker_that_fails_everything_is_quarantined(self):
         bad = tuple(TaskRow(task_id=f"t{n}", state="failed") for n in range(5))
         self.deployment.workers.tasks_by_name = {"a2": bad}
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -9,6 +9,7 @@
 from cranberrywheel.process.fleet_model import (
     InstanceState,
     PoolRow,
+    QueueUsage,
     WorkerReport,
     seed_zone_pools,
 )
@@ -84,6 +85,17 @@
         self.assertIn("work runs for up to 300 more min", result.waits_by_name["a1"])
         self.assertNotEqual([], taken(result))
 
+    def test_moves_leave_overnight_jobs_alone(self):
+        # Guards against a move that holds capacity for hours.
+        config = configuration([f"a{n}@{z}/r{z}" for n, z in enumerate("xxxyyy")])
+        usage = {"qb": QueueUsage(busy=9, cores=1, memory_mb=1)}
+        idle = plan(config, fleet(config, usage_by_queue=usage))
+        self.assertEqual("b", idle.take["a0"])
+        job = WorkerReport(running=1, drain_ms=5 * 3_600_000)
+        reports = {f"a{n}": job for n in range(6)}
+        built = fleet(config, reports=reports, usage_by_queue=usage)
+        self.assertEqual([], taken(plan(config, built)))
+
     def test_quarantine_stays_within_the_budget(self):
         # Guards against one bad request that quarantines a whole pool.
         config = configuration(healthy=1)
