--- a/src/cranberrywheel/process/planner.py
+++ b/src/cranberrywheel/process/planner.py
@@ -9,6 +9,8 @@
 import time
 import typing as t
 
+import statsd
+
 from cranberrywheel.clock import Clock
 from cranberrywheel.connection.store_client import InstanceList, StoreClient
 from cranberrywheel.errors import (
@@ -34,7 +36,7 @@
 )
 from cranberrywheel.process.record_store import RecordStore
 from cranberrywheel.process.size_search import choose_sizes
-from cranberrywheel.process.waves import plan_round
+from cranberrywheel.process.waves import is_due, plan_round
 from cranberrywheel.process.worker_reports import (
     TaskRow,
     UsageBook,
@@ -49,9 +51,11 @@
 
 #: A full round reads all pools and the instance list, about 300 bytes a worker. This
 #: interval per worker keeps that under 10 KB a second for any fleet.
-PLAN_INTERVAL_PER_WORKER_MS = 30
+PLAN_INTERVAL_PER_WORKER_MS = 40
 #: Sizes follow learned means, which change over hours.
 SIZING_INTERVAL_MS = 10 * 60_000
+#: The learned means weigh samples as one a minute.
+SAMPLE_INTERVAL_MS = 60_000
 #: The plan and the learned usage are written at most this often.
 PUBLISH_INTERVAL_MS = 60_000
 
@@ -98,7 +102,13 @@
         #: Rebooting instances that did not answer since the reboot was asked for.
         self._silent: set[str] = set()
         self._sizing: Sizing | None = None
-        self._next_plan_ms = self._next_sizing_ms = self._next_publish_ms = 0
+        self._next_plan_ms = self._next_sizing_ms = 0
+        self._next_publish_ms = self._next_sample_ms = 0
+        self._metrics = (
+            statsd.StatsClient(settings.statsd_host, settings.statsd_port)
+            if settings.statsd_host
+            else None
+        )
         #: The last plan of this zone, or ``None`` while another planner acts.
         self.plan: Plan | None = None
 
@@ -120,7 +130,9 @@
             configuration = self._read_configuration()
             if configuration is None:
                 return
-            self._zone.claim(configuration, self._now_wall_ms())
+            if self._zone.claim(configuration, self._now_wall_ms()):
+                # Recorded reboots are asked for again, so silence so far says nothing.
+                self._silent.clear()
             self._zone.confirm()
             self._finish_steps(configuration)
             if self._clock.now_ms() >= self._next_plan_ms:
@@ -188,7 +200,8 @@
                 changes[name] = after
         self._zone.change(changes)
         self._silent -= changes.keys()
-        if any(row.state is InstanceState.SERVING for row in changes.values()):
+        self._checkpointed = {k for k in self._checkpointed if k[0] not in changes}
+        if changes:
             self._reconcile(configuration)
 
     def _advance(
@@ -200,6 +213,9 @@
     ) -> PoolRow | None:
         if row.target_pool and row.target_pool not in configuration.pools_by_name:
             return moves.recall(row, self._now_wall_ms())
+        declared = name in configuration.workers_by_name
+        if row.state is InstanceState.EMPTY and not declared:
+            return None
         if row.state is InstanceState.DRAINING:
             self._checkpoint(configuration, name, tasks or ())
         if row.state is InstanceState.REBOOTING and tasks is None:
@@ -208,8 +224,11 @@
         rebooted = (
             name in self._silent or asked_ms >= configuration.reboot_minutes * 60_000
         )
+        now_ms = self._now_wall_ms()
+        maintained_ms = self._zone.pools.maintained_ms_by_name.get(name, 0)
+        due = is_due(configuration, maintained_ms, now_ms)
         report = report_of(configuration, tasks)
-        return moves.advance(row, report, rebooted, self._now_wall_ms())
+        return moves.advance(row, report, rebooted, due, now_ms)
 
     def _checkpoint(
         self, configuration: Configuration, name: str, tasks: tuple[TaskRow, ...]
@@ -228,17 +247,15 @@
                 _log.event("checkpoint for drain", instance=name, request_id=key[1])
                 self._workers.checkpoint(addresses[name], task.task_id)
 
-    def _reconcile(self, configuration: Configuration) -> None:
+    def _reconcile(
+        self, configuration: Configuration, dropped: t.Collection[str] = ()
+    ) -> None:
         """Make ``disruptions`` agree with the zone's record."""
-        listed = {name for names in self._disruptions.read().values() for name in names}
+        self._disruptions.read()
         rows = self._zone.pools.rows_by_name
         out = {n: r.pool for n, r in rows.items() if r.state != InstanceState.SERVING}
         self._lease.check()
-        self._disruptions.change(
-            configuration,
-            added_pools_by_name={n: p for n, p in out.items() if n not in listed},
-            removed=[n for n in rows if n in listed and n not in out],
-        )
+        self._disruptions.change(configuration, out, removed={*rows, *dropped})
 
     def _start_steps(self, configuration: Configuration) -> None:
         """Plan, claim the budget and start the part of the plan in this zone."""
@@ -258,23 +275,39 @@
             fleet.instances_by_name
         )
         self.plan = plan
-        rows = self._zone.pools.rows_by_name
-        wall_ms = self._now_wall_ms()
-        changes = {name: moves.recall(rows[name], wall_ms) for name in plan.recall}
-        for name in plan.repair:
-            changes[name] = moves.begin_repair(rows[name], wall_ms)
-        for name in plan.quarantine:
-            changes[name] = moves.quarantine(rows[name], wall_ms)
-        for name, target in plan.take.items():
-            changes[name] = moves.begin_drain(rows[name], target, wall_ms)
-        claimed = {name: rows[name].pool for name in (*plan.take, *plan.quarantine)}
+        claimed = {
+            name: self._zone.pools.rows_by_name[name].pool
+            for name in (*plan.take, *plan.quarantine)
+        }
         if claimed:
             self._lease.check()
             self._disruptions.change(configuration, claimed)
-        self._zone.change(changes)
-        if plan.recall:
-            self._reconcile(configuration)
+        self._zone.change(self._changes_of(plan))
+        if plan.recall or plan.drop:
+            self._reconcile(configuration, plan.drop)
         self._publish(fleet.now_ms)
+        self._send_metrics(plan)
+
+    def _changes_of(self, plan: Plan) -> dict[str, PoolRow | None]:
+        rows = self._zone.pools.rows_by_name
+        now_ms = self._now_wall_ms()
+        changes: dict[str, PoolRow | None] = dict.fromkeys(plan.drop)
+        for name in plan.recall:
+            changes[name] = moves.recall(rows[name], now_ms)
+        for name in plan.repair:
+            changes[name] = moves.begin_repair(rows[name], now_ms)
+        for name in plan.quarantine:
+            changes[name] = moves.quarantine(rows[name], now_ms)
+        for name, target in plan.take.items():
+            changes[name] = moves.begin_drain(rows[name], target, now_ms)
+        return changes
+
+    def _send_metrics(self, plan: Plan) -> None:
+        if self._metrics:
+            prefix = f"planner.{self._settings.zone}"
+            self._metrics.gauge(f"{prefix}.out", len(plan.wave))
+            self._metrics.gauge(f"{prefix}.waiting", len(plan.waits_by_name))
+            self._metrics.gauge(f"{prefix}.recalled", len(plan.recall))
 
     def _read_fleet(self, configuration: Configuration) -> Fleet:
         """Read what a plan depends on; see ``Disruptions.read`` for the order."""
@@ -284,7 +317,9 @@
         usage = self._records.read_all("usage/")
         self._listed = self._client.instances()
         tasks_by_name = self._ask(self._zone.pools.rows_by_name)
-        self._usage.sample(tasks_by_name)
+        if self._clock.now_ms() >= self._next_sample_ms:
+            self._usage.sample(tasks_by_name)
+            self._next_sample_ms = self._clock.now_ms() + SAMPLE_INTERVAL_MS
         reports: dict[str, WorkerReport] = {
             name: report_of(configuration, tasks)
             for name, tasks in tasks_by_name.items()
--- a/src/cranberrywheel/process/waves.py
+++ b/src/cranberrywheel/process/waves.py
@@ -36,9 +36,12 @@
     return configuration.maintenance_period_hours * 3_600_000
 
 
-def is_due(configuration: Configuration, instance: FleetInstance, now_ms: int) -> bool:
-    """Tell whether maintenance of an instance is due."""
-    age_ms = now_ms - instance.maintained_ms
+def is_due(configuration: Configuration, maintained_ms: int, now_ms: int) -> bool:
+    """Tell whether maintenance of an instance is due.
+
+    :param maintained_ms: end of its last maintenance, or 0.
+    """
+    age_ms = now_ms - maintained_ms
     return age_ms >= DUE_FRACTION * _period_ms(configuration)
 
 
@@ -143,6 +146,8 @@
                 self.waits[instance.name] = (
                     "fails again shortly after its repair; replace it"
                 )
+            elif not instance.live:
+                self.waits[instance.name] = _why_unhealthy(instance)
             elif self._may_have_work(instance):
                 self.waits[instance.name] = "quarantined, work may still run"
             else:
@@ -159,6 +164,28 @@
         )
         return self.fleet.now_ms - instance.row.since_ms < longest_ms
 
+    def take_removed(self) -> dict[str, str]:
+        """Start to drain workers that left the configuration."""
+        take = {}
+        declared = self.configuration.workers_by_name
+        for instance in [i for i in self.free if i.name not in declared]:
+            if reason := self._try(instance):
+                self.waits[instance.name] = f"removed from the configuration: {reason}"
+            else:
+                take[instance.name] = ""
+        self.free = [i for i in self.free if i.name in declared]
+        return take
+
+    def drop(self) -> tuple[str, ...]:
+        """Choose instances that left the configuration and do no work any more."""
+        declared = self.configuration.workers_by_name
+        return tuple(
+            i.name
+            for i in self.own
+            if i.name not in declared
+            and (not i.live or i.row.state is InstanceState.EMPTY)
+        )
+
     def take_transfers(self) -> dict[str, str]:
         """Start moves towards the decided sizes, as far as budgets allow."""
         take = {}
@@ -168,7 +195,8 @@
             if declared and is_healthy(instance) and instance.pool not in pools:
                 # Its pool left the configuration, so no service needs it there.
                 take[instance.name] = declared.pool
-        for instance, target in choose_transfers(self.fleet, self.sizing, self.free):
+        movable = [i for i in self.free if i.report.drain_ms <= LONG_DRAIN_MS]
+        for instance, target in choose_transfers(self.fleet, self.sizing, movable):
             if reason := self._try(instance):
                 self.waits[instance.name] = f"move to {target}: {reason}"
             else:
@@ -179,10 +207,12 @@
         """Start maintenance of due instances, dependencies first."""
         take = {}
         now_ms, needed = self.fleet.now_ms, dependency_pools(self.configuration)
-        due = [i for i in self.free if is_due(self.configuration, i, now_ms)]
+        due = [
+            i for i in self.free if is_due(self.configuration, i.maintained_ms, now_ms)
+        ]
         for instance in self.own:
             if not is_healthy(instance) and is_due(
-                self.configuration, instance, now_ms
+                self.configuration, instance.maintained_ms, now_ms
             ):
                 self.waits.setdefault(instance.name, _why_unhealthy(instance))
         due.sort(
@@ -206,6 +236,34 @@
                 take[instance.name] = ""
         return take
 
+    def plan(self) -> Plan:
+        """Make all choices; each one sees what those before it took."""
+        risks = self.ledger.risks()
+        recall = self.recall()
+        quarantine = self.quarantine()
+        # Moves before maintenance: they restore capacity within minutes, a reboot
+        # only removes it.
+        take = {
+            **self.take_removed(),
+            **self.take_transfers(),
+            **self.take_maintenance(),
+        }
+        return Plan(
+            sizing=self.sizing,
+            wave={
+                instance.name: str(instance.row.state)
+                for instance in self.own
+                if instance.row.state is not InstanceState.SERVING
+            },
+            take=take,
+            quarantine=quarantine,
+            repair=self.repair(),
+            recall=recall,
+            drop=self.drop(),
+            waits_by_name=self.waits,
+            risks=risks,
+        )
+
     def _most_out(self, pool: str) -> int:
         """Return how many may be out so that the decided capacity stays.
 
@@ -219,7 +277,10 @@
 
     def _try(self, instance: FleetInstance) -> str:
         pool = instance.pool
-        if self.out_by_pool[pool] >= self._most_out(pool):
+        most_out = self._most_out(pool)
+        if most_out == 0:
+            return f"budget of pool {pool} leaves no worker for maintenance"
+        if self.out_by_pool[pool] >= most_out:
             return f"{self.out_by_pool[pool]} of pool {pool} are out, the wave is full"
         if reason := self.ledger.take(instance):
             return f"budget of pool {pool}: {reason}"
@@ -247,27 +308,7 @@
         reason = f"the instance list is {fleet.list_age_ms // 1000} s old"
         waits = dict.fromkeys(fleet.instances_by_name, reason)
         return Plan(sizing=sizing, waits_by_name=waits)
-    round_ = _Round(configuration, fleet, sizing, zone)
-    risks = round_.ledger.risks()
-    recall = round_.recall()
-    quarantine = round_.quarantine()
-    repair = round_.repair()
-    # Moves first: they restore capacity within minutes, a reboot only removes it.
-    take = {**round_.take_transfers(), **round_.take_maintenance()}
-    return Plan(
-        sizing=sizing,
-        wave={
-            i.name: str(i.row.state)
-            for i in round_.own
-            if i.row.state is not InstanceState.SERVING
-        },
-        take=take,
-        quarantine=quarantine,
-        repair=repair,
-        recall=recall,
-        waits_by_name=round_.waits,
-        risks=risks,
-    )
+    return _Round(configuration, fleet, sizing, zone).plan()
 
 
 def plan_preview(
