--- a/src/cranberrywheel_load/cluster.py
+++ b/src/cranberrywheel_load/cluster.py
@@ -334,6 +334,10 @@
         """End all partitions."""
         self._relays().set_cut(())
 
+    def traffic(self) -> dict[int, int]:
+        """Return the payload bytes that relays have passed on, by target port."""
+        return self._relays().traffic()
+
     def _relays(self) -> RelayControl:
         if self._relay is None:
             raise RuntimeError("the plan has no relays")
--- a/src/cranberrywheel_load/relay_control.py
+++ b/src/cranberrywheel_load/relay_control.py
@@ -7,7 +7,7 @@
 
 from cranberrywheel_load.processes import HOST, ManagedProcess, free_ports, wait_until
 
-ANSWER_BYTES = 100
+CHUNK_BYTES = 65_536
 
 
 class RelayControl:
@@ -35,10 +35,20 @@
         """End the relay process by closing its control connection."""
         self._connection.close()
 
-    def _command(self, command: dict[str, t.Any]) -> None:
+    def _command(self, command: dict[str, t.Any]) -> dict[str, t.Any]:
         self._connection.sendall(json.dumps(command).encode() + b"\n")
-        answer = self._connection.recv(ANSWER_BYTES)
-        assert answer.endswith(b"\n"), f"relay answered {answer!r}"
+        answer = b""
+        while not answer.endswith(b"\n"):
+            data = self._connection.recv(CHUNK_BYTES)
+            if not data:
+                raise RuntimeError("the relay process has ended")
+            answer += data
+        return dict(json.loads(answer))
+
+    def traffic(self) -> dict[int, int]:
+        """Return the payload bytes that relays have passed on, by target port."""
+        answer = self._command({"report": True})
+        return {int(port): n for port, n in answer["bytes_by_target"].items()}
 
     def add(self, port: int, zone: str, asking: str) -> int:
         """Start a relay to a port; returns the relay's port.
