--- a/src/cranberrywheel_load/processes.py
+++ b/src/cranberrywheel_load/processes.py
@@ -10,6 +10,7 @@
 import time
 import typing as t
 
+HOST = "127.0.0.1"
 POLL_S = 0.05
 FIRST_PORT = 10_000
 PORT_COUNT = 20_000
@@ -40,7 +41,7 @@
         time.sleep(POLL_S)
 
 
-def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+def free_ports(count: int, host: str = HOST) -> list[int]:
     """Return distinct ports that are free now.
 
     They lie below the range from which the kernel takes the ports of outgoing
