Compare the ticket book and the unit code with the models step by step

Cause: a model that nobody compares with the code proves nothing about it. Change: hypothesis state machines choose the steps; walk.py evaluates the model on concrete values; the real TicketBook, UnitLedger, MissingHolders, rebalance, reclaim, rejoin and resolve_lost_write must answer exactly as the model allows.

--- /dev/null
+++ b/src/cranberrywheel_spec/hold_conformance.py
@@ -0,0 +1,197 @@
+"""Compares hold times, reclaim and rejoin in the product with the unit time model."""
+
+import dataclasses
+import fractions
+import typing as t
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from cranberrywheel.process import limit_units
+from cranberrywheel.process.limit_record import HolderRow, LimitRecord
+from cranberrywheel.process.limit_units import Absence, UnitLedger
+from cranberrywheel.process.membership import MissingHolders, Registration
+from cranberrywheel.settings import LimitSettings
+from cranberrywheel_spec.unit_times import (
+    CLOCKS,
+    LONG,
+    SHORT,
+    TOKEN_S,
+    TTL_S,
+    Hold,
+    unit_times,
+)
+from cranberrywheel_spec.walk import CompiledModel, Walk, as_fraction
+
+_HOLDER, _TEAM, _REQUEST = "z1.e1.0", "t", "r"
+_MODELS = {hold.name: CompiledModel(unit_times(hold)) for hold in (SHORT, LONG)}
+_SETTINGS = LimitSettings()
+#: Where a step ends: after a short time, or at a bound of the protocol (a clock, the
+#: time from which it counts and how long), or up to a millisecond off it.
+_SHORT_MS = st.sampled_from([0, 0, 1, 500, 5_000, 30_000])
+_OFFSETS_MS = st.sampled_from([-1, 0, 0, 1])
+_RATES = st.tuples(*[st.sampled_from([-48, 0, 48])] * len(CLOCKS))
+
+
+def _inputs(
+    passed_ms: int, rates: tuple[int, ...] = (0,) * len(CLOCKS)
+) -> dict[str, fractions.Fraction]:
+    inputs = {"passed_s": fractions.Fraction(passed_ms, 1000)}
+    for clock, rate in zip(CLOCKS, rates, strict=True):
+        # Whole milliseconds, because the product reads no less.
+        gain_ms = passed_ms + passed_ms * rate // 10_000
+        inputs[f"{clock}_gain"] = fractions.Fraction(gain_ms, 1000)
+    return inputs
+
+
+class HoldMachine(RuleBasedStateMachine):
+    """One unit: the product must use and reclaim it exactly when the model may."""
+
+    hold: t.ClassVar[Hold] = SHORT
+    make_ledger: t.ClassVar[type[UnitLedger]] = UnitLedger
+    make_missing: t.ClassVar[type[MissingHolders]] = MissingHolders
+    reclaim: t.ClassVar = staticmethod(limit_units.reclaim)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.walk = Walk(
+            _MODELS[self.hold.name], registered=True, knows_unit=True, lease_end_s=TTL_S
+        )
+        self.own = Registration(_HOLDER, "e1", "z1", "1.1.1.1:1", "1.1.1.1:2", 1)
+        units = {"long": int(self.hold is LONG), "short": int(self.hold is SHORT)}
+        row = HolderRow(
+            registration=1, instance="e1", zone="z1", address="1.1.1.1:2", **units
+        )
+        self.record = LimitRecord(limit=1, limit_version=1, holders={_HOLDER: row})
+        self.read_record = self.record
+        self.ledger = self.make_ledger(_SETTINGS)
+        self.ledger.set_held(_TEAM, row.long, row.short)
+        self.ledger.set_limit(_TEAM, 1)
+        self.ledger.renewed(0)
+        self.ledger.take(_TEAM, _REQUEST, 0)
+        self.missing = self.make_missing()
+        self.sent_ms = 0
+
+    def _now_ms(self, clock: str) -> int:
+        return int(self.walk.values[clock] * 1000)
+
+    def _bounds(self) -> list[tuple[str, str, t.Any]]:
+        """Return clock, start and length of the times that the protocol compares."""
+        return [
+            ("holder_s", "valid_from_s", self.hold.hold_s),
+            ("store_s", "lease_end_s", 0),
+            ("worker_s", "token_s", TOKEN_S),
+            ("reclaimer_s", "missing_since_s", as_fraction(self.hold.wait_s)),
+            ("reclaimer_s", "reuse_since_s", fractions.Fraction(12_120, 1000)),
+        ]
+
+    def _left_ms(self, number: int) -> int:
+        clock, start, length = self._bounds()[number]
+        values = self.walk.values
+        return int((values[start] + length - values[clock]) * 1000)
+
+    @rule(data=st.data(), passed_ms=_SHORT_MS, rates=_RATES)
+    def step_shortly(
+        self, data: st.DataObject, passed_ms: int, rates: tuple[int, ...]
+    ) -> None:
+        self._step(data, passed_ms, rates)
+
+    @rule(data=st.data(), number=st.integers(0, 4), offset_ms=_OFFSETS_MS)
+    def step_to_bound(self, data: st.DataObject, number: int, offset_ms: int) -> None:
+        passed_ms = max(0, self._left_ms(number) + offset_ms)
+        self._step(data, passed_ms, (0,) * len(CLOCKS))
+
+    @rule()
+    def lapse(self) -> None:
+        """Lose the registration, also when it was entered again just before."""
+        self._take("holder registers again", _inputs(0))
+        self._take("holder rewrites the record", _inputs(0))
+        self._take("store ends lease", _inputs(TTL_S * 1000))
+        self._take("reclaimer reads the record", _inputs(0))
+        self._take("reclaimer sees registration missing", _inputs(0))
+
+    def _step(
+        self, data: st.DataObject, passed_ms: int, rates: tuple[int, ...]
+    ) -> None:
+        inputs = _inputs(passed_ms, rates)
+        if enabled := self.walk.enabled(**inputs):
+            self._take(data.draw(st.sampled_from(sorted(enabled))), inputs)
+
+    def _take(self, name: str, inputs: dict[str, fractions.Fraction]) -> None:
+        if name not in self.walk.enabled(**inputs):
+            return
+        self.walk.take(name, **inputs)
+        if act := getattr(self, "_" + name.replace(" ", "_"), None):
+            act()
+        self._check()
+
+    def _check(self) -> None:
+        enabled = self.walk.enabled()
+        values = self.walk.values
+        if values["has_token"] and not values["dead"]:
+            may_use = self.ledger.may_renew(_REQUEST, self._now_ms("holder_s"))
+            checks = "holder checks unit and sends start" in enabled
+            assert may_use == checks, f"ledger says {may_use}"
+        if values["record_read"] and values["read_revision"] == values["revision"]:
+            due = self._is_due()
+            assert due == ("reclaimer writes the record" in enabled), f"due: {due}"
+
+    def _is_due(self) -> bool:
+        row = self.read_record.holders.get(_HOLDER)
+        absence = row and self.missing.get(_HOLDER, row.registration)
+        if not absence:
+            return False
+        if not self.walk.values["seen_after_read"]:
+            absence = dataclasses.replace(absence, missing_ms=None)
+        now_ms = self._now_ms("reclaimer_s")
+        after = self.reclaim(self.read_record, _HOLDER, absence, now_ms, _SETTINGS)
+        return after.total < self.read_record.total
+
+    def _holder_sends_renewal(self) -> None:
+        self.sent_ms = self._now_ms("holder_s")
+
+    def _holder_gets_answer_to_renewal(self) -> None:
+        self.ledger.renewed(self.sent_ms)
+
+    def _holder_registers_again(self) -> None:
+        self.sent_ms = self._now_ms("holder_s")
+        self.own = dataclasses.replace(self.own, revision=self.own.revision + 1)
+
+    def _holder_rewrites_the_record(self) -> None:
+        row = HolderRow(
+            registration=self.own.revision,
+            instance="e1",
+            zone="z1",
+            address="1.1.1.1:2",
+        )
+        self.record = limit_units.rejoin(self.record, _HOLDER, row)
+        row = self.record.holders[_HOLDER]
+        self.ledger.set_held(_TEAM, row.long, row.short)
+        self.ledger.renewed(self.sent_ms)
+
+    def _reclaimer_reads_the_record(self) -> None:
+        self.read_record = self.record
+
+    def _observe(self, *registrations: Registration) -> None:
+        now_ms = self._now_ms("reclaimer_s")
+        self.missing.observe([self.read_record], list(registrations), now_ms)
+
+    def _others(self) -> list[Registration]:
+        new = dataclasses.replace(self.own, process_id="z1.e1.1", revision=1_000)
+        return [new] if self.walk.values["reuse_seen"] else []
+
+    def _reclaimer_sees_registration_missing(self) -> None:
+        self._observe(*self._others())
+
+    def _reclaimer_sees_registration(self) -> None:
+        self._observe(self.own, *self._others())
+
+    def _reclaimer_sees_the_new_process(self) -> None:
+        own = [] if self.walk.values["missing_seen"] else [self.own]
+        self._observe(*own, *self._others())
+
+    def _reclaimer_writes_the_record(self) -> None:
+        absence = Absence(0, 0)
+        self.record = limit_units.reclaim(
+            self.record, _HOLDER, absence, 10**9, _SETTINGS
+        )
--- /dev/null
+++ b/src/cranberrywheel_spec/ticket_conformance.py
@@ -0,0 +1,148 @@
+"""Compares ``TicketBook`` with the ticket model, step by step."""
+
+import typing as t
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from cranberrywheel.request.model import Answer, Outcome
+from cranberrywheel.request.ticket import Claim, ClaimState, TicketBook
+from cranberrywheel.settings import EntrySettings, PlatformSettings
+from cranberrywheel_spec.tickets import EXPIRED, FINISHED, VALID, VOID, tickets
+from cranberrywheel_spec.walk import CompiledModel, Walk
+
+_SETTINGS = EntrySettings(
+    instance="e1",
+    zone="z1",
+    host="127.0.0.1",
+    http_port=8000,
+    peer_port=8001,
+    operator_token_file="unused",
+    platform=PlatformSettings(url="http://127.0.0.1:9"),
+)
+_MODEL = CompiledModel(tickets())
+_ACCEPTS, _REFUSES = "owner accepts a call", "owner refuses a call"
+_REFUSES_EXPORTED = "owner refuses a call after its export"
+_ANSWERS_QUERY, _PEER_REFUSES = "owner answers a query", "peer answers not-run"
+_RELEASES = "worker refuses the start and owner releases"
+
+
+def _answer(outcome: Outcome) -> Answer:
+    return Answer(request_id="r", outcome=outcome, status=200, body=b"b")
+
+
+class TicketMachine(RuleBasedStateMachine):
+    """One ticket: each call of the book must answer as the model allows."""
+
+    make_book: t.ClassVar[type[TicketBook]] = TicketBook
+    #: Whether to hand over after the retention of the ticket has passed.
+    late_hand_over: t.ClassVar[bool] = False
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 0
+        self.owner = self.make_book("z1.e1.0", _SETTINGS, b"secret")
+        self.peer = self.make_book("z1.e2.0", _SETTINGS, b"other")
+        self.ticket = self.owner.issue("t", "q", 0)
+        self.walk = Walk(_MODEL)
+
+    def _can(self, name: str) -> bool:
+        return name in self.walk.enabled()
+
+    def _check_not_run(self, claim: Claim, *actions: str) -> None:
+        """``not-run`` is answered exactly when one of the actions is possible."""
+        possible = [name for name in actions if self._can(name)]
+        assert (claim.state is ClaimState.NOT_RUN) == bool(possible), claim
+        if possible:
+            self.walk.take(possible[0])
+
+    @rule()
+    def call(self) -> None:
+        accepts = self._can(_ACCEPTS)
+        claim = self.owner.claim(self.ticket, "t", "q", self.now_ms)
+        assert (claim.state is ClaimState.NEW) == accepts, claim
+        if accepts:
+            self.walk.take(_ACCEPTS)
+        else:
+            self._check_not_run(claim, _REFUSES, _REFUSES_EXPORTED)
+            self._check_state(claim)
+
+    @rule()
+    def query(self) -> None:
+        claim = self.owner.query(self.ticket, self.now_ms)
+        self._check_not_run(claim, _ANSWERS_QUERY)
+        self._check_state(claim)
+
+    def _check_state(self, claim: Claim) -> None:
+        finished = self.walk.values["record"] == FINISHED
+        assert (claim.state is ClaimState.FINISHED) == finished, claim
+
+    @precondition(lambda self: self._can("owner sends the start"))
+    @rule()
+    def send_start(self) -> None:
+        self.owner.started(self.ticket)
+        self.walk.take("owner sends the start")
+
+    @precondition(lambda self: self._can("worker starts the task"))
+    @rule()
+    def worker_starts(self) -> None:
+        self.walk.take("worker starts the task")
+
+    @precondition(lambda self: self._can(_RELEASES))
+    @rule()
+    def worker_refuses(self) -> None:
+        self.owner.release(self.ticket, self.now_ms)
+        self.walk.take(_RELEASES)
+
+    @precondition(lambda self: self._can("owner gets the answer"))
+    @rule(outcome=st.sampled_from([Outcome.OK, Outcome.FAILED]))
+    def answer(self, outcome: Outcome) -> None:
+        self.owner.finish(self.ticket, _answer(outcome), self.now_ms)
+        self.walk.take("owner gets the answer")
+
+    @precondition(lambda self: self._can("owner gives up waiting"))
+    @rule()
+    def give_up(self) -> None:
+        self.owner.finish(self.ticket, _answer(Outcome.UNKNOWN), self.now_ms)
+        self.walk.take("owner gives up waiting")
+
+    @precondition(lambda self: self.walk.values["age"] == VALID)
+    @rule()
+    def expire_ticket(self) -> None:
+        self.now_ms = _SETTINGS.ticket_lifetime_ms
+        self.walk.take("ticket expires")
+
+    @precondition(lambda self: self.walk.values["age"] == EXPIRED)
+    @rule()
+    def pass_retention(self) -> None:
+        self.now_ms += _SETTINGS.ticket_retention_ms
+        self.walk.take("retention passes")
+
+    @rule()
+    def clean_up(self) -> None:
+        """The book may drop a record when the model may."""
+        self.owner.expire(self.now_ms)
+        record = self.walk.values["record"]
+        if record == VOID and self.walk.values["age"] != VALID:
+            self.walk.take("owner drops a void record")
+        elif record == FINISHED:
+            claim = self.owner.query(self.ticket, self.now_ms)
+            if claim.state is not ClaimState.FINISHED:
+                assert claim.state is ClaimState.UNKNOWN, claim
+                self.walk.take("owner drops the record")
+
+    @precondition(lambda self: self._can("owner exports"))
+    @precondition(lambda self: self.late_hand_over or self.now_ms < 2 * 600_000)
+    @rule()
+    def hand_over(self) -> None:
+        self.peer.import_results("z1.e1.0", self.owner.export_results())
+        self.walk.take("owner exports")
+        self.walk.take("peer takes over")
+
+    @rule()
+    def query_peer(self) -> None:
+        claim = self.peer.query(self.ticket, 0)
+        if not self.walk.values["handed_over"]:
+            assert claim.state is ClaimState.UNKNOWN, claim
+        else:
+            self._check_not_run(claim, _PEER_REFUSES)
--- /dev/null
+++ b/src/cranberrywheel_spec/transfer_conformance.py
@@ -0,0 +1,173 @@
+"""Compares ``UnitLedger`` and the limit record functions with the transfer model."""
+
+import typing as t
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from cranberrywheel.connection.store_client import Record
+from cranberrywheel.process import limit_record, limit_units
+from cranberrywheel.process.limit_record import HolderRow, LimitRecord
+from cranberrywheel.process.limit_units import Need, UnitLedger
+from cranberrywheel.settings import LimitSettings
+from cranberrywheel.version.records import (
+    PreparedWrite,
+    StoredRecord,
+    WriteOutcome,
+    parse_record,
+    prepare_write,
+    resolve_lost_write,
+)
+from cranberrywheel_spec.unit_transfers import HOLDERS, unit_transfers
+from cranberrywheel_spec.walk import CompiledModel, Walk
+
+KEY, TEAM = "limits/t", "t"
+_MODEL = CompiledModel(unit_transfers())
+_HOLDER = st.sampled_from(HOLDERS)
+_COUNT = st.integers(0, 8)
+
+
+class _Holder:
+    """One holder: its ledger, view of the record and open messages."""
+
+    def __init__(self, stored: StoredRecord, name: str, ledger: UnitLedger) -> None:
+        self.name, self.ledger = name, ledger
+        self.ledger.set_limit(TEAM, 1_000)
+        self.ledger.renewed(0)
+        self.view = self.read = stored
+        self.write: PreparedWrite | None = None
+        self.accepted: StoredRecord | None = None
+        self.waiting = self.in_flight = False
+        self.requests = 0
+        self.adopt(stored)
+
+    def adopt(self, stored: StoredRecord) -> None:
+        self.view = stored
+        row = limit_record.parse(stored.body).holders[self.name]
+        self.ledger.set_held(TEAM, row.long, row.short)
+        self.waiting, self.accepted = False, None
+
+
+class TransferMachine(RuleBasedStateMachine):
+    """Two holders move units; the model must allow each write and each count."""
+
+    rebalance: t.ClassVar = staticmethod(limit_units.rebalance)
+    make_ledger: t.ClassVar[type[UnitLedger]] = UnitLedger
+    resolve: t.ClassVar = staticmethod(resolve_lost_write)
+
+    @initialize(a=_COUNT, b=_COUNT, free=_COUNT)
+    def start(self, a: int, b: int, free: int) -> None:
+        rows = {}
+        for name, total in (("a", a), ("b", b)):
+            long, short = limit_units.split_units(total, 0.5)
+            rows[name] = HolderRow(
+                long=long,
+                short=short,
+                registration=1,
+                instance=name,
+                zone="z",
+                address="",
+            )
+        self.limit = a + b + free
+        record = LimitRecord(limit=self.limit, limit_version=1, holders=rows)
+        first = prepare_write(KEY, None, "a", limit_record.dump(record))
+        self.stored = parse_record(Record(KEY, first.value, 1))
+        make = lambda: self.make_ledger(LimitSettings())
+        self.holders_by_name = {n: _Holder(self.stored, n, make()) for n in HOLDERS}
+        counts = {"a": a, "b": b}
+        start: dict[str, int] = {"limit": self.limit}
+        for p in HOLDERS:
+            start |= {f"held_{p}": counts[p], f"usable_{p}": counts[p]}
+            for kind in ("view", "read", "write"):
+                start |= {f"{kind}_{q}_{p}": counts[q] for q in HOLDERS}
+        self.walk = Walk(_MODEL, **start)
+
+    def _check(self) -> None:
+        used = 0
+        for name, holder in self.holders_by_name.items():
+            usable = holder.ledger.usable(TEAM, 0)
+            assert usable == self.walk.values[f"usable_{name}"], (name, usable)
+            used += holder.ledger.in_use_by_team().get(TEAM, 0)
+        assert used <= self.limit
+
+    @rule(name=_HOLDER, waiting=_COUNT)
+    def send_write(self, name: str, waiting: int) -> None:
+        holder = self.holders_by_name[name]
+        if holder.waiting or holder.in_flight:
+            return
+        other = HOLDERS[name == "a"]
+        before = limit_record.parse(holder.view.body)
+        need = Need(holder.ledger.in_use_by_team().get(TEAM, 0), waiting)
+        after = self.rebalance(before, name, need, self.limit // 2, 0.5, {other})
+        if after == before:
+            return
+        old, new = before.holders[name], after.holders[name]
+        out = max(0, old.long - new.long), max(0, old.short - new.short)
+        if holder.ledger.release(TEAM, *out) != out:
+            holder.ledger.set_held(TEAM, old.long, old.short)
+            return
+        body = limit_record.dump(after)
+        holder.write = prepare_write(KEY, holder.view, name, body)
+        holder.waiting = holder.in_flight = True
+        given = after.holders[other].total - before.holders[other].total
+        self.walk.take(f"{name} sends a write", input_own=new.total, input_given=given)
+        self._check()
+
+    @rule(name=_HOLDER)
+    def deliver_write(self, name: str) -> None:
+        holder = self.holders_by_name[name]
+        if not holder.in_flight:
+            return
+        holder.in_flight = False
+        write = holder.write
+        if write.expected_revision != self.stored.revision:
+            self.walk.take(f"store refuses write of {name}")
+            return
+        record = Record(KEY, write.value, self.stored.revision + 1)
+        self.stored = holder.accepted = parse_record(record)
+        self.walk.take(f"store accepts write of {name}")
+
+    @rule(name=_HOLDER)
+    def deliver_answer(self, name: str) -> None:
+        holder = self.holders_by_name[name]
+        if holder.waiting and holder.accepted:
+            holder.adopt(holder.accepted)
+            self.walk.take(f"{name} gets its answer")
+            self._check()
+
+    @rule(name=_HOLDER)
+    def read(self, name: str) -> None:
+        self.holders_by_name[name].read = self.stored
+        self.walk.take(f"{name} reads")
+
+    @rule(name=_HOLDER)
+    def deliver_read(self, name: str) -> None:
+        holder = self.holders_by_name[name]
+        if holder.waiting:
+            outcome = self.resolve(holder.write, holder.read)
+            adopts = outcome is not WriteOutcome.PENDING
+        else:
+            adopts = holder.read.revision > holder.view.revision
+        if adopts:
+            self.walk.take(f"{name} gets the record")
+            holder.adopt(holder.read)
+        self._check()
+
+    @rule(name=_HOLDER)
+    def deliver_all(self, name: str) -> None:
+        """Complete an open write and read the result, as without faults."""
+        self.deliver_write(name)
+        self.deliver_answer(name)
+        self.read(name)
+        self.deliver_read(name)
+
+    @rule(name=_HOLDER)
+    def start_request(self, name: str) -> None:
+        holder = self.holders_by_name[name]
+        holder.requests += 1
+        holder.ledger.take(TEAM, f"{name}{holder.requests}", 0)
+        self._check()
+
+    @rule(name=_HOLDER, number=st.integers(1, 5))
+    def finish_request(self, name: str, number: int) -> None:
+        self.holders_by_name[name].ledger.give_back(f"{name}{number}")
--- a/src/cranberrywheel_spec/unit_times.py
+++ b/src/cranberrywheel_spec/unit_times.py
@@ -210,7 +210,11 @@
     missing_s = s.reclaimer_s - s.missing_since_s
     reuse_s = s.reclaimer_s - s.reuse_since_s
     due = z3.Or(
-        z3.And(s.missing_seen, guard("reclaim waits", missing_s >= hold.wait_s)),
+        z3.And(
+            s.seen_after_read,
+            s.missing_seen,
+            guard("reclaim waits", missing_s >= hold.wait_s),
+        ),
         z3.And(
             s.reuse_seen,
             guard("reuse waits", reuse_s >= (TOKEN_S + TASK_S) * MARGIN),
@@ -220,7 +224,7 @@
         Action(
             "reclaimer writes the record",
             z3.And(
-                s.seen_after_read,
+                s.record_read,
                 due,
                 z3.Not(s.reclaimed),
                 guard("reclaim compares the revision", s.read_revision == s.revision),
--- a/src/cranberrywheel_spec/walk.py
+++ b/src/cranberrywheel_spec/walk.py
@@ -1,50 +1,115 @@
 """Steps of a model on concrete values, to compare the product's code with it."""
 
+import fractions
+import math
+import operator
 import typing as t
 
 import z3
 
-from cranberrywheel_spec.bounded import Model, State
-
-Value = bool | int | float
-_MAKERS = {"Bool": z3.BoolVal, "Int": z3.IntVal, "Real": z3.RealVal}
-
-
-def _python(value: t.Any) -> Value:
-    value = z3.simplify(z3.simplify(value) if z3.is_expr(value) else value)
-    if z3.is_int_value(value):
-        return value.as_long()
-    if z3.is_rational_value(value):
-        return float(value.as_fraction())
-    return z3.is_true(value)
+from cranberrywheel_spec.bounded import Action, Model, State
+
+Value = bool | int | fractions.Fraction
+#: Values by name; evaluation adds partial results that it may need again.
+Values = dict[str, Value]
+Evaluate = t.Callable[[Values], Value]
+
+_OPERATORS: dict[int, t.Callable[..., Value]] = {
+    z3.Z3_OP_TRUE: lambda: True,
+    z3.Z3_OP_FALSE: lambda: False,
+    z3.Z3_OP_NOT: operator.not_,
+    z3.Z3_OP_IMPLIES: lambda a, b: not a or b,
+    z3.Z3_OP_EQ: operator.eq,
+    z3.Z3_OP_DISTINCT: operator.ne,
+    z3.Z3_OP_LE: operator.le,
+    z3.Z3_OP_LT: operator.lt,
+    z3.Z3_OP_GE: operator.ge,
+    z3.Z3_OP_GT: operator.gt,
+    z3.Z3_OP_ADD: lambda *values: sum(values),
+    z3.Z3_OP_SUB: operator.sub,
+    z3.Z3_OP_MUL: lambda *values: math.prod(values),
+    z3.Z3_OP_TO_REAL: lambda a: a,
+}
+
+
+def as_fraction(number: t.Any) -> fractions.Fraction:
+    """Return the value of a z3 constant expression."""
+    return z3.simplify(number).as_fraction()
+
+
+def _compile(expression: t.Any) -> Evaluate:
+    """Translate a z3 expression; evaluation by z3 itself takes milliseconds."""
+    if not z3.is_expr(expression):
+        return lambda values: expression
+    if z3.is_int_value(expression):
+        number = expression.as_long()
+        return lambda values: number
+    if z3.is_rational_value(expression):
+        fraction = expression.as_fraction()
+        return lambda values: fraction
+    kind = expression.decl().kind()
+    if kind == z3.Z3_OP_UNINTERPRETED:
+        name = expression.decl().name()
+        return lambda values: values[name]
+    parts = [_compile(child) for child in expression.children()]
+    if kind == z3.Z3_OP_AND:
+        return lambda values: all(part(values) for part in parts)
+    if kind == z3.Z3_OP_OR:
+        return lambda values: any(part(values) for part in parts)
+    if kind == z3.Z3_OP_ITE:
+        chosen, then, otherwise = parts
+        return lambda values: (then if chosen(values) else otherwise)(values)
+    apply = _OPERATORS[kind]
+    memo = f"value {expression.get_id()}"
+
+    def evaluate(values: Values) -> Value:
+        # All actions share the sums and conditions that advance the clocks.
+        if memo not in values:
+            values[memo] = apply(*(part(values) for part in parts))
+        return values[memo]
+
+    # z3 reuses the id of an expression that is not referenced any more.
+    evaluate.expression = expression
+    return evaluate
+
+
+class CompiledModel:
+    """A model without dropped guards, ready for many walks."""
+
+    def __init__(self, model: Model) -> None:
+        sorts = model.sorts | model.inputs
+        state = State(**{name: z3.Const(name, sort) for name, sort in sorts.items()})
+        self.name = model.name
+        self.inputs: Values = dict.fromkeys(model.inputs, 0)
+        self.zeros: Values = dict.fromkeys(model.sorts, 0)
+        self.actions = [
+            Action(a.name, _compile(a.condition), _compile_all(a.updates))
+            for a in model.actions(state, lambda _, condition: condition)
+        ]
+        self.properties = _compile_all(model.properties(state))
+        self.start = [_compile(condition) for condition in model.start(state)]
 
 
 class Walk:
     """One trace through a model.
 
-    :param model: the model; no guard is dropped.
+    :param model: the compiled model.
     :param start: first values; the others are false or 0.
     """
 
-    def __init__(self, model: Model, **start: Value) -> None:
+    def __init__(self, model: CompiledModel, **start: Value) -> None:
         self._model = model
-        self.values: dict[str, Value] = dict.fromkeys(model.sorts, 0) | start
-        state = self._state({})
-        if not all(_python(c) for c in model.start(state)):
+        self.values: Values = model.zeros | start
+        if not all(holds(dict(self.values)) for holds in model.start):
             raise ValueError(f"not a first state of {model.name}: {start}")
 
-    def _state(self, inputs: dict[str, Value]) -> State:
-        values = dict.fromkeys(self._model.inputs, 0) | self.values | inputs
-        sorts = self._model.sorts | self._model.inputs
-        return State(**{n: _MAKERS[str(s)](values[n]) for n, s in sorts.items()})
-
     def enabled(self, **inputs: Value) -> set[str]:
         """Return the names of the actions that are possible now.
 
         :param inputs: values of the model's inputs; absent ones are 0.
         """
-        actions = self._model.actions(self._state(inputs), lambda _, c: c)
-        return {a.name for a in actions if _python(a.condition)}
+        values = self.values | self._model.inputs | inputs
+        return {a.name for a in self._model.actions if a.condition(values)}
 
     def take(self, name: str, **inputs: Value) -> None:
         """Take an action.
@@ -54,19 +119,17 @@
         :raises AssertionError: if the action is not possible now, or if a property
             fails after it.
         """
-        actions = self._model.actions(self._state(inputs), lambda _, c: c)
-        named = [a for a in actions if a.name == name]
+        values = self.values | self._model.inputs | inputs
+        named = [a for a in self._model.actions if a.name == name]
         if not named:
             raise KeyError(name)
-        possible = [a for a in named if _python(a.condition)]
+        possible = [a for a in named if a.condition(values)]
         assert possible, f"the specification does not allow {name!r} now"
         updates = possible[0].updates
-        self.values |= {n: _python(_expression(v)) for n, v in updates.items()}
-        for prop, holds in self._model.properties(self._state({})).items():
-            assert _python(holds), f"{prop} fails after {name!r}"
+        self.values = self.values | {n: new(values) for n, new in updates.items()}
+        for text, holds in self._model.properties.items():
+            assert holds(dict(self.values)), f"{text!r} fails after {name!r}"
 
 
-def _expression(value: t.Any) -> t.Any:
-    if isinstance(value, bool):
-        return z3.BoolVal(value)
-    return z3.IntVal(value) if isinstance(value, int) else value
+def _compile_all(expressions: dict[str, t.Any]) -> dict[str, Evaluate]:
+    return {name: _compile(value) for name, value in expressions.items()}
--- /dev/null
+++ b/tests/test_ticket_conformance.py
@@ -0,0 +1,63 @@
+import pytest
+import testtools
+from hypothesis import Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from cranberrywheel.request.ticket import ClaimState, TicketBook
+from cranberrywheel_spec.ticket_conformance import TicketMachine
+
+RUNS = settings(
+    max_examples=150,
+    stateful_step_count=30,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    phases=[Phase.generate],
+    print_blob=False,
+)
+
+
+class NoVoidBook(TicketBook):
+    def query(self, ticket, now_ms):
+        claim = super().query(ticket, now_ms)
+        if claim.state is ClaimState.NOT_RUN:
+            self._records_by_ticket.pop(ticket, None)
+        return claim
+
+
+class EarlyDropBook(TicketBook):
+    def expire(self, now_ms):
+        super().expire(now_ms + self._settings.ticket_retention_ms)
+
+
+class UnlistedBook(TicketBook):
+    def export_results(self):
+        return [(t, a) for t, a in super().export_results() if a.outcome != "unknown"]
+
+
+class TwiceBook(TicketBook):
+    def claim(self, ticket, team, queue, now_ms):
+        claim = super().claim(ticket, team, queue, now_ms)
+        if claim.state is ClaimState.RUNNING:
+            self.release(ticket, now_ms)
+            return super().claim(ticket, team, queue, now_ms)
+        return claim
+
+
+class TicketConformanceTest(testtools.TestCase):
+    """Guards against a TicketBook that differs from the checked model."""
+
+    def test_book_follows_the_model(self):
+        run_state_machine_as_test(TicketMachine, settings=RUNS)
+
+    def test_changed_books_are_found(self):
+        for changed in (NoVoidBook, EarlyDropBook, UnlistedBook, TwiceBook):
+            machine = type("Machine", (TicketMachine,), {"make_book": changed})
+            self.assertRaises(
+                AssertionError, run_state_machine_as_test, machine, settings=RUNS
+            )
+
+    @pytest.mark.known_red
+    def test_hand_over_after_retention_stays_unknown(self):
+        machine = type("LateMachine", (TicketMachine,), {"late_hand_over": True})
+        run_state_machine_as_test(machine, settings=RUNS)
