--- a/src/cranberrywheel/process/waves.py
+++ b/src/cranberrywheel/process/waves.py
@@ -6,7 +6,7 @@
 
 from cranberrywheel.connection.store_client import InstanceList
 from cranberrywheel.process.budget import BudgetLedger, is_healthy, is_settling
-from cranberrywheel.process.capacity import build_problem, choose_sizes
+from cranberrywheel.process.capacity import build_problem
 from cranberrywheel.process.fleet_model import (
     Fleet,
     FleetInstance,
@@ -18,6 +18,7 @@
     parse_zone_pools,
 )
 from cranberrywheel.process.moves import choose_transfers
+from cranberrywheel.process.size_search import choose_sizes
 from cranberrywheel.version.configuration import Configuration
 
 #: Maintenance of an instance is due after this part of the period. The rest of the
@@ -158,6 +159,28 @@
         )
         return self.fleet.now_ms - instance.row.since_ms < longest_ms
 
+    def take_removed(self) -> dict[str, str]:
+        """Start to drain workers that left the configuration."""
+        take = {}
+        declared = self.configuration.workers_by_name
+        for instance in [i for i in self.free if i.name not in declared]:
+            if reason := self._try(instance):
+                self.waits[instance.name] = f"removed from the configuration: {reason}"
+            else:
+                take[instance.name] = ""
+        self.free = [i for i in self.free if i.name in declared]
+        return take
+
+    def drop(self) -> tuple[str, ...]:
+        """Choose instances that left the configuration and do no work any more."""
+        declared = self.configuration.workers_by_name
+        return tuple(
+            i.name
+            for i in self.own
+            if i.name not in declared
+            and (not i.live or i.row.state is InstanceState.EMPTY)
+        )
+
     def take_transfers(self) -> dict[str, str]:
         """Start moves towards the decided sizes, as far as budgets allow."""
         take = {}
@@ -205,6 +228,34 @@
                 take[instance.name] = ""
         return take
 
+    def plan(self) -> Plan:
+        """Make all choices; each one sees what those before it took."""
+        risks = self.ledger.risks()
+        recall = self.recall()
+        quarantine = self.quarantine()
+        # Moves before maintenance: they restore capacity within minutes, a reboot
+        # only removes it.
+        take = {
+            **self.take_removed(),
+            **self.take_transfers(),
+            **self.take_maintenance(),
+        }
+        return Plan(
+            sizing=self.sizing,
+            wave={
+                instance.name: str(instance.row.state)
+                for instance in self.own
+                if instance.row.state is not InstanceState.SERVING
+            },
+            take=take,
+            quarantine=quarantine,
+            repair=self.repair(),
+            recall=recall,
+            drop=self.drop(),
+            waits_by_name=self.waits,
+            risks=risks,
+        )
+
     def _most_out(self, pool: str) -> int:
         """Return how many may be out so that the decided capacity stays.
 
@@ -218,7 +269,10 @@
 
     def _try(self, instance: FleetInstance) -> str:
         pool = instance.pool
-        if self.out_by_pool[pool] >= self._most_out(pool):
+        most_out = self._most_out(pool)
+        if most_out == 0:
+            return f"budget of pool {pool} leaves no worker for maintenance"
+        if self.out_by_pool[pool] >= most_out:
             return f"{self.out_by_pool[pool]} of pool {pool} are out, the wave is full"
         if reason := self.ledger.take(instance):
             return f"budget of pool {pool}: {reason}"
@@ -246,27 +300,7 @@
         reason = f"the instance list is {fleet.list_age_ms // 1000} s old"
         waits = dict.fromkeys(fleet.instances_by_name, reason)
         return Plan(sizing=sizing, waits_by_name=waits)
-    round_ = _Round(configuration, fleet, sizing, zone)
-    risks = round_.ledger.risks()
-    recall = round_.recall()
-    quarantine = round_.quarantine()
-    repair = round_.repair()
-    # Moves first: they restore capacity within minutes, a reboot only removes it.
-    take = {**round_.take_transfers(), **round_.take_maintenance()}
-    return Plan(
-        sizing=sizing,
-        wave={
-            i.name: str(i.row.state)
-            for i in round_.own
-            if i.row.state is not InstanceState.SERVING
-        },
-        take=take,
-        quarantine=quarantine,
-        repair=repair,
-        recall=recall,
-        waits_by_name=round_.waits,
-        risks=risks,
-    )
+    return _Round(configuration, fleet, sizing, zone).plan()
 
 
 def plan_preview(
--- /dev/null
+++ b/tests/test_unit_keeper.py
@@ -0,0 +1,278 @@
+import random
+
+import testtools
+from small_deployment import TEXT, group_of
+
+from cranberrywheel.errors import StoreError
+from cranberrywheel.process.messages import Stop
+from cranberrywheel.settings import LimitSettings
+from cranberrywheel.version.records import parse_record
+
+LIMIT = 12
+
+
+class UnitKeeperTest(testtools.TestCase):
+    def group(self, count=3, limits=None):
+        group = group_of(count, limits)
+        group.entries[0].apply(TEXT, 0).result(0)
+        group.run(8_000)
+        return group
+
+    def test_units_spread_over_entries_and_follow_demand(self):
+        group = self.group()
+        self.assertEqual([4, 4, 4], [e.usable("t") for e in group.entries])
+        group.entries[0].waiting_by_team = {"t": 10}
+        group.run(10_000)
+        self.assertEqual(10, len(group.entries[0].tasks))
+        for request_id in list(group.entries[0].tasks):
+            group.entries[0].finish(request_id)
+        group.run(10_000)
+        self.assertEqual([4, 4, 4], [e.usable("t") for e in group.entries])
+
+    def test_store_outage(self):
+        """All units stay for 60 s and the long part for an hour."""
+        group = self.group()
+        group.set_down(True)
+        usable = {}
+        for at_s in (29, 3_600, 3_960):
+            group.clock.advance(at_s * 1_000 - sum(usable))
+            usable[at_s * 1_000 - sum(usable)] = group.usable_total("t")
+        self.assertEqual([12, 6, 0], list(usable.values()))
+        group.set_down(False)
+        group.run(8_000)
+        self.assertEqual(LIMIT, group.usable_total("t"))
+
+    def test_lost_answers_while_units_move(self):
+        """Neither side may use a unit whose transfer is not confirmed."""
+        group = self.group()
+        a, b, _ = group.entries
+        a.waiting_by_team = {"t": 12}
+        for round_number in range(60):
+            giver = group.entries[1 + round_number % 2]
+            giver.clients[0].lose = a.clients[0].lose = 1
+            group.run(500, check=lambda: self.check_sums(group))
+        self.assertEqual(10, len(a.tasks))
+
+    def check_sums(self, group):
+        self.assertLessEqual(group.held_total("t"), LIMIT)
+        self.assertLessEqual(group.usable_total("t"), LIMIT)
+        self.assertLessEqual(group.running_total(), LIMIT)
+
+    def test_delayed_write_does_not_take_units_twice(self):
+        """The write that gives units away may arrive after it was read back."""
+        group = self.group(2)
+        a, b = group.entries
+        b.clients[0].delay_writes = True
+        a.waiting_by_team = {"t": 12}
+        group.run(6_000, check=lambda: self.check_sums(group))
+        b.clients[0].delay_writes = False
+        b.waiting_by_team = {"t": 12}
+        for send in b.clients[0].delayed:
+            send()
+            group.run(3_000, check=lambda: self.check_sums(group))
+        self.assertEqual(LIMIT, group.running_total())
+
+    def test_old_list_does_not_undo_a_write(self):
+        """The list is read on another connection and may be older."""
+        group = self.group(2)
+        a, b = group.entries
+        old = a.clients[1].list("limits/")
+        b.waiting_by_team = {"t": 9}
+        group.run(6_000)
+        self.assertEqual(3, a.usable("t"))
+        a.session._units.listed(old, [], group.clock.now_ms())
+        self.assertEqual(3, a.usable("t"))
+
+    def test_reclaim_checked_against_a_registration_that_came_back(self):
+        """Between registering and rewriting its records a holder uses units."""
+        group = self.group(2)
+        a, b = group.entries
+        b.paused = True
+        group.run(90_000)
+        a.session.reader.step = lambda: None
+        a.set_down(True)
+        group.run(15_000)
+        b.paused = False
+        b.clients[0].put = self.register_only(b.clients[0])
+        b.step()
+        a.set_down(False)
+        group.run(4_000)
+        self.assertEqual((3, 3), group.rows("t")[b.process_id])
+
+    @staticmethod
+    def register_only(client):
+        put = client.put
+
+        def limited(key, *args):
+            if not key.startswith("entries/"):
+                client.down = True
+            return put(key, *args)
+
+        return limited
+
+    def test_reclaim_prepared_before_the_holder_came_back_fails(self):
+        """The holder rewrites its records before it uses units again."""
+        group = self.group(2)
+        a, b = group.entries
+        put = a.clients[0].put
+        b.paused = True
+
+        def put_late(key, *args):
+            if key == "limits/t" and b.paused:
+                b.paused = False
+                b.session._keep_lease(group.clock.now_ms())
+            try:
+                return put(key, *args)
+            finally:
+                held = sum(group.rows("t")[b.process_id])
+                self.assertLessEqual(b.usable("t"), held)
+
+        group.run(90_000)
+        a.clients[0].put = put_late
+        group.run(15_000, check=lambda: self.check_sums(group))
+        self.assertFalse(b.paused)
+        self.assertEqual(6, b.usable("t"))
+        self.assertEqual((3, 3), group.rows("t")[b.process_id])
+
+    def test_failed_entry_withholds_its_long_part(self):
+        group = self.group(3, LimitSettings(long_hold_ms=200_000))
+        group.entries[2].paused = True
+        group.run(110_000)
+        self.assertEqual((2, 0), group.rows("t")[group.entries[2].process_id])
+        self.assertEqual(10, sum(e.usable("t") for e in group.entries[:2]))
+        group.run(210_000)
+        self.assertEqual(12, sum(e.usable("t") for e in group.entries[:2]))
+
+    def test_replacement_on_the_same_address_frees_the_units(self):
+        group = self.group(3)
+        group.replace(2, "b")
+        group.run(20_000, check=lambda: self.check_sums(group))
+        self.assertEqual([4, 4, 4], [e.usable("t") for e in group.entries])
+
+    def test_lowered_limit(self):
+        """New starts must follow at once and the record as requests end."""
+        group = self.group()
+        a, b, c = group.entries
+        a.waiting_by_team = {"t": 4}
+        b.waiting_by_team = {"t": 4}
+        group.run(1_000)
+        a.apply(TEXT.replace("limit = 12", "limit = 6"), 1).result(0)
+        group.run(1_000)
+        c.waiting_by_team = {"t": 5}
+        group.run(4_000)
+        self.assertEqual(8 + 2, group.running_total())
+        for entry in (a, b):
+            for request_id in list(entry.tasks)[:3]:
+                entry.finish(request_id)
+        group.run(12_000)
+        self.assertEqual((6, 6), (group.held_total("t"), group.usable_total("t")))
+        a.apply(TEXT.replace("limit = 12", "limit = 9"), 2).result(0)
+        group.run(8_000)
+        self.assertEqual(9, group.usable_total("t"))
+
+    def test_stop_returns_units_and_the_registration(self):
+        group = self.group()
+        a = group.entries[0]
+        stopped = a.ask(lambda future: None)
+        a.session.stop(Stop(stopped))
+        self.assertIsNone(stopped.result(0))
+        self.assertEqual(0, a.usable("t"))
+        self.assertEqual(2, len(group.platform.list("entries/")))
+        group.entries = group.entries[1:]
+        group.run(8_000)
+        self.assertEqual([6, 6], [e.usable("t") for e in group.entries])
+
+    def test_malformed_record_stops_only_its_team(self):
+        group = self.group()
+        revision = group.platform.get("limits/t").revision
+        group.platform.put("limits/t", "{}", revision, "")
+        group.run(40_000)
+        record = group.entries[0].clients[0].get("limits/t")
+        self.assertRaises(StoreError, parse_record, record)
+        self.assertTrue(all(e.is_fresh() for e in group.entries))
+
+
+class FaultHistoryTest(testtools.TestCase):
+    """Random pauses, failures, outages and lost or delayed writes."""
+
+    STEPS = 500
+
+    def setUp(self):
+        super().setUp()
+        limits = LimitSettings(long_hold_ms=240_000)
+        self.group = group_of(4, limits)
+        self.group.entries[0].apply(TEXT, 0).result(0)
+        self.group.run(4_000)
+        self.repairs = []
+
+    def repair(self, entry):
+        entry.set_down(False)
+        entry.paused = entry.cut_off = entry.clients[0].delay_writes = False
+        delayed, entry.clients[0].delayed = entry.clients[0].delayed, []
+        self.rng.shuffle(delayed)
+        for send in delayed:
+            send()
+
+    def inject(self, second):
+        rng = self.rng
+        entry = rng.choice(self.group.entries)
+        fault = rng.choices(
+            ["", "pause", "down", "cut_off", "lose", "delay", "replace"],
+            [91, 2, 2, 0.5, 2, 1.5, 1],
+        )[0]
+        match fault:
+            case "pause":
+                entry.paused = True
+            case "down":
+                entry.set_down(True)
+            case "cut_off":
+                entry.cut_off = True
+            case "lose":
+                entry.clients[0].lose += 1
+            case "delay":
+                entry.clients[0].delay_writes = True
+            case "replace":
+                index = self.group.entries.index(entry)
+                self.group.replace(index, f"s{second}")
+        duration_s = rng.choice([3, 30, 105, 130, 300])
+        self.repairs.append((second + duration_s, entry))
+        for at, damaged in list(self.repairs):
+            if at <= second:
+                self.repairs.remove((at, damaged))
+                self.repair(damaged)
+
+    def check_history(self, seed):
+        print("seed", seed)
+        self.rng = random.Random(seed)
+        end_chance = self.rng.choice([0.01, 0.1])
+        running = 0
+        for second in range(self.STEPS):
+            self.inject(second)
+            for entry in self.group.entries:
+                waiting = entry.waiting_by_team.get("t", 0)
+                waiting = max(waiting, self.rng.choice([0, 0, 0, 8]))
+                entry.waiting_by_team = {"t": waiting}
+                for request_id in list(entry.tasks):
+                    if not entry.paused and self.rng.random() < end_chance:
+                        entry.finish(request_id)
+            self.group.run(1_000, 1_000)
+            self.assertLessEqual(self.group.held_total("t"), LIMIT)
+            self.assertLessEqual(self.group.running_total(), LIMIT)
+            running += self.group.running_total()
+        for entry in self.group.entries:
+            versions = entry.versions
+            self.assertEqual(sorted(versions), versions)
+        # Otherwise the history would prove nothing.
+        self.assertGreater(running / self.STEPS, LIMIT / 3)
+
+    def test_history_1(self):
+        self.check_history(1)
+
+    def test_history_2(self):
+        self.check_history(2)
+
+    def test_history_3(self):
+        self.check_history(3)
+
+    def test_history_4(self):
+        self.check_history(4)
