Compare the key freshness code with the model

Cause: versions, marks and the three proofs were only checked in the model. Change: FreshnessMachine drives PeerExchange, ConfigurationHolder and FreshnessTracker of four entries with unrelated clocks; they may claim no newer proof than the model and must know of a withdrawal when the model does.

--- /dev/null
+++ b/src/cranberrywheel_spec/freshness_conformance.py
@@ -0,0 +1,217 @@
+"""Compares versions, marks and proofs in the product with the key freshness model."""
+
+import fractions
+import typing as t
+
+from cranberrywheel.clock import ManualClock
+from cranberrywheel.connection.store_client import Instance, InstanceList, Record
+from cranberrywheel.generated.peer_pb2 import PeerState
+from cranberrywheel.process.exchange import PeerExchange
+from cranberrywheel.process.messages import KeyEntry, ProofTaken
+from cranberrywheel.settings import EntrySettings, PlatformSettings
+from cranberrywheel.version.adoption import CONFIGURATION_KEY, dump_body
+from cranberrywheel.version.freshness import FreshnessTracker
+from cranberrywheel.version.records import parse_record, prepare_write
+from cranberrywheel_spec.conformance import ConformanceMachine
+from cranberrywheel_spec.key_freshness import (
+    BOUND_S,
+    ENTRIES,
+    INFORMED,
+    LEARNERS,
+    PAIRS,
+    key_freshness,
+)
+from cranberrywheel_spec.walk import CompiledModel, Walk
+
+_MODEL = CompiledModel(key_freshness())
+_KEY = "key1"
+_TEXT = """\
+[deployment]
+name = small
+[zone z1]
+[pool p]
+workers = w1@z1/r1
+cores = 8
+memory_mb = 1024
+[service s]
+pool = p
+min_healthy = 0
+[team t]
+share = 0.5
+limit = 4
+"""
+_PASSED_MS = (0, 1, 100, 500, 2_000, 3_500, 4_999, 5_000, 5_001)
+
+
+def _records() -> tuple[Record, Record]:
+    """Return the configuration before and after the withdrawal."""
+    granted = {_KEY: KeyEntry(_KEY, "t", "0" * 64)}
+    first = prepare_write(
+        CONFIGURATION_KEY, None, "w", dump_body(_TEXT, 1, granted, [])
+    )
+    before = Record(CONFIGURATION_KEY, first.value, 1)
+    body = dump_body(_TEXT, 1, {}, [_KEY])
+    second = prepare_write(CONFIGURATION_KEY, parse_record(before), "w", body)
+    return before, Record(CONFIGURATION_KEY, second.value, 2)
+
+
+class _Entry:
+    """The exchange of one entry, and the tracker that its dispatcher owns."""
+
+    def __init__(self, number: int, exchange: type[PeerExchange]) -> None:
+        settings = EntrySettings(
+            instance=f"e{number}",
+            zone="z1",
+            host="127.0.0.1",
+            http_port=8000 + number,
+            peer_port=9000 + number,
+            operator_token_file="unused",
+            platform=PlatformSettings(url="http://127.0.0.1:1"),
+        )
+        # Clocks of two machines are unrelated.
+        self.start_ms = 1_000_000 * number
+        self.clock = ManualClock(self.start_ms)
+        self.tracker = FreshnessTracker()
+        self.proof_ms: int | None = None
+        self.exchange = exchange(settings, self.clock, f"z1.e{number}.0", self._take)
+        self.version = 0
+
+    def _take(self, message: object) -> None:
+        if isinstance(message, ProofTaken):
+            self.tracker.proven(message.taken_ms)
+            self.proof_ms = message.taken_ms - self.start_ms
+
+    def knows(self) -> bool:
+        """Tell whether this entry refuses the withdrawn key."""
+        snapshot = self.exchange.holder.snapshot
+        withdrawn = snapshot is not None and _KEY not in snapshot.keys_by_id
+        return withdrawn or _KEY in self.exchange.unwritten_marks()
+
+
+class FreshnessMachine(ConformanceMachine):
+    """Real exchanges, holders and trackers must not claim more than the model."""
+
+    make_exchange: t.ClassVar[type[PeerExchange]] = PeerExchange
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.walk = Walk(_MODEL, lists_c=True, lists_w=True, lists_d=True)
+        self.before, self.after = _records()
+        self.stored = self.before
+        self.passed_ms = 0
+        self.entries = {
+            name: _Entry(number, self.make_exchange)
+            for number, name in enumerate(ENTRIES, 1)
+        }
+        self.listed = set(ENTRIES)
+        self.reads: dict[str, tuple[int, Record]] = {}
+        self.sent_ms: dict[str, int] = {}
+        self.answers: dict[str, tuple[PeerState, Record | None]] = {}
+        roster = [e.exchange.registration for e in self.entries.values()]
+        for entry in self.entries.values():
+            entry.exchange.holder.adopt(self.stored)
+            entry.exchange.set_roster(roster)
+        self._list_instances()
+
+    def _list_instances(self) -> None:
+        rows = tuple(
+            Instance(f"e{number}", "entry", "z1", "r", "", False, 1.0, 1)
+            for number, name in enumerate(ENTRIES, 1)
+            if name in self.listed
+        )
+        for entry in self.entries.values():
+            entry.exchange.set_instances(InstanceList(1, 0, rows))
+
+    def options(self) -> dict[str, int]:
+        found = {"wait": 6, "deliver_old_record x": 1, "deliver_old_record d": 1}
+        for name in self.walk.enabled():
+            if "answer" in name or "gets" in name:
+                found[f"take {name}"] = 9
+            elif "has heard all" not in name:
+                found[f"take {name}"] = 1 if "dies" in name else 2
+        return found
+
+    def wait(self) -> None:
+        """Let time pass."""
+        passed_ms = self.rng.choice(_PASSED_MS)
+        self.passed_ms += passed_ms
+        for entry in self.entries.values():
+            entry.clock.advance(passed_ms)
+        self._check()
+
+    def deliver_old_record(self, i: str) -> None:
+        """A watch that was answered before the withdrawal, and a slow peer."""
+        self.entries[i].exchange.holder.adopt(self.before)
+        self._check()
+
+    def _walk(self, name: str) -> None:
+        self.walk.take(name, passed_s=fractions.Fraction(self.passed_ms, 1000))
+        self.passed_ms = 0
+
+    def take(self, name: str) -> None:
+        """Take a step of the model and do the same in the product."""
+        self._walk(name)
+        for i in LEARNERS:
+            if name == f"{i} sends a read to the store":
+                self.sent_ms[i] = self.entries[i].clock.now_ms()
+            elif name == f"store answers {i}":
+                self.reads[i] = self.sent_ms[i], self.stored
+            elif name == f"{i} gets the record":
+                self._get_record(i)
+        for i, j in PAIRS:
+            if name == f"{i} calls {j}":
+                self.sent_ms[i + j] = self.entries[i].clock.now_ms()
+            elif name == f"{j} answers {i}":
+                exchange = self.entries[j].exchange
+                self.answers[i + j] = exchange.build_state(), exchange.holder.record
+            elif name == f"{i} gets the answer of {j}":
+                self._get_answer(i, j)
+        self._withdraw(name)
+        self._check()
+
+    def _get_record(self, i: str) -> None:
+        sent_ms, record = self.reads[i]
+        exchange = self.entries[i].exchange
+        exchange.holder.adopt(record)
+        exchange.store_read(sent_ms)
+
+    def _get_answer(self, i: str, j: str) -> None:
+        state, record = self.answers[i + j]
+        exchange, sent_ms = self.entries[i].exchange, self.sent_ms[i + j]
+        if not exchange.merge_state(state, sent_ms):
+            exchange.holder.adopt(record)
+            assert exchange.merge_state(state, sent_ms)
+        # The product counts the messages of all entries in each merge.
+        if f"{i} has heard all" in self.walk.enabled():
+            self._walk(f"{i} has heard all")
+
+    def _withdraw(self, name: str) -> None:
+        w, c = self.entries["w"].exchange, self.entries["c"].exchange
+        if name in ("w marks the key", "w marks and stores"):
+            w.add_mark(_KEY)
+        if name in (
+            "w marks and stores",
+            "an entry writes the withdrawal to the store",
+        ):
+            self.stored = self.after
+        if name == "c confirms the mark":
+            c.merge_state(w.build_state(), None)
+        for k in INFORMED:
+            if name == f"{k} dies, list shows it gone":
+                self.listed.discard(k)
+                self._list_instances()
+
+    def _check(self) -> None:
+        values = self.walk.values
+        now_s = values["now_s"] + fractions.Fraction(self.passed_ms, 1000)
+        late = values["accepted"] and now_s - values["accepted_s"] > BOUND_S
+        for name, entry in self.entries.items():
+            version = entry.exchange.holder.version
+            assert version >= entry.version, f"{name} reverted to {version}"
+            entry.version = version
+            assert entry.knows() >= bool(values[f"knows_{name}"]), name
+            if name in LEARNERS and entry.proof_ms is not None:
+                assert entry.proof_ms <= values[f"proof_s_{name}"] * 1000, name
+                now_ms = entry.clock.now_ms()
+                fresh = entry.tracker.is_fresh(now_ms, BOUND_S * 1000)
+                assert not (late and fresh) or entry.knows(), f"{name} accepts"
--- /dev/null
+++ b/tests/test_freshness_conformance.py
@@ -0,0 +1,81 @@
+import testtools
+from hypothesis import Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from cranberrywheel.process.exchange import PeerExchange
+from cranberrywheel_spec.freshness_conformance import FreshnessMachine
+
+RUNS = settings(
+    max_examples=60,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    print_blob=False,
+    phases=[Phase.generate],
+)
+SEARCHES = settings(RUNS, max_examples=500)
+
+
+class LateReadExchange(PeerExchange):
+    def store_read(self, taken_ms):
+        super().store_read(self._clock.now_ms())
+
+
+class LateMessageExchange(PeerExchange):
+    def merge_state(self, state, sent_ms):
+        return super().merge_state(state, sent_ms and self._clock.now_ms())
+
+
+class UnmarkedExchange(PeerExchange):
+    def add_mark(self, key_id):
+        if self.process_id.startswith("z1.e4"):
+            super().add_mark(key_id)
+
+
+class UnversionedExchange(PeerExchange):
+    def merge_state(self, state, sent_ms):
+        state.configuration_version = 0
+        return super().merge_state(state, sent_ms)
+
+
+class SomeHeardExchange(PeerExchange):
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        membership = self._membership
+        membership.all_heard_ms = lambda: max(
+            membership.heard_ms_by_id().values(), default=None
+        )
+
+
+class RevertingExchange(PeerExchange):
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        adopt = self.holder.adopt
+
+        def adopt_any(record):
+            self.holder._snapshot = None
+            return adopt(record)
+
+        self.holder.adopt = adopt_any
+
+
+class FreshnessConformanceTest(testtools.TestCase):
+    """Guards against freshness code that claims more than the checked model allows."""
+
+    def test_exchange_follows_the_model(self):
+        run_state_machine_as_test(FreshnessMachine, settings=RUNS)
+
+    def test_changed_exchanges_are_found(self):
+        for changed in (
+            LateReadExchange,
+            LateMessageExchange,
+            UnmarkedExchange,
+            UnversionedExchange,
+            SomeHeardExchange,
+            RevertingExchange,
+        ):
+            machine = type("Changed", (FreshnessMachine,), {"make_exchange": changed})
+            self.assertRaises(
+                AssertionError, run_state_machine_as_test, machine, settings=SEARCHES
+            )
