--- a/src/cranberrywheel/process/exchange.py
+++ b/src/cranberrywheel/process/exchange.py
@@ -97,6 +97,7 @@
         self._marks: set[str] = set()
         self._states_by_id: dict[str, PeerState] = {}
         self._seen_ms_by_id: dict[str, int] = {}
+        self._roster_read_ms: int | None = None
         self._load = LoadReport((), {}, (), False)
 
     def _adopted(self, snapshot: ConfigurationSnapshot) -> None:
@@ -104,10 +105,19 @@
 
     # Called by the store session.
 
-    def set_roster(self, registrations: list[Registration]) -> None:
-        """Take the registered entries as read from the store."""
+    def set_roster(self, registrations: list[Registration], read_ms: int) -> None:
+        """Take the registered entries as read from the store.
+
+        :param read_ms: own clock reading before the read was sent.
+        """
         with self._lock:
             self._membership.set_roster(registrations)
+            self._roster_read_ms = read_ms
+
+    def knows_roster_of(self, at_ms: int) -> bool:
+        """Tell whether the roster was read from the store at or after a time."""
+        with self._lock:
+            return self._roster_read_ms is not None and self._roster_read_ms >= at_ms
 
     def set_instances(self, listed: InstanceList) -> None:
         """Take the platform's instance list."""
@@ -293,11 +303,12 @@
                     self._membership.heard(word.process_id, sent_ms - word.age_ms)
             if state.has_store_read:
                 self._store_read.proven(sent_ms - state.store_read_age_ms)
-            all_heard_ms = self._membership.all_heard_ms()
-            use_messages = self._is_store_down()
+            all_heard_ms = None
+            if self._is_store_down():
+                all_heard_ms = self._membership.all_heard_ms()
         if state.has_proof:
             self._prove(sent_ms - state.proof_age_ms)
-        if all_heard_ms is not None and use_messages:
+        if all_heard_ms is not None:
             self._prove(all_heard_ms)
 
     @staticmethod
