Pass the time of the roster read

Cause: PeerExchange.set_roster gained read_ms on the store branch. Change: the freshness machine passes it.

--- a/src/cranberrywheel_spec/freshness_conformance.py
+++ b/src/cranberrywheel_spec/freshness_conformance.py
@@ -110,7 +110,7 @@
         roster = [e.exchange.registration for e in self.entries.values()]
         for entry in self.entries.values():
             entry.exchange.holder.adopt(self.stored)
-            entry.exchange.set_roster(roster)
+            entry.exchange.set_roster(roster, entry.start_ms)
         self._list_instances()
 
     def _list_instances(self) -> None:
