Offer a probe only once per backoff

Cause: a probe that the caller could not start (no start token from a dead worker), or that the worker refused, was offered again for every following request. Conclusion: a dead worker costs one probe per backoff, whether or not it can be started.

--- a/src/cranberrywheel/process/worker_state.py
+++ b/src/cranberrywheel/process/worker_state.py
@@ -42,6 +42,11 @@
     slots: int
     serving: bool
 
+    @property
+    def place(self) -> tuple[str, str, str]:
+        """What identifies the process behind the name: pool, zone and address."""
+        return self.pool, self.zone, self.address
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class WorkerState:
--- a/src/cranberrywheel/process/worker_table.py
+++ b/src/cranberrywheel/process/worker_table.py
@@ -60,7 +60,7 @@
     def set_workers(self, rows: t.Iterable[WorkerRow]) -> None:
         """Replace the list of workers.
 
-        A worker that changed its pool or address loses its health record. A worker
+        A worker that changed its pool, zone or address loses its health record. One
         that is no longer listed is kept until its own tasks end.
 
         :param rows: all workers that are known now.
@@ -79,7 +79,7 @@
                 worker.peer_in_flight = sum(
                     loads.get(name, 0) for loads in self._peer_loads_by_process.values()
                 )
-            elif (worker.row.pool, worker.row.address) != (row.pool, row.address):
+            elif worker.row.place != row.place:
                 worker.listed = False
                 self._clear_health(worker)
                 self._refresh(worker)
@@ -96,7 +96,7 @@
         """
         changed = self._leaving.symmetric_difference(names)
         self._leaving = frozenset(names)
-        for name in changed:
+        for name in sorted(changed):
             if worker := self._workers_by_name.get(name):
                 worker.leaving = name in self._leaving
                 self._refresh(worker)
@@ -112,7 +112,7 @@
         old = self._peer_loads_by_process.get(process_id, {})
         new = dict(in_flight_by_worker)
         self._peer_loads_by_process[process_id] = new
-        for name in old.keys() | new.keys():
+        for name in old | new:
             change = new.get(name, 0) - old.get(name, 0)
             if change and (worker := self._workers_by_name.get(name)):
                 worker.peer_in_flight += change
@@ -161,7 +161,10 @@
         if state is None:
             return None
         if state.probes and may_probe and not excluded:
-            return state.probes[0].row
+            probed = state.probes[0]
+            # Offered once per backoff, because the caller may fail to start it.
+            self._schedule_probe(probed, now_ms + FIRST_BACKOFF_MS)
+            return probed.row
 
         def load(
             worker: WorkerState, _now_ms: int, racks: t.Collection[str]
@@ -353,7 +356,7 @@
                 self._reinstate(worker)
             else:
                 worker.probing = False
-                pool.probes.add(worker)
+                self._schedule_probe(worker, now_ms + FIRST_BACKOFF_MS)
 
     def _service_ms(self, worker: WorkerState, pool: PoolState) -> float:
         typical_ms = worker.tally.typical_ms() or pool.tally.typical_ms()
@@ -371,14 +374,17 @@
         if not worker.probing and healthy_ms > BACKOFF_RESET_MS:
             worker.ejections = 0
         backoff_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2**worker.ejections)
-        until_ms = now_ms + backoff_ms
         worker.ejections = min(worker.ejections + 1, 10)
-        worker.ejected_until_ms = until_ms
         worker.probing = False
         self._pool(worker.row.pool).ejected[worker] = None
-        heapq.heappush(self._probe_times, (until_ms, next(self._sequence), worker))
+        self._schedule_probe(worker, now_ms + backoff_ms)
         self._refresh(worker)
 
+    def _schedule_probe(self, worker: WorkerState, at_ms: int) -> None:
+        worker.ejected_until_ms = at_ms
+        self._pool(worker.row.pool).probes.discard(worker)
+        heapq.heappush(self._probe_times, (at_ms, next(self._sequence), worker))
+
     def _reinstate(self, worker: WorkerState) -> None:
         self._clear_health(worker)
         self._refresh(worker)
--- a/tests/test_worker_table.py
+++ b/tests/test_worker_table.py
@@ -104,17 +104,36 @@
         self.assertTrue(3 <= counts["w0"] <= 6, counts)
         self.assertEqual(["w0"], self.table.ejected("p"))
         self.clock.advance(60_000)
-        self.assertEqual("w0", self.choose())
         # A retry must not be spent on a probe.
         self.assertNotEqual("w0", self.choose("w2"))
         # Nor a request that cannot be retried.
         self.assertNotEqual("w0", self.choose(may_probe=False))
+        self.assertEqual("w0", self.choose())
         self.table.started("w0", self.clock.now_ms())
         # One probe at a time.
         self.assertNotIn("w0", {self.choose() for _ in range(50)})
         self.table.finished("w0", OK, 100, self.clock.now_ms())
         self.assertEqual([], self.table.ejected("p"))
 
+    def eject_and_wait(self):
+        self.serve(500, lambda w: (FAILED, 1) if w == "w0" else (OK, 100))
+        self.clock.advance(60_000)
+
+    def test_probe_that_cannot_be_started_is_not_offered_again_at_once(self):
+        # Guards against a dead worker whose token cannot be fetched for a probe.
+        self.eject_and_wait()
+        self.assertEqual("w0", self.choose())
+        self.assertNotIn("w0", {self.choose() for _ in range(50)})
+        self.clock.advance(2_000)
+        self.assertEqual("w0", self.choose())
+
+    def test_refused_or_cancelled_probe_is_not_repeated_at_once(self):
+        for verdict in (AttemptVerdict.REFUSED, CANCELLED):
+            self.eject_and_wait()
+            self.attempt(self.choose(), verdict, 1)
+            self.assertNotIn("w0", {self.choose() for _ in range(50)})
+            self.assertEqual(["w0"], self.table.ejected("p"))
+
     def test_probes_of_a_dead_worker_become_rare(self):
         counts = self.serve(60_000, lambda w: (FAILED, 1) if w == "w0" else (OK, 100))
         self.assertTrue(counts["w0"] < 25, counts)
