Compare run times with what their queue expects

Cause: in a pool whose queues differ 100 times in run time, workers that happened to finish several long requests were ejected as slow. Change: WorkerTable.finished takes expected_ms; durations are compared relative to it. Backoff and token age moved to worker_state, judgement of health to worker_health. Conclusion: the dispatcher should pass the learned run time of the queue.

--- a/src/cranberrywheel/process/worker_health.py
+++ b/src/cranberrywheel/process/worker_health.py
@@ -14,11 +14,12 @@
 MIN_DURATIONS = 5.0
 #: A worker is slow if its typical run takes this many times that of its pool.
 SLOW_FACTOR = 3.0
-#: The difference must also exceed this many standard errors, because queues with
-#: different run times share a pool.
+#: The difference must also exceed this many standard errors, because run times vary.
 SLOW_ERRORS = 4.0
 #: Spread of log durations assumed at least, against samples that happen to agree.
 MIN_DEVIATION = 0.2
+#: Service time assumed while no run has succeeded and none is expected.
+DEFAULT_SERVICE_MS = 1_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,7 +32,9 @@
     :param attempts: attempts that ran.
     :param failures: those that failed.
     :param durations: attempts whose duration is known.
-    :param log_sum: sum of the logarithms of their milliseconds.
+    :param log_sum: sum of the logarithms of the durations. Durations are divided by
+        the run time expected of their queue, because queues with different run times
+        share a pool; without an expectation they are in milliseconds.
     :param log_squares: sum of the squares of these logarithms.
     :param at_ms: clock reading that the sums belong to.
     """
@@ -60,14 +63,11 @@
         self.attempts += 1
         self.failures += failed
 
-    def add_duration(self, log_ms: float) -> None:
-        """Count one duration.
-
-        :param log_ms: logarithm of its milliseconds.
-        """
+    def add_duration(self, log_duration: float) -> None:
+        """Count one duration by its logarithm."""
         self.durations += 1
-        self.log_sum += log_ms
-        self.log_squares += log_ms * log_ms
+        self.log_sum += log_duration
+        self.log_squares += log_duration * log_duration
 
     def remove_failure(self) -> None:
         """Take back one failed attempt."""
@@ -87,10 +87,10 @@
         )
 
     def mean_log(self) -> float | None:
-        """Return the mean logarithm of the milliseconds, or ``None``."""
+        """Return the mean logarithm of the durations, or ``None``."""
         return self.log_sum / self.durations if self.durations >= 0.5 else None
 
-    def typical_ms(self) -> float | None:
+    def typical(self) -> float | None:
         """Return the geometric mean duration, or ``None`` if nothing is known."""
         mean = self.mean_log()
         return None if mean is None else math.exp(mean)
@@ -131,14 +131,31 @@
     return mean - rest_mean > max(math.log(SLOW_FACTOR), SLOW_ERRORS * error)
 
 
-def is_slow_run(duration_ms: int, rest: Tally) -> bool:
+def is_unhealthy(worker: Tally, rest: Tally) -> bool:
+    """Tell whether a worker is failing or slow; see these functions."""
+    return is_failing(worker, rest) or is_slow(worker, rest)
+
+
+def is_slow_run(log_duration: float, rest: Tally) -> bool:
     """Tell whether a single run is far slower than the rest of the pool.
 
-    :param duration_ms: how long it ran.
+    :param log_duration: as given to :meth:`Tally.add_duration`.
     :param rest: tally of the other workers.
     """
     mean = rest.mean_log()
     if mean is None:
         return False
-    limit = max(math.log(SLOW_FACTOR), 2 * rest.deviation())
-    return math.log(max(1, duration_ms)) - mean > limit
+    return log_duration - mean > max(math.log(SLOW_FACTOR), 2 * rest.deviation())
+
+
+def service_ms(worker: Tally, pool: Tally, expected_ms: float | None) -> float:
+    """Return the time that a successful run would take.
+
+    :param worker: tally of the worker.
+    :param pool: tally of its pool, used while the worker has none.
+    :param expected_ms: run time expected of the queue, if durations are relative.
+    """
+    typical = worker.typical() or pool.typical()
+    if typical is None:
+        return expected_ms or DEFAULT_SERVICE_MS
+    return typical * (expected_ms or 1)
--- a/src/cranberrywheel/process/worker_state.py
+++ b/src/cranberrywheel/process/worker_state.py
@@ -6,6 +6,13 @@
 from cranberrywheel.process.worker_health import Tally
 from cranberrywheel.request.routing import SamplingList
 
+#: Workers refuse a token older than 2 s. The rest is left for sending the start.
+TOKEN_USABLE_MS = 1_500
+FIRST_BACKOFF_MS = 2_000
+MAX_BACKOFF_MS = 60_000
+#: A worker that stayed healthy this long starts again at the first backoff.
+BACKOFF_RESET_MS = 300_000
+
 
 class AttemptVerdict(enum.Enum):
     """How an attempt on a worker ended."""
@@ -20,6 +27,11 @@
     #: The caller cancelled it or its deadline passed while it ran.
     CANCELLED = "cancelled"
 
+    @property
+    def is_failure(self) -> bool:
+        """Whether it speaks against the worker."""
+        return self in (AttemptVerdict.FAILED, AttemptVerdict.UNREACHABLE)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class WorkerRow:
@@ -71,6 +83,20 @@
         """Return the slots that count as used."""
         return self.own_in_flight + self.peer_in_flight + self.penalties
 
+    def fresh_token(self, now_ms: int) -> str | None:
+        """Return the start token if the worker will still accept it."""
+        fresh = now_ms - self.token_asked_ms < TOKEN_USABLE_MS
+        return self.token if self.token and fresh else None
+
+    def next_backoff_ms(self, now_ms: int) -> int:
+        """Count an ejection and return the time until its first probe."""
+        healthy_ms = now_ms - self.reinstated_ms
+        if not self.probing and healthy_ms > BACKOFF_RESET_MS:
+            self.ejections = 0
+        backoff_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2**self.ejections)
+        self.ejections += backoff_ms < MAX_BACKOFF_MS
+        return backoff_ms
+
 
 @dataclasses.dataclass(slots=True)
 class PoolState:
--- a/src/cranberrywheel/process/worker_table.py
+++ b/src/cranberrywheel/process/worker_table.py
@@ -9,11 +9,12 @@
 
 from cranberrywheel.process.worker_health import (
     Tally,
-    is_failing,
-    is_slow,
     is_slow_run,
+    is_unhealthy,
+    service_ms,
 )
 from cranberrywheel.process.worker_state import (
+    FIRST_BACKOFF_MS,
     AttemptVerdict,
     PoolState,
     WorkerRow,
@@ -23,14 +24,6 @@
 
 __all__ = ["AttemptVerdict", "WorkerRow", "WorkerTable"]
 
-#: Workers refuse a token older than 2 s. The rest is left for sending the start.
-TOKEN_USABLE_MS = 1_500
-FIRST_BACKOFF_MS = 2_000
-MAX_BACKOFF_MS = 60_000
-#: A worker that stayed healthy this long starts again at the first backoff.
-BACKOFF_RESET_MS = 300_000
-#: Service time assumed for a failure while no run has succeeded.
-DEFAULT_SERVICE_MS = 1_000
 MAX_PENALTY_MS = 10_000
 #: A worker that refused a start is probably full; it keeps the slot this long.
 REFUSAL_PENALTY_MS = 100
@@ -205,7 +198,12 @@
             self._refresh(found)
 
     def finished(
-        self, worker: str, verdict: AttemptVerdict, duration_ms: int, now_ms: int
+        self,
+        worker: str,
+        verdict: AttemptVerdict,
+        duration_ms: int,
+        now_ms: int,
+        expected_ms: float | None = None,
     ) -> None:
         """Learn from an attempt and free its slot.
 
@@ -213,6 +211,9 @@
         :param verdict: how the attempt ended.
         :param duration_ms: time since it was sent.
         :param now_ms: clock reading.
+        :param expected_ms: run time expected of its queue. Give it for all attempts
+            of a pool whose queues differ in run time, or long requests make their
+            worker look slow.
         """
         found = self._workers_by_name.get(worker)
         if found is None:
@@ -222,7 +223,7 @@
         found.tally.decay(now_ms)
         pool.tally.decay(now_ms)
         if found.listed:
-            self._record(found, pool, verdict, duration_ms, now_ms)
+            self._record(found, pool, verdict, duration_ms, expected_ms, now_ms)
         self._refresh(found)
         self._forget_if_unused(found)
 
@@ -240,10 +241,9 @@
                 tally.decay(now_ms)
                 tally.remove_failure()
             rest = pool.tally.minus(worker.tally)
-            if worker.ejected_until_ms is not None and not (
-                is_failing(worker.tally, rest) or is_slow(worker.tally, rest)
-            ):
-                self._reinstate(worker)
+            if worker.ejected_until_ms is not None:
+                if not is_unhealthy(worker.tally, rest):
+                    self._reinstate(worker)
 
     def set_token(self, worker: str, token: str, asked_ms: int) -> None:
         """Keep a start token.
@@ -264,10 +264,7 @@
         :returns: the token, or ``None`` if it is missing or too old to use.
         """
         found = self._workers_by_name.get(worker)
-        if not found or not found.token:
-            return None
-        fresh = now_ms - found.token_asked_ms < TOKEN_USABLE_MS
-        return found.token if fresh else None
+        return found.fresh_token(now_ms) if found else None
 
     def in_flight_by_worker(self) -> dict[str, int]:
         """Return this process's tasks on each worker that has any."""
@@ -323,44 +320,47 @@
         pool: PoolState,
         verdict: AttemptVerdict,
         duration_ms: int,
+        expected_ms: float | None,
         now_ms: int,
     ) -> None:
         rest = pool.tally.minus(worker.tally)
-        failed = verdict in (AttemptVerdict.FAILED, AttemptVerdict.UNREACHABLE)
-        log_ms = math.log(max(1, duration_ms))
+        failed = verdict.is_failure
+        log_duration = math.log(max(1, duration_ms) / (expected_ms or 1))
         mean = rest.mean_log()
         # A cancelled attempt would have run at least this long. Callers cancel most
         # requests, so a slow worker may never complete one.
         long_cancelled = (
-            verdict is AttemptVerdict.CANCELLED and mean is not None and log_ms > mean
+            verdict is AttemptVerdict.CANCELLED
+            and mean is not None
+            and log_duration > mean
         )
         for tally in (worker.tally, pool.tally):
             if failed or verdict is AttemptVerdict.OK:
                 tally.add_outcome(failed)
             if verdict is AttemptVerdict.OK or long_cancelled:
-                tally.add_duration(log_ms)
+                tally.add_duration(log_duration)
         if failed:
-            self._penalize(worker, self._service_ms(worker, pool) - duration_ms, now_ms)
+            left_ms = service_ms(worker.tally, pool.tally, expected_ms) - duration_ms
+            self._penalize(worker, left_ms, now_ms)
         elif verdict is AttemptVerdict.REFUSED:
             self._penalize(worker, REFUSAL_PENALTY_MS, now_ms)
-        if worker.ejected_until_ms is None:
-            if len(pool.ejected) < pool.most_ejected and (
-                is_failing(worker.tally, rest) or is_slow(worker.tally, rest)
-            ):
-                self._eject(worker, now_ms)
-        elif worker.probing:
-            if failed or is_slow_run(duration_ms, rest):
+        if worker.probing:
+            self._judge_probe(worker, verdict, is_slow_run(log_duration, rest), now_ms)
+        elif worker.ejected_until_ms is None and is_unhealthy(worker.tally, rest):
+            if len(pool.ejected) < pool.most_ejected:
                 self._eject(worker, now_ms)
-            elif verdict is AttemptVerdict.OK:
-                worker.reinstated_ms = now_ms
-                self._reinstate(worker)
-            else:
-                worker.probing = False
-                self._schedule_probe(worker, now_ms + FIRST_BACKOFF_MS)
 
-    def _service_ms(self, worker: WorkerState, pool: PoolState) -> float:
-        typical_ms = worker.tally.typical_ms() or pool.tally.typical_ms()
-        return typical_ms or DEFAULT_SERVICE_MS
+    def _judge_probe(
+        self, worker: WorkerState, verdict: AttemptVerdict, slow: bool, now_ms: int
+    ) -> None:
+        if slow or verdict.is_failure:
+            self._eject(worker, now_ms)
+        elif verdict is AttemptVerdict.OK:
+            worker.reinstated_ms = now_ms
+            self._reinstate(worker)
+        else:
+            worker.probing = False
+            self._schedule_probe(worker, now_ms + FIRST_BACKOFF_MS)
 
     def _penalize(self, worker: WorkerState, duration_ms: float, now_ms: int) -> None:
         """Count a slot as used for some time after an attempt ended early."""
@@ -370,11 +370,7 @@
             heapq.heappush(self._penalty_ends, (end_ms, next(self._sequence), worker))
 
     def _eject(self, worker: WorkerState, now_ms: int) -> None:
-        healthy_ms = now_ms - worker.reinstated_ms
-        if not worker.probing and healthy_ms > BACKOFF_RESET_MS:
-            worker.ejections = 0
-        backoff_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2**worker.ejections)
-        worker.ejections = min(worker.ejections + 1, 10)
+        backoff_ms = worker.next_backoff_ms(now_ms)
         worker.probing = False
         self._pool(worker.row.pool).ejected[worker] = None
         self._schedule_probe(worker, now_ms + backoff_ms)
--- a/src/cranberrywheel_load/bench_schedulers.py
+++ b/src/cranberrywheel_load/bench_schedulers.py
@@ -95,7 +95,8 @@
     ) -> None:
         """Learn from an attempt."""
         self._use[request.team] -= 1
-        self._table.finished(worker, verdict, duration_ms, now_ms)
+        run_ms = self._estimates.run_ms(request.queue, DECLARED_MS)
+        self._table.finished(worker, verdict, duration_ms, now_ms, run_ms)
         if verdict is AttemptVerdict.OK:
             self._estimates.record(request.queue, duration_ms, 1.0, 64)
         if verdict is AttemptVerdict.FAILED:
--- a/tests/test_worker_table.py
+++ b/tests/test_worker_table.py
@@ -210,3 +210,14 @@
         # The worker refuses tokens older than 2 s.
         self.assertIs(None, self.table.token("w0", 2_900))
         self.assertIs(None, self.table.token("w1", 0))
+
+    def test_worker_with_all_the_long_requests_is_not_slow(self):
+        # Two queues share the pool; their run times differ 100 times.
+        for number in range(400):
+            self.clock.advance(10)
+            worker = self.choose()
+            run_ms = 10_000 if worker == "w0" and number > 100 else 100
+            now_ms = self.clock.now_ms()
+            self.table.started(worker, now_ms)
+            self.table.finished(worker, OK, run_ms, now_ms, expected_ms=run_ms)
+        self.assertEqual([], self.table.ejected("p"))
