--- a/tests/decision_data.py
+++ b/tests/decision_data.py
@@ -1,40 +1,22 @@
 """Values shared by the tests of the decision modules."""
 
-from cranberrywheel.process.worker_table import WorkerRow
-from cranberrywheel.request.model import Request
+import dataclasses
 
-SEED = 20_261_204
+from cranberrywheel_load.decision_cost import SEED, make_request, make_workers
+
+__all__ = ["SEED", "request", "rows"]
 
 
 def request(request_id="r", team="a", arrived_ms=0, **changes):
-    values = {
-        "request_id": request_id,
-        "queue": "q",
-        "service": "s",
-        "team": team,
-        "body": b"",
-        "content_type": "",
-        "arrived_ms": arrived_ms,
-        "deadline_ms": arrived_ms + 10_000,
-        "idempotent": True,
-        "urgent": False,
-    }
-    return Request(**(values | changes))
+    changes = {"urgent": False, "deadline_ms": arrived_ms + 10_000} | changes
+    return make_request(0, team, arrived_ms, request_id=request_id, **changes)
 
 
-def rows(count, zones=2, slots=8, pool="p", **changes):
+def rows(count, **changes):
+    """Workers w0, w1, ... in zones z0 and z1 and racks r0 to r3 of pool p."""
     return [
-        WorkerRow(
-            **{
-                "name": f"w{number}",
-                "address": f"127.0.0.1:{number}",
-                "zone": f"z{number % zones}",
-                "rack": f"r{number % 4}",
-                "pool": pool,
-                "slots": slots,
-                "serving": True,
-                **changes,
-            }
+        dataclasses.replace(
+            row, **{"name": f"w{n}", "zone": f"z{n % 2}", "rack": f"r{n % 4}"} | changes
         )
-        for number in range(count)
+        for n, row in enumerate(make_workers(count, "p"))
     ]
--- a/tests/test_ticket.py
+++ b/tests/test_ticket.py
@@ -1,4 +1,7 @@
+import random
+
 import testtools
+from decision_data import SEED
 
 from cranberrywheel.errors import (
     ForbiddenError,
@@ -178,3 +181,34 @@
         results = self.book.export_results()
         self.assertRaises(OverloadedError, other.import_results, "z1.e1.x", results)
         self.assertEqual(ClaimState.UNKNOWN, other.query(self.ticket, 0).state)
+
+    def test_random_histories_start_at_most_once_and_not_run_is_final(self):
+        rng = random.Random(SEED)
+        store = book(max_tickets=5_000)
+        tickets, running, finished, denied = [], set(), set(), set()
+        for now_ms in range(0, 50_000, 10):
+            if rng.random() < 0.2 or not tickets:
+                tickets.append(store.issue("team", "queue", now_ms))
+            ticket = rng.choice(tickets[-8:])
+            action = rng.choice(["claim", "query", "finish", "release", "expire"])
+            if action == "expire":
+                store.expire(now_ms)
+            elif action == "finish" and ticket in running:
+                store.finish(ticket, ANSWER, now_ms)
+                running.discard(ticket)
+                finished.add(ticket)
+            elif action == "release" and ticket in running:
+                store.release(ticket, now_ms)
+                running.discard(ticket)
+            else:
+                if action == "claim":
+                    claim = store.claim(ticket, "team", "queue", now_ms)
+                else:
+                    claim = store.query(ticket, now_ms)
+                if claim.state is ClaimState.NEW:
+                    self.assertNotIn(ticket, running | finished | denied)
+                    running.add(ticket)
+                elif claim.state is ClaimState.NOT_RUN:
+                    self.assertNotIn(ticket, running | finished)
+                    denied.add(ticket)
+        self.assertTrue(min(len(denied), len(finished)) > 20)
