Report pools that cannot be maintained, record the fortnight

Cause: with one worker more in each budget of the examples the planner never maintained anything and only the waiting instances said why. Conclusion: the budget comes first; operators are told what to change.

--- a/src/cranberrywheel/process/budget.py
+++ b/src/cranberrywheel/process/budget.py
@@ -44,11 +44,14 @@
         self.healthy = 0
         self.members_by_domain: collections.Counter[str] = collections.Counter()
         self.healthy_by_domain: collections.Counter[str] = collections.Counter()
+        #: One member of each combination of domains.
+        self._samples: dict[tuple[str, str], FleetInstance] = {}
 
     def add(self, instance: FleetInstance, healthy: bool) -> None:
         """Count one member."""
         self.members += 1
         self.members_by_domain.update(_domains(instance))
+        self._samples[_domains(instance)] = instance
         if healthy:
             self.healthy += 1
             self.healthy_by_domain.update(_domains(instance))
@@ -87,12 +90,28 @@
         return ""
 
     def risks(self) -> list[str]:
-        """Return the domains whose loss breaks the budget without maintenance."""
-        return [
+        """Return what the declared workers cannot keep, even if all are healthy."""
+        found = [
             f"loss of {domain} leaves {self.members - members} of {self.min_healthy}"
             for domain, members in self.members_by_domain.items()
             if self.members - members < self.min_healthy
         ]
+        if self.members and not self._can_maintain():
+            found.append(f"no worker can be spared with {self.min_healthy} to keep")
+        return found
+
+    def _can_maintain(self) -> bool:
+        """Tell whether any member could be out if all were healthy."""
+        whole = _PoolBudget(self.min_healthy)
+        whole.members = whole.healthy = self.members
+        whole.members_by_domain = self.members_by_domain
+        whole.healthy_by_domain = self.members_by_domain.copy()
+        for instance in self._samples.values():
+            whole.remove(instance)
+            if not whole.shortfall():
+                return True
+            whole.restore(instance)
+        return False
 
 
 class BudgetLedger:
@@ -159,7 +178,7 @@
         self._budgets[instance.pool].restore(instance)
 
     def risks(self) -> tuple[str, ...]:
-        """Return where the loss of a domain breaks a budget without maintenance."""
+        """Return which pools lack workers for a domain loss or for maintenance."""
         return tuple(
             f"pool {pool}: {risk}"
             for pool, budget in self._budgets.items()
--- a/src/cranberrywheel/process/fleet_model.py
+++ b/src/cranberrywheel/process/fleet_model.py
@@ -285,7 +285,7 @@
     :param recall: instances to return to service without maintenance.
     :param drop: instances to remove from the record.
     :param waits_by_name: why each instance that is due waits.
-    :param risks: domains whose loss breaks a budget even without maintenance.
+    :param risks: pools that lack workers for a domain loss or for maintenance.
     """
 
     sizing: Sizing
--- a/src/cranberrywheel/process/moves.py
+++ b/src/cranberrywheel/process/moves.py
@@ -30,7 +30,8 @@
 def action_of(state: InstanceState) -> PlatformAction:
     """Return the platform's action that makes a recorded state true.
 
-    Repeating it does no harm except for ``reboot``, which is asked for once.
+    Repeating it does no harm; a second reboot costs only time, because the instance
+    is empty.
     """
     if state is InstanceState.SERVING:
         return PlatformAction.UNDRAIN
--- a/src/cranberrywheel/process/waves.py
+++ b/src/cranberrywheel/process/waves.py
@@ -64,7 +64,11 @@
 
 
 class _Round:
-    """Working state while one plan is made."""
+    """Working state while one plan is made.
+
+    ``free`` are the instances that may still be taken, ``waits`` the reasons of the
+    others by name.
+    """
 
     def __init__(
         self, configuration: Configuration, fleet: Fleet, sizing: Sizing, zone: str
@@ -276,6 +280,7 @@
         return max(1, self.members_by_pool[pool] - kept)
 
     def _try(self, instance: FleetInstance) -> str:
+        """Count an instance as taken, or return why it must wait."""
         pool = instance.pool
         most_out = self._most_out(pool)
         if most_out == 0:
@@ -298,7 +303,7 @@
 ) -> Plan:
     """Decide what one round starts.
 
-    :param sizing: decided sizes; see :func:`capacity.choose_sizes`.
+    :param sizing: decided sizes; see :func:`size_search.choose_sizes`.
     :param max_list_age_ms: oldest instance list that a plan may use.
     :param zone: zone to plan for, or ``""`` for all. Budgets always span all zones;
         a planner that left room for another zone's instances could wait for ever
--- a/src/cranberrywheel_load/fortnight.py
+++ b/src/cranberrywheel_load/fortnight.py
@@ -1,13 +1,14 @@
 """Runs a seeded fortnight of plans through the pure decisions, with failures.
 
-``python -m cranberrywheel_load.fortnight [--seed N] [--runs N] [--size today|planned]``
-prints the four measures and the budget violations of the planner and of a baseline:
-one worker at a time per pool, declared sizes as fixed buffers. It is one bounded loop
-over plan steps; requests, networks and processes are not simulated.
+``python -m cranberrywheel_load.fortnight [--seed N] [--runs N] [--size today|planned]
+[--tighter N]`` prints the four measures and the budget violations of the planner and
+of a baseline: one worker at a time per pool, declared sizes as fixed buffers. It is one
+bounded loop over plan steps; requests, networks and processes are not simulated.
 """
 
 import argparse
 import pathlib
+import re
 import sys
 import typing as t
 
@@ -85,12 +86,16 @@
     return measures
 
 
-def _texts(size: str, seed: int) -> dict[str, str]:
+def _texts(size: str, seed: int, tighter: int) -> dict[str, str]:
     if size == "planned":
         return {"planned size": planned_text(seed, (2, 2, 2, 2))}
     examples = pathlib.Path(__file__).parents[2] / "examples"
     return {
-        path.stem: path.read_text(encoding="utf-8")
+        path.stem: re.sub(
+            r"(?m)^min_healthy = (\d+)$",
+            lambda match: f"min_healthy = {int(match[1]) + tighter}",
+            path.read_text(encoding="utf-8"),
+        )
         for path in sorted(examples.glob("*.ini"))
     }
 
@@ -104,6 +109,12 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--runs", type=int, default=1, help="number of seeds")
     parser.add_argument("--size", choices=("today", "planned", "both"), default="both")
+    parser.add_argument(
+        "--tighter",
+        type=int,
+        default=0,
+        help="workers added to each min_healthy of today's examples",
+    )
     options = parser.parse_args(arguments)
     violations = 0
     policies: dict[str, Policy] = {
@@ -114,7 +125,7 @@
         if options.size not in (size, "both"):
             continue
         for seed in range(options.seed, options.seed + options.runs):
-            for name, text in _texts(size, seed).items():
+            for name, text in _texts(size, seed, options.tighter).items():
                 configuration = parse_configuration(text)
                 schedule = build_schedule(configuration, seed)
                 for kind, policy in policies.items():
--- a/src/cranberrywheel_load/fortnight_measures.py
+++ b/src/cranberrywheel_load/fortnight_measures.py
@@ -27,6 +27,7 @@
         self._needs = needs_by_pool
         self._min_healthy = min_healthy_by_pool
         self._steps = 0
+        self._last_ms = 0
         self._buffer = 0.0
         self._closeness = 0.0
         self._lowest_closeness = 1.0
@@ -47,6 +48,7 @@
             serving = row.state is InstanceState.SERVING
             (healthy if serving else withheld)[row.pool] += 1
         self._steps += 1
+        self._last_ms = now_ms
         self.moves = world.moves
         self._note_budgets(healthy, withheld)
         self._note_capacity(healthy)
@@ -82,7 +84,9 @@
             len(p.worker_names) for p in self._configuration.pools_by_name.values()
         )
         longest_ms = largest * self._configuration.reboot_minutes * 60_000
-        rollout = 2.0 if self.rollout_ms is None else self.rollout_ms / longest_ms
+        # An unfinished round counts as if it took the whole time.
+        rollout_ms = self._last_ms if self.rollout_ms is None else self.rollout_ms
+        rollout = rollout_ms / longest_ms
         return (
             weights.buffer_cost * self._buffer / self._steps / workers
             + weights.rollout_time * rollout
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -58,6 +58,13 @@
         self.assertNotIn("a4", result.take)
         self.assertEqual(1, len(taken(result)))
 
+    def test_pool_that_cannot_be_maintained_is_reported(self):
+        # Guards against a pool that silently never gets its maintenance.
+        config = configuration(healthy=2)
+        result = plan(config, fleet(config))
+        self.assertIn("pool a: no worker can be spared with 2 to keep", result.risks)
+        self.assertEqual((), plan(configuration(), fleet(configuration())).risks)
+
     def test_returned_instances_count_as_at_risk_until_they_settle(self):
         # Guards against correlated failures of instances that just rebooted.
         config = configuration(healthy=1)
