Test two planners that race for one zone

Cause: only the sequential case was covered. Change: one test. Conclusion: the compare-and-swap on planners/<zone> decides.

--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -112,6 +112,21 @@
         self.assertIsNone(other.plan)
         self.assertEqual([], other_client.actions)
 
+    def test_two_planners_race_for_one_zone(self):
+        # Guards against two holders that both found the zone free.
+        other, other_client = self.deployment.planner(instance="p2")
+
+        def race(key):
+            self.client.before_put = lambda key: None
+            other.run_once()
+
+        self.client.before_put = race
+        self.planner.run_once()
+        self.assertEqual([], self.client.actions)
+        self.assertNotEqual([], other_client.actions)
+        holder = self.deployment.body("planners/x")
+        self.assertEqual("p2", holder["instance"])
+
     def test_planners_of_two_zones_race_for_one_budget(self):
         # Guards against both zones taking the last instance of a margin.
         workers = [f"a{n}@{zone}/r{zone}" for n, zone in enumerate("xxyyzz")]
