Notice a SIGTERM that another thread received

Its main thread waited without a bound, and Python runs signal handlers only there, while the system may interrupt another thread.

Change: the entry process and the stand-ins wait in steps of 200 ms. Failed fault tests now show the ends of the entry logs.

--- a/src/cranberrywheel/process/entry.py
+++ b/src/cranberrywheel/process/entry.py
@@ -24,6 +24,9 @@
 from cranberrywheel.settings import EntrySettings
 
 HAND_OVER_WAIT_S = 5
+#: The system may give a signal to any thread. Python runs the handler on the main
+#: thread only, which must therefore not block without a bound.
+SIGNAL_POLL_S = 0.2
 STORE_STOP_WAIT_S = 5
 
 _log = PartLogger("entry")
@@ -136,7 +139,8 @@
     def run(self) -> None:
         """Run until a stop is requested, then shut down gracefully."""
         self.start()
-        self._stop_requested.wait()
+        while not self._stop_requested.wait(SIGNAL_POLL_S):
+            pass
         self._stop()
 
     def _stop(self) -> None:
--- a/src/cranberrywheel_standin/main.py
+++ b/src/cranberrywheel_standin/main.py
@@ -23,6 +23,8 @@
 from cranberrywheel_standin.worker import Task, Worker, WorkerConfig
 from cranberrywheel_standin.worker_app import WorkerApp
 
+SIGNAL_POLL_S = 0.2
+
 
 def control_worker(address: str, action: str) -> None:
     """Pass a drain, undrain or reboot on to a worker.
@@ -40,7 +42,9 @@
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
-    stopped.wait()
+    # A wait without a bound would miss a signal that another thread received.
+    while not stopped.wait(SIGNAL_POLL_S):
+        pass
 
 
 class PlatformCommand(Command):
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -7,6 +7,7 @@
 import tempfile
 
 import testtools
+from testtools.content import text_content
 
 from cranberrywheel_load.cluster import Cluster
 from cranberrywheel_load.cluster_plan import ClusterPlan
@@ -50,6 +51,8 @@
 """
 #: generous: a busy machine may be slow, and no verdict depends on it.
 WAIT_S = 60.0
+#: lines of each log shown with a failure.
+LOG_LINES = 60
 SHORT_HOLD_MS = 4_000
 HOLDS = {
     "short_hold_ms": SHORT_HOLD_MS,
@@ -64,6 +67,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
+        self.addOnException(self.attach_logs)
         plan = ClusterPlan(
             text=TEXT, entry_zones=("z1", "z2"), entry_settings={"limits": HOLDS}
         )
@@ -75,6 +79,11 @@
         self.wait_for_call("entry-1")
         self.wait_for_call("entry-2")
 
+    def attach_logs(self, _):
+        for path in sorted(self.folder.glob("entry-*.log")):
+            lines = path.read_text(errors="replace").splitlines(True)
+            self.addDetail(path.name, text_content("".join(lines[-LOG_LINES:])))
+
     # Callers
 
     def call(self, entry, queue, ticket="", run_ms=20, timeout_ms=60_000):
