--- a/src/cranberrywheel/connection/peer_service.py
+++ b/src/cranberrywheel/connection/peer_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import concurrent.futures
+import contextlib
 import random
 import threading
 import typing as t
@@ -39,6 +40,7 @@
 #: Time beyond the request's timeout in which its answer may still arrive.
 FORWARD_GRACE_MS = 500
 START_TIMEOUT_MS = 10_000
+CLOSE_TIMEOUT_MS = 1_000
 
 #: How long requests may still run on a connection that is no longer used.
 RETIRED_CHANNEL_MS = 120_000
@@ -113,6 +115,10 @@
             raise
         except CranberrywheelError as error:
             answer = error_answer(incoming.request_id, error)
+        except asyncio.CancelledError:
+            # The service stops. grpclib answers nothing to a cancelled call, and
+            # the caller would wait for its whole timeout.
+            raise grpclib.exceptions.GRPCError(Status.UNAVAILABLE) from None
         await stream.send_message(encode_answer(answer))
 
     async def HandOver(self, stream: t.Any) -> None:
@@ -170,6 +176,7 @@
         self._forward_channels: dict[str, grpclib.client.Channel] = {}
         self._exchanges: set[asyncio.Task[None]] = set()
         self._busy_addresses: set[str] = set()
+        self._turns: list[str] = []
         self._stop_event = asyncio.Event()
         self._random = random.Random()
         #: Messages dropped because they were malformed.
@@ -258,6 +265,9 @@
         await self._stop_event.wait()
         rounds.cancel()
         server.close()
+        # Running calls are answered with an error first.
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(server.wait_closed(), CLOSE_TIMEOUT_MS / 1000)
         for channels in (self._exchange_channels, self._forward_channels):
             for channel in channels.values():
                 channel.close()
@@ -276,11 +286,21 @@
             await asyncio.sleep(self._settings.exchange_interval_ms / 1000)
 
     def _choose_addresses(self) -> list[str]:
-        addresses = sorted({peer.peer_address for peer in self._exchange.peers()})
+        """Return the peers of this round.
+
+        Each peer gets its turn before any gets a second one; a random choice would
+        leave some unheard for longer than the freshness bound.
+        """
+        addresses = {peer.peer_address for peer in self._exchange.peers()}
         fanout = self._settings.exchange_fanout
         if fanout and len(addresses) > fanout:
-            addresses = self._random.sample(addresses, fanout)
-        return [a for a in addresses if a not in self._busy_addresses]
+            self._turns = [a for a in self._turns if a in addresses]
+            if len(self._turns) < fanout:
+                others = sorted(addresses - set(self._turns))
+                self._random.shuffle(others)
+                self._turns += others
+            addresses, self._turns = set(self._turns[:fanout]), self._turns[fanout:]
+        return [a for a in sorted(addresses) if a not in self._busy_addresses]
 
     async def _exchange_with(self, address: str) -> None:
         self._busy_addresses.add(address)
--- a/src/cranberrywheel/process/exchange.py
+++ b/src/cranberrywheel/process/exchange.py
@@ -1,5 +1,6 @@
 """Knowledge that entries exchange: versions, proofs, withdrawal marks and load."""
 
+import dataclasses
 import re
 import threading
 import typing as t
@@ -97,6 +98,7 @@
         self._marks: set[str] = set()
         self._states_by_id: dict[str, PeerState] = {}
         self._seen_ms_by_id: dict[str, int] = {}
+        self._roster_read_ms: int | None = None
         self._load = LoadReport((), {}, (), False)
 
     def _adopted(self, snapshot: ConfigurationSnapshot) -> None:
@@ -104,10 +106,19 @@
 
     # Called by the store session.
 
-    def set_roster(self, registrations: list[Registration]) -> None:
-        """Take the registered entries as read from the store."""
+    def set_roster(self, registrations: list[Registration], read_ms: int) -> None:
+        """Take the registered entries as read from the store.
+
+        :param read_ms: own clock reading before the read was sent.
+        """
         with self._lock:
             self._membership.set_roster(registrations)
+            self._roster_read_ms = read_ms
+
+    def knows_roster_of(self, at_ms: int) -> bool:
+        """Tell whether the roster was read from the store at or after a time."""
+        with self._lock:
+            return self._roster_read_ms is not None and self._roster_read_ms >= at_ms
 
     def set_instances(self, listed: InstanceList) -> None:
         """Take the platform's instance list."""
@@ -156,8 +167,8 @@
             if snapshot is not None and key_id in snapshot.withdrawn_ids:
                 return
             self._marks.add(key_id)
+            self._to_dispatcher(MarkWithdrawn(key_id))
         _log.event("marked key as withdrawn", key_id=key_id)
-        self._to_dispatcher(MarkWithdrawn(key_id))
 
     def unwritten_marks(self) -> set[str]:
         """Return withdrawals that are not known to be in the store."""
@@ -238,13 +249,7 @@
             for key_id in sorted(marks):
                 state.marks.add(key_id=key_id)
             for row in load.loads:
-                state.loads.add(
-                    team=row.team,
-                    service=row.service,
-                    running=row.running,
-                    queued=row.queued,
-                    idle_units=row.idle_units,
-                )
+                state.loads.add(**dataclasses.asdict(row))
             for worker, in_flight in load.in_flight_by_worker.items():
                 state.workers.add(worker=worker, in_flight=in_flight)
             return state
@@ -293,11 +298,12 @@
                     self._membership.heard(word.process_id, sent_ms - word.age_ms)
             if state.has_store_read:
                 self._store_read.proven(sent_ms - state.store_read_age_ms)
-            all_heard_ms = self._membership.all_heard_ms()
-            use_messages = self._is_store_down()
+            all_heard_ms = None
+            if self._is_store_down():
+                all_heard_ms = self._membership.all_heard_ms()
         if state.has_proof:
             self._prove(sent_ms - state.proof_age_ms)
-        if all_heard_ms is not None and use_messages:
+        if all_heard_ms is not None:
             self._prove(all_heard_ms)
 
     @staticmethod
--- a/src/cranberrywheel/process/record_store.py
+++ b/src/cranberrywheel/process/record_store.py
@@ -6,7 +6,11 @@
 import uuid
 
 from cranberrywheel.connection.store_client import StoreClient
-from cranberrywheel.errors import StoreConflictError, StoreUnavailableError
+from cranberrywheel.errors import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
 
 #: Number of write ids that each writer carries forward.
 RECENT_WRITES = 16
@@ -27,14 +31,20 @@
     recent_write_ids: tuple[str, ...]
 
 
-def _parse(value: str, revision: int) -> StoredBody:
-    envelope = json.loads(value)
-    write_id = str(envelope.get("write_id", ""))
-    recent = [str(i) for i in envelope.get("recent_write_ids", ())]
+def _parse(key: str, value: str, revision: int) -> StoredBody:
+    try:
+        envelope = json.loads(value)
+        body = dict(envelope["body"])
+        write_id = str(envelope["write_id"])
+        recent = [str(i) for i in envelope.get("recent_write_ids", ())]
+    except (AttributeError, KeyError, TypeError, ValueError):
+        raise StoreError(
+            f"The record {key} has no valid envelope.", "Delete or correct it."
+        ) from None
     if write_id not in recent:
         recent.append(write_id)
     return StoredBody(
-        body=envelope["body"],
+        body=body,
         revision=revision,
         write_id=write_id,
         recent_write_ids=tuple(recent[-RECENT_WRITES:]),
@@ -64,13 +74,15 @@
         if record is None:
             self._known.pop(key, None)
             return None
-        self._known[key] = _parse(record.value, record.revision)
+        self._known[key] = _parse(key, record.value, record.revision)
         return self._known[key]
 
     def read_all(self, prefix: str) -> dict[str, StoredBody]:
         """Read all records under a prefix; keys are without the prefix."""
         return {
-            record.key.removeprefix(prefix): _parse(record.value, record.revision)
+            record.key.removeprefix(prefix): _parse(
+                record.key, record.value, record.revision
+            )
             for record in self._client.list(prefix)
         }
 
@@ -90,25 +102,15 @@
             must read the record before it writes again.
         """
         write_id = uuid.uuid4().hex
-        recent = (*(known.recent_write_ids if known else ()), write_id)
-        envelope = {
-            "write_id": write_id,
-            "writer": self._writer,
-            "recent_write_ids": recent[-RECENT_WRITES:],
-            "body": body,
-        }
+        before = known.recent_write_ids if known else ()
+        recent = (*before, write_id)[-RECENT_WRITES:]
+        value = self._dump(body, write_id, recent)
         expected = known.revision if known else 0
         for attempt in range(MAX_RESOLVE_ATTEMPTS):
             try:
-                revision = self._client.put(key, json.dumps(envelope), expected, lease)
-                stored = StoredBody(
-                    body=body,
-                    revision=revision,
-                    write_id=write_id,
-                    recent_write_ids=envelope["recent_write_ids"],
-                )
-                self._known[key] = stored
-                return stored
+                revision = self._client.put(key, value, expected, lease)
+                self._known[key] = _parse(key, value, revision)
+                return self._known[key]
             except StoreUnavailableError:
                 # The read may show that the write took effect. If it did not, the
                 # same write can be sent again, because only one of both can win.
@@ -123,6 +125,17 @@
             "Check the platform's key-value service.",
         )
 
+    def _dump(
+        self, body: dict[str, t.Any], write_id: str, recent: tuple[str, ...]
+    ) -> str:
+        envelope = {
+            "write_id": write_id,
+            "writer": self._writer,
+            "recent_write_ids": recent,
+            "body": body,
+        }
+        return json.dumps(envelope)
+
     def _find_write(self, key: str, write_id: str) -> StoredBody | None:
         stored = self.read(key)
         if stored is None or write_id not in stored.recent_write_ids:
--- a/src/cranberrywheel/process/unit_keeper.py
+++ b/src/cranberrywheel/process/unit_keeper.py
@@ -15,6 +15,7 @@
     ENTRIES_PREFIX,
     MissingHolders,
     Registration,
+    group_by_place,
 )
 from cranberrywheel.process.messages import (
     ConfigurationSnapshot,
@@ -30,7 +31,10 @@
 #: Longest wait for the dispatcher to release units. A late release is undone by
 #: the ``UnitsHeld`` that follows it.
 RELEASE_TIMEOUT_MS = 1_000
-#: Conflicts with other writers that the return of a team's units survives.
+#: Attempts to write a record that other entries write at the same time. Entries
+#: with idle units all answer the same request.
+CONFLICT_ATTEMPTS = 4
+#: The same at shutdown, which has no later attempt.
 RETURN_ATTEMPTS = 10
 
 _log = PartLogger("units")
@@ -90,14 +94,18 @@
     ) -> None:
         """Take all limit records and the registrations read after them."""
         for record in records:
+            team = record.key.removeprefix(LIMITS_PREFIX)
+            state = self._states_by_team.get(team)
+            if state and state.stored and record.revision <= state.stored.revision:
+                # Older than the last write of this process, or unchanged.
+                continue
             try:
                 self._adopt(parse_record(record))
             except StoreError as error:
                 _log.warning("ignored limit record", cause=error.message)
         self._registered_ids = {
-            r.process_id
-            for r in registrations
-            if not any(other.replaces(r) for other in registrations)
+            max(group, key=lambda r: r.revision).process_id
+            for group in group_by_place(registrations).values()
         }
         known = [s.record for s in self._states_by_team.values() if s.record]
         self._missing.observe(known, registrations, now_ms)
@@ -105,8 +113,6 @@
     def _adopt(self, stored: StoredRecord, force: bool = False) -> None:
         """Take a newer state of a record and tell the dispatcher its units.
 
-        A list may be older than the last write of this process.
-
         :param force: tell the dispatcher also if the state is not newer.
         """
         team = stored.key.removeprefix(LIMITS_PREFIX)
@@ -220,22 +226,31 @@
     def _keep_team(self, team: str, limit: int, version: int) -> None:
         key = LIMITS_PREFIX + team
         state = self._states_by_team.setdefault(team, _TeamState())
-        before = state.record
-        following = self._plan(team, before, limit, version)
-        if following == before:
-            return
-        if not self._release(team, following):
-            self._tell_held(team)
-            return
-        try:
-            stored = self._writer.write(key, state.stored, limit_record.dump(following))
-        except StoreConflictError:
-            stored = self._writer.read(key)
-        except StoreUnavailableError:
-            raise
-        except StoreError:
-            self._tell_held(team)
-            raise
+        row = state.record.holders.get(self._own.process_id) if state.record else None
+        if row is not None and row.wanted:
+            # Others may have lent units since the last list.
+            self._refresh(team)
+        for _ in range(CONFLICT_ATTEMPTS):
+            following = self._plan(team, state.record, limit, version)
+            if following == state.record:
+                return
+            if not self._release(team, following):
+                self._tell_held(team)
+                return
+            try:
+                body = limit_record.dump(following)
+                self._adopt(self._writer.write(key, state.stored, body), force=True)
+                return
+            except StoreConflictError:
+                self._refresh(team)
+            except StoreUnavailableError:
+                raise
+            except StoreError:
+                self._tell_held(team)
+                raise
+
+    def _refresh(self, team: str) -> None:
+        stored = self._writer.read(LIMITS_PREFIX + team)
         if stored is not None:
             self._adopt(stored, force=True)
 
--- a/src/cranberrywheel/process/zone_record.py
+++ b/src/cranberrywheel/process/zone_record.py
@@ -55,9 +55,10 @@
         self._confirmed_ms_by_name: dict[str, int] = {}
         self.pools = ZonePools(fence=0, rows_by_name={})
 
-    def claim(self, configuration: Configuration, now_ms: int) -> None:
+    def claim(self, configuration: Configuration, now_ms: int) -> bool:
         """Read the record, write the own fence into it and add new workers.
 
+        :returns: whether this is the first claim with the present fence.
         :raises LeaseLostError: if a later planner wrote the record.
         """
         self._stored = self._records.read(self._key)
@@ -69,7 +70,8 @@
         if seeded != known:
             self._write(seeded)
         self.pools = seeded
-        if self._claimed_fence != fence:
+        is_first = self._claimed_fence != fence
+        if is_first:
             # The platform must see the new fence for each instance, also for those
             # that serve: a paused planner could otherwise still drain them.
             self._confirmed_ms_by_name.clear()
@@ -80,6 +82,7 @@
                 fence=fence,
                 instances=len(seeded.rows_by_name),
             )
+        return is_first
 
     def _write(self, pools: ZonePools) -> None:
         self._lease.check()
@@ -87,13 +90,22 @@
         self._stored = self._records.write(self._key, body, self._stored)
         self.pools = pools
 
-    def change(self, rows_by_name: t.Mapping[str, PoolRow]) -> None:
-        """Record new states, then make them true at the platform."""
+    def change(self, rows_by_name: t.Mapping[str, PoolRow | None]) -> None:
+        """Record new states, then make them true at the platform.
+
+        :param rows_by_name: new rows; ``None`` drops an instance.
+        """
         if not rows_by_name:
             return
         maintained = dict(self.pools.maintained_ms_by_name)
+        rows = dict(self.pools.rows_by_name)
         for name, row in rows_by_name.items():
-            before = self.pools.rows_by_name[name]
+            before = rows.pop(name)
+            if row is None:
+                maintained.pop(name, None)
+                _log.event("instance left the configuration", instance=name)
+                continue
+            rows[name] = row
             if before.state is InstanceState.REBOOTING:
                 maintained[name] = row.since_ms
             _log.event(
@@ -107,7 +119,7 @@
         self._write(
             dataclasses.replace(
                 self.pools,
-                rows_by_name={**self.pools.rows_by_name, **rows_by_name},
+                rows_by_name=rows,
                 maintained_ms_by_name=maintained,
             )
         )
--- a/src/cranberrywheel_load/bench_schedulers.py
+++ b/src/cranberrywheel_load/bench_schedulers.py
@@ -51,14 +51,16 @@
 
     def admit(self, request: Request, now_ms: int) -> bool:
         """Queue a request unless it is refused."""
-        queued = 0 if request.urgent else len(self._queue)
+        share = SHARES[request.team]
+        queued = self._queue.ahead_of(request.team, request.urgent, share)
         wait_ms = self._estimates.wait_ms(request.queue, DECLARED_MS, queued, CAPACITY)
-        if now_ms + wait_ms > request.deadline_ms:
+        run_ms = self._estimates.run_ms(request.queue, DECLARED_MS)
+        if now_ms + wait_ms + run_ms > request.deadline_ms:
             return False
         if request.request_id not in self._failed_workers:
             self._budget.note_request(now_ms)
         try:
-            self._queue.push(request)
+            self._queue.push(request, request.deadline_ms - round(run_ms))
         except OverloadedError:
             return False
         return True
@@ -74,7 +76,8 @@
         if request is None:
             return None
         failed = self._failed_workers.get(request.request_id, ())
-        worker = self._table.choose(POOL, now_ms, failed)
+        may_probe = request.idempotent and not request.urgent
+        worker = self._table.choose(POOL, now_ms, failed, may_probe=may_probe)
         worker = worker or self._table.choose(POOL, now_ms)
         if worker is None:
             raise RuntimeError("the pool had room")
--- a/tests/planner_fixtures.py
+++ b/tests/planner_fixtures.py
@@ -92,6 +92,7 @@
         self.platform = platform
         self.before_put = lambda key: None
         self.actions = []
+        self.control_outage = False
 
     def _check(self):
         if self.platform.faults.outage:
@@ -146,7 +147,8 @@
         return InstanceList(body["revision"], body["age_ms"], rows)
 
     def control_instance(self, instance, action, fence):
-        self._check()
+        if self.control_outage:
+            raise StoreUnavailableError("No answer.")
         accepted = self.platform.check_fence(instance, fence)
         if accepted:
             self.actions.append((instance, str(action)))
@@ -175,15 +177,21 @@
         self.platform = Platform(lambda: self.clock.now_ms() / 1000)
         self.workers = FakeWorkers()
         self.configuration = parse_configuration(configuration_text)
-        body = {"text_version": 1, "text": configuration_text}
-        value = json.dumps({"write_id": "1", "writer": "test", "body": body})
-        self.platform.put("configuration", value, 0, "")
+        self.apply(configuration_text)
         for worker in self.configuration.workers_by_name.values():
             self.platform.set_instance(
                 worker.name,
                 {"zone": worker.zone, "rack": worker.rack, "address": worker.name},
             )
 
+    def apply(self, configuration_text):
+        """Write the record ``configuration``."""
+        present = self.platform.get("configuration")
+        revision = present.revision if present else 0
+        body = {"text_version": revision + 1, "text": configuration_text}
+        value = json.dumps({"write_id": "1", "writer": "test", "body": body})
+        self.platform.put("configuration", value, revision, "")
+
     def planner(self, zone="x", instance="p1"):
         """Return a planner and its client."""
         settings = PlannerSettings(
