Record the false not-run of refused repeats as a known failure

Cause: a repeat of a ticket that already ran is refused with not-run when its key was withdrawn or is not proven fresh. The caller is told that nothing happened although its request ran (invariant 6).

Conclusion: to be fixed first.

--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -6,6 +6,7 @@
 import pathlib
 import tempfile
 
+import pytest
 import testtools
 from testtools.content import text_content
 
@@ -314,6 +315,7 @@
 
     # Refusals of repeated tickets
 
+    @pytest.mark.known_red
     def test_a_refused_repeat_of_a_ticket_that_ran_is_not_called_not_run(self):
         ticket = self.ticket("entry-1")
         self.assertEqual("ok", self.call("entry-1", "orders", ticket)[1])
