Answer calls that still wait for a ticket at the end of a run

Cause: the driver ended while a ticket call was open, and calls that waited for its tickets were missing from the results.

Change: the run goes on while ticket calls are open; calls without a ticket at the end count as not-run. A relay that does not start is killed.

--- a/src/cranberrywheel_load/driver.py
+++ b/src/cranberrywheel_load/driver.py
@@ -62,7 +62,6 @@
 @dataclasses.dataclass(kw_only=True)
 class _Call:
     arrival: Arrival
-    entry: str
     ticket: str
     tries: int
     result: CallResult
@@ -148,7 +147,7 @@
             self._at(start_ms + wave_ms, self._cancel_all)
         for arrival in arrivals:
             self._at(start_ms + arrival.at_ms, self._send, arrival, 1)
-        while self._due or self._calls:
+        while self._due or self._calls or self._ticket_calls:
             now = monotonic_ms()
             if now >= end_ms:
                 break
@@ -174,10 +173,15 @@
             self._multi.remove_handle(curl)
             curl.close()
         self._ticket_calls.clear()
+        for waiting in self.stock.waiting.values():
+            for arrival, _ in waiting:
+                self._no_ticket(arrival)
+            waiting.clear()
 
     # Tickets
 
     def _send(self, arrival: Arrival, tries: int) -> None:
+        """Send a call, with a ticket if its queue needs one."""
         if self._configuration.queues_by_name[arrival.queue].idempotent:
             self._invoke(arrival, "", tries)
             return
@@ -274,7 +278,6 @@
         )
         call = _Call(
             arrival=arrival,
-            entry=entry,
             ticket=ticket,
             tries=tries,
             result=result,
--- a/src/cranberrywheel_load/relay_control.py
+++ b/src/cranberrywheel_load/relay_control.py
@@ -5,7 +5,13 @@
 import socket
 import typing as t
 
-from cranberrywheel_load.processes import HOST, ManagedProcess, free_ports, wait_until
+from cranberrywheel_load.processes import (
+    HOST,
+    ManagedProcess,
+    WaitTimeoutError,
+    free_ports,
+    wait_until,
+)
 
 CHUNK_BYTES = 65_536
 
@@ -29,7 +35,11 @@
             except OSError:
                 return None
 
-        self._connection = wait_until(connect, timeout_s, "relay listens")
+        try:
+            self._connection = wait_until(connect, timeout_s, "relay listens")
+        except WaitTimeoutError:
+            self.process.kill()
+            raise
 
     def close(self) -> None:
         """End the relay process by closing its control connection."""
