--- /dev/null
+++ b/src/cranberrywheel_spec/compare.py
@@ -0,0 +1,105 @@
+"""Runs the comparisons of the product's code with the models.
+
+``python -m cranberrywheel_spec.compare --examples N`` runs each machine N times with
+fixed seeds and prints how many steps it took and which actions of the model it never
+took. The exit code is 0, or 1 if the code differs from a model.
+"""
+
+import argparse
+import dataclasses
+import sys
+import typing as t
+
+import hypothesis
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+
+from cranberrywheel_spec.freshness_conformance import FreshnessMachine
+from cranberrywheel_spec.hold_conformance import HoldMachine
+from cranberrywheel_spec.pool_conformance import PoolMachine
+from cranberrywheel_spec.ticket_conformance import TicketMachine
+from cranberrywheel_spec.transfer_conformance import TransferMachine
+from cranberrywheel_spec.unit_times import LONG
+
+
+class LongHoldMachine(HoldMachine):
+    """The comparison for long units."""
+
+    hold = LONG
+
+
+#: Each machine with the examples that the tests run.
+EXAMPLES_BY_MACHINE: dict[type[RuleBasedStateMachine], int] = {
+    TicketMachine: 60,
+    TransferMachine: 60,
+    HoldMachine: 30,
+    LongHoldMachine: 30,
+    PoolMachine: 250,
+    FreshnessMachine: 60,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Comparison:
+    """Extent of one comparison.
+
+    :param steps: steps taken in all runs.
+    :param untaken: actions of the model that no run took.
+    """
+
+    steps: int
+    untaken: frozenset[str]
+
+
+def run_settings(examples: int) -> hypothesis.settings:
+    """Return settings with fixed seeds."""
+    return hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=30,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        print_blob=False,
+        phases=[hypothesis.Phase.generate],
+    )
+
+
+def compare(machine: type[RuleBasedStateMachine], examples: int) -> Comparison:
+    """Run a machine.
+
+    :param machine: drives the product and the model.
+    :param examples: number of runs.
+    :raises AssertionError: if the product differs from the model.
+    """
+    model = machine.model()
+    model.taken.clear()
+    run_state_machine_as_test(machine, settings=run_settings(examples))
+    names = {action.name for action in model.actions}
+    return Comparison(sum(model.taken.values()), frozenset(names - model.taken.keys()))
+
+
+def main(arguments: t.Sequence[str] | None = None) -> int:
+    """Run all comparisons.
+
+    :param arguments: of the command line.
+    :returns: exit code.
+    """
+    parser = argparse.ArgumentParser(prog="python -m cranberrywheel_spec.compare")
+    parser.add_argument("--examples", type=int, metavar="N")
+    options = parser.parse_args(arguments)
+    code = 0
+    for machine, few in EXAMPLES_BY_MACHINE.items():
+        examples = options.examples or few
+        name = f"{machine.__name__} ({machine.model().name})"
+        try:
+            found = compare(machine, examples)
+        except AssertionError as error:
+            print(f"{name}: DIFFERS: {error}")
+            code = 1
+        else:
+            untaken = ", ".join(sorted(found.untaken)) or "none"
+            print(f"{name}: runs={examples} steps={found.steps} untaken: {untaken}")
+    return code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/cranberrywheel_spec/freshness_conformance.py
+++ b/src/cranberrywheel_spec/freshness_conformance.py
@@ -122,6 +122,11 @@
         for entry in self.entries.values():
             entry.exchange.set_instances(InstanceList(1, 0, rows))
 
+    @classmethod
+    def model(cls) -> CompiledModel:
+        """Return the model that this machine compares with."""
+        return _MODEL
+
     def options(self) -> dict[str, int]:
         found = {"wait": 6, "deliver_old_record x": 1, "deliver_old_record d": 1}
         for name in self.walk.enabled():
--- a/src/cranberrywheel_spec/pool_conformance.py
+++ b/src/cranberrywheel_spec/pool_conformance.py
@@ -113,6 +113,11 @@
         self.other = Disruptions(RecordStore(self.client, "other"))
         self.walk = Walk(_MODEL)
 
+    @classmethod
+    def model(cls) -> CompiledModel:
+        """Return the model that this machine compares with."""
+        return _MODEL
+
     def options(self) -> dict[str, int]:
         found = {"start_task": 1, "end_task": 3, "other_planner": 1}
         # Planner 2 takes over once planner 1 had the time for some steps.
--- a/src/cranberrywheel_spec/ticket_conformance.py
+++ b/src/cranberrywheel_spec/ticket_conformance.py
@@ -51,6 +51,11 @@
         self.ticket = self.owner.issue("t", "q", 0)
         self.walk = Walk(_MODEL)
 
+    @classmethod
+    def model(cls) -> CompiledModel:
+        """Return the model that this machine compares with."""
+        return _MODEL
+
     def options(self) -> dict[str, int]:
         values = self.walk.values
         late = values["age"] == PAST_RETENTION
--- a/src/cranberrywheel_spec/transfer_conformance.py
+++ b/src/cranberrywheel_spec/transfer_conformance.py
@@ -82,6 +82,11 @@
                 start |= {f"{kind}_{q}_{p}": counts[q] for q in HOLDERS}
         self.walk = Walk(_MODEL, **start)
 
+    @classmethod
+    def model(cls) -> CompiledModel:
+        """Return the model that this machine compares with."""
+        return _MODEL
+
     def options(self) -> dict[str, int]:
         weights = {"read": 1, "start_request": 1, "finish_request": 1, "deliver_all": 2}
         found = {f"{step} {p}": w for step, w in weights.items() for p in HOLDERS}
--- a/src/cranberrywheel_spec/walk.py
+++ b/src/cranberrywheel_spec/walk.py
@@ -1,5 +1,6 @@
 """Steps of a model on concrete values, to compare the product's code with it."""
 
+import collections
 import fractions
 import math
 import operator
@@ -87,6 +88,8 @@
             for a in model.actions(state, lambda _, condition: condition)
         ]
         self.properties = _compile_all(model.properties(state))
+        #: How often each action was taken, over all walks.
+        self.taken: collections.Counter[str] = collections.Counter()
         self.start = [_compile(condition) for condition in model.start(state)]
 
 
@@ -127,6 +130,7 @@
         assert possible, f"the specification does not allow {name!r} now"
         updates = possible[0].updates
         self.values = self.values | {n: new(values) for n, new in updates.items()}
+        self._model.taken[name] += 1
         for text, holds in self._model.properties.items():
             assert holds(dict(self.values)), f"{text!r} fails after {name!r}"
 
--- /dev/null
+++ b/tests/test_compare.py
@@ -0,0 +1,64 @@
+import contextlib
+import io
+
+import testtools
+
+from cranberrywheel_spec import compare
+from cranberrywheel_spec.ticket_conformance import TicketMachine
+
+# The product has no call for these: they happen to it, or are guards at work.
+UNTAKEN = {
+    "owner dies",
+    "holder uses its units without a rewrite",
+    *(f"call of planner {p} is lost before the platform" for p in "12"),
+    *(f"planner {p} repeats its call" for p in "12"),
+}
+
+
+class ComparisonChecks:
+    """Guards against product code that differs from its checked model, and against
+    runs that leave actions of the model out."""
+
+    def test_product_follows_the_model(self):
+        found = compare.compare(self.machine, compare.EXAMPLES_BY_MACHINE[self.machine])
+        self.assertEqual(set(), found.untaken - UNTAKEN)
+
+
+class TicketTest(ComparisonChecks, testtools.TestCase):
+    machine = TicketMachine
+
+
+class TransferTest(ComparisonChecks, testtools.TestCase):
+    machine = compare.TransferMachine
+
+
+class ShortHoldTest(ComparisonChecks, testtools.TestCase):
+    machine = compare.HoldMachine
+
+
+class LongHoldTest(ComparisonChecks, testtools.TestCase):
+    machine = compare.LongHoldMachine
+
+
+class PoolTest(ComparisonChecks, testtools.TestCase):
+    machine = compare.PoolMachine
+
+
+class FreshnessTest(ComparisonChecks, testtools.TestCase):
+    machine = compare.FreshnessMachine
+
+
+class CommandTest(testtools.TestCase):
+    """Guards against a command that hides a difference."""
+
+    def test_exit_code_tells_of_a_difference(self):
+        late = type("Late", (TicketMachine,), {"_check_state": self.fail_check})
+        for machine, code in ((TicketMachine, 0), (late, 1)):
+            self.patch(compare, "EXAMPLES_BY_MACHINE", {machine: 20})
+            with contextlib.redirect_stdout(io.StringIO()) as output:
+                self.assertEqual(code, compare.main([]))
+            self.assertEqual(bool(code), "DIFFERS" in output.getvalue())
+
+    @staticmethod
+    def fail_check(machine, claim):
+        raise AssertionError("differs")
