--- a/src/cranberrywheel_spec/bounded.py
+++ b/src/cranberrywheel_spec/bounded.py
@@ -12,8 +12,10 @@
 import z3
 
 State = types.SimpleNamespace
+#: ``guard(name, condition)`` is the condition, or true if the guard is dropped.
 Guard = t.Callable[[str, t.Any], t.Any]
-"""``guard(name, condition)``: the condition, or true if the guard is dropped."""
+#: ``guard(name, NEVER)`` is true only if the guard is dropped.
+NEVER = z3.BoolVal(False)
 
 
 @dataclasses.dataclass
--- a/src/cranberrywheel_spec/key_freshness.py
+++ b/src/cranberrywheel_spec/key_freshness.py
@@ -11,12 +11,11 @@
 
 import z3
 
-from cranberrywheel_spec.bounded import Action, Guard, Model, State
+from cranberrywheel_spec.bounded import NEVER, Action, Guard, Model, State
 
 LEARNERS, INFORMED = ("x", "d"), ("c", "w")
 ENTRIES = (*LEARNERS, *INFORMED)
 BOUND_S = 5
-NEVER = z3.BoolVal(False)
 #: ``("i", "j")``: i asks j.
 PAIRS = tuple((i, j) for i in LEARNERS for j in ENTRIES if i != j)
 
--- a/src/cranberrywheel_spec/pool_moves.py
+++ b/src/cranberrywheel_spec/pool_moves.py
@@ -10,10 +10,9 @@
 
 import z3
 
-from cranberrywheel_spec.bounded import Action, Guard, Model, State
+from cranberrywheel_spec.bounded import NEVER, Action, Guard, Model, State
 
 PLANNERS = ("1", "2")
-NEVER = z3.BoolVal(False)
 SERVING, DRAINING, EMPTY, REBOOTING = range(4)
 NO_CALL, DRAIN, UNDRAIN, REBOOT = range(4)
 
--- a/src/cranberrywheel_spec/tickets.py
+++ b/src/cranberrywheel_spec/tickets.py
@@ -9,9 +9,8 @@
 
 import z3
 
-from cranberrywheel_spec.bounded import Action, Guard, Model, State
+from cranberrywheel_spec.bounded import NEVER, Action, Guard, Model, State
 
-NEVER = z3.BoolVal(False)
 VALID, EXPIRED, PAST_RETENTION = range(3)
 NONE, CLAIMED, STARTED, FINISHED, VOID = range(5)
 UNLISTED, ANSWER, UNKNOWN = range(3)
@@ -34,9 +33,10 @@
     """What the owner does with calls and queries, which can arrive at any time."""
     alive = z3.Not(s.owner_gone)
     unclaimed = z3.And(s.record == NONE, s.age == VALID)
-    past = guard("no record past retention is unknown", s.age != PAST_RETENTION)
-    not_run = z3.Or(s.record == VOID, z3.And(s.record == NONE, s.age == EXPIRED))
-    not_run = z3.Or(not_run, z3.And(s.record == NONE, s.age == PAST_RETENTION, past))
+    # Past retention, a missing record may have been dropped.
+    forgotten = guard("no record past retention is unknown", NEVER)
+    retained = z3.Or(s.age == EXPIRED, z3.And(s.age == PAST_RETENTION, forgotten))
+    not_run = z3.Or(s.record == VOID, z3.And(s.record == NONE, retained))
     may_start = guard("expired ticket cannot start", s.age == VALID)
     open_call = z3.Or(s.record == CLAIMED, s.record == STARTED)
     reclaim = z3.And(open_call, guard("one claim at a time", NEVER))
--- a/src/cranberrywheel_spec/unit_times.py
+++ b/src/cranberrywheel_spec/unit_times.py
@@ -11,14 +11,13 @@
 
 import z3
 
-from cranberrywheel_spec.bounded import Action, Guard, Model, State
+from cranberrywheel_spec.bounded import NEVER, Action, Guard, Model, State
 
 # Two clocks differ by at most (1 + e) / (1 - e), which is below 1.01.
 CLOCK_ERROR = z3.Q(49, 10_000)
 CLOCKS = ("holder_s", "store_s", "reclaimer_s", "worker_s")
 TTL_S, SHORT_HOLD_S, LONG_HOLD_S, TOKEN_S, TASK_S = 90, 90, 3_900, 2, 10
 MARGIN = z3.Q(101, 100)
-NEVER = z3.BoolVal(False)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cranberrywheel_spec/unit_transfers.py
+++ b/src/cranberrywheel_spec/unit_transfers.py
@@ -9,10 +9,9 @@
 
 import z3
 
-from cranberrywheel_spec.bounded import Action, Guard, Model, State
+from cranberrywheel_spec.bounded import NEVER, Action, Guard, Model, State
 
 HOLDERS = ("a", "b")
-NEVER = z3.BoolVal(False)
 # record: held_*; view, read and write of each holder: counts and revision.
 _COUNTS = (
     "limit", "held_a", "held_b", "revision", "input_own", "input_given",
