Probe ejected workers that had no room when their backoff ended

Cause: an ejected worker that was leaving, not serving or full when its probe was due left the list of probes and was never probed again. Change: its probe is put off by 2 s until the worker has room. Conclusion: found by reading; a worker cannot stay ejected without a scheduled probe.

--- a/src/cranberrywheel/process/worker_state.py
+++ b/src/cranberrywheel/process/worker_state.py
@@ -83,6 +83,11 @@
         """Return the slots that count as used."""
         return self.own_in_flight + self.peer_in_flight + self.penalties
 
+    def has_room(self) -> bool:
+        """Whether it may get work and has a free slot, apart from its health."""
+        listed = self.listed and self.row.serving and not self.leaving
+        return listed and self.load() < self.row.slots
+
     def fresh_token(self, now_ms: int) -> str | None:
         """Return the start token if the worker will still accept it."""
         fresh = now_ms - self.token_asked_ms < TOKEN_USABLE_MS
--- a/src/cranberrywheel/process/worker_table.py
+++ b/src/cranberrywheel/process/worker_table.py
@@ -286,17 +286,17 @@
 
     def _refresh(self, worker: WorkerState) -> None:
         """Put a worker into the lists that its state allows."""
-        row = worker.row
-        pool = self._pool(row.pool)
-        usable = worker.listed and row.serving and not worker.leaving
-        usable = usable and worker.load() < row.slots
-        group = pool.near if row.zone == self._zone else pool.far
-        if usable and worker.ejected_until_ms is None:
+        pool = self._pool(worker.row.pool)
+        has_room = worker.has_room()
+        group = pool.near if worker.row.zone == self._zone else pool.far
+        if has_room and worker.ejected_until_ms is None:
             group.add(worker)
         else:
             group.discard(worker)
-        if not usable or worker.probing or worker.ejected_until_ms is None:
+        if worker.ejected_until_ms is None or worker.probing:
             pool.probes.discard(worker)
+        elif worker in pool.probes and not has_room:
+            self._schedule_probe(worker, worker.ejected_until_ms + FIRST_BACKOFF_MS)
 
     def _forget_if_unused(self, worker: WorkerState) -> None:
         if not worker.listed and not worker.own_in_flight:
@@ -310,9 +310,12 @@
             self._refresh(worker)
         while self._probe_times and self._probe_times[0][0] <= now_ms:
             due_ms, _, worker = heapq.heappop(self._probe_times)
-            if worker.ejected_until_ms == due_ms and not worker.probing:
+            if worker.ejected_until_ms != due_ms or worker.probing:
+                continue
+            if worker.has_room():
                 self._pool(worker.row.pool).probes.add(worker)
-                self._refresh(worker)
+            else:
+                self._schedule_probe(worker, now_ms + FIRST_BACKOFF_MS)
 
     def _record(
         self,
@@ -370,10 +373,10 @@
             heapq.heappush(self._penalty_ends, (end_ms, next(self._sequence), worker))
 
     def _eject(self, worker: WorkerState, now_ms: int) -> None:
-        backoff_ms = worker.next_backoff_ms(now_ms)
+        probe_ms = now_ms + worker.next_backoff_ms(now_ms)
         worker.probing = False
         self._pool(worker.row.pool).ejected[worker] = None
-        self._schedule_probe(worker, now_ms + backoff_ms)
+        self._schedule_probe(worker, probe_ms)
         self._refresh(worker)
 
     def _schedule_probe(self, worker: WorkerState, at_ms: int) -> None:
--- a/tests/test_worker_table.py
+++ b/tests/test_worker_table.py
@@ -134,6 +134,19 @@
             self.assertNotIn("w0", {self.choose() for _ in range(50)})
             self.assertEqual(["w0"], self.table.ejected("p"))
 
+    def test_ejected_worker_that_could_not_be_probed_when_due_is_probed_later(self):
+        # Guards against a worker that drains during its backoff and never returns.
+        for wait_ms in (0, 60_000):
+            self.eject_and_wait()
+            self.assertTrue(self.table.has_room("p", self.clock.now_ms()))
+            self.table.set_leaving(["w0"])
+            self.clock.advance(wait_ms)
+            self.assertNotIn("w0", {self.choose() for _ in range(20)})
+            self.table.set_leaving([])
+            self.clock.advance(2_000)
+            self.assertEqual("w0", self.choose())
+            self.attempt("w0")
+
     def test_probes_of_a_dead_worker_become_rare(self):
         counts = self.serve(60_000, lambda w: (FAILED, 1) if w == "w0" else (OK, 100))
         self.assertTrue(counts["w0"] < 25, counts)
