Add a workload with more teams than slots to policy_bench

Cause: the starvation of a large team among many small ones could not be reproduced. Change: workload many-teams, 51 teams with steady load; shares are part of a workload.

--- a/src/cranberrywheel_load/bench_arrivals.py
+++ b/src/cranberrywheel_load/bench_arrivals.py
@@ -2,17 +2,21 @@
 
 import dataclasses
 import random
+import typing as t
 
 from cranberrywheel.request.model import Request
 
 WORKERS = 6
 SLOTS = 8
 CAPACITY = WORKERS * SLOTS
-#: Fractions of the capacity; all teams offer the same load.
-SHARES = {"a": 0.35, "b": 0.25, "c": 0.15, "d": 0.1, "e": 0.1, "f": 0.05}
+#: Fractions of the capacity.
+SIX_SHARES = {"a": 0.35, "b": 0.25, "c": 0.15, "d": 0.1, "e": 0.1, "f": 0.05}
 #: Each team's load alternates between five times its mean and a twentieth of it.
 BURST_FACTOR, QUIET_FACTOR = 5.0, 0.05
 BURST_MS, QUIET_MS = 4_000, 17_000
+#: Some large teams and more small ones than there are slots.
+_SIZES = {f"team-{number}": 1 / (number + 2) for number in range(51)}
+MANY_SHARES = {team: size / sum(_SIZES.values()) for team, size in _SIZES.items()}
 PATIENCE_MS = 300
 IDEMPOTENT_FRACTION = 0.7
 SHORT_MS = 120
@@ -27,6 +31,8 @@
     :param long_fraction: part of the requests that run long.
     :param long_ms: mean of their run time; they can be checkpointed.
     :param timeout_ms: how long patient callers wait.
+    :param shares: share of each team; all teams offer the same load.
+    :param steady: whether the load of each team is constant.
     """
 
     cancel_fraction: float
@@ -34,6 +40,8 @@
     long_fraction: float
     long_ms: int
     timeout_ms: int
+    shares: t.Mapping[str, float] = dataclasses.field(default_factory=SIX_SHARES.copy)
+    steady: bool = False
 
     @property
     def mean_run_ms(self) -> float:
@@ -57,6 +65,16 @@
         long_ms=3_000,
         timeout_ms=1_000,
     ),
+    # More waiting teams than slots, all the time.
+    "many-teams": Workload(
+        cancel_fraction=0.65,
+        urgent_fraction=0.05,
+        long_fraction=0.02,
+        long_ms=3_000,
+        timeout_ms=5_000,
+        shares=MANY_SHARES,
+        steady=True,
+    ),
     # Stock counts and catalogue rebuilds, which nobody cancels, fill the slots.
     "overnight": Workload(
         cancel_fraction=0.0,
@@ -96,15 +114,16 @@
     """
     rng = random.Random(seed)
     arrivals: list[Arrival] = []
-    mean_per_ms = load * CAPACITY / workload.mean_run_ms / len(SHARES)
-    for team in SHARES:
+    mean_per_ms = load * CAPACITY / workload.mean_run_ms / len(workload.shares)
+    for team in workload.shares:
         now_ms, phase_ends_ms = 0.0, 0.0
         burst = rng.random() < BURST_MS / (BURST_MS + QUIET_MS)
         while now_ms < seconds * 1000:
             phase_ends_ms = now_ms + rng.expovariate(
                 1 / (BURST_MS if burst else QUIET_MS)
             )
-            rate = mean_per_ms * (BURST_FACTOR if burst else QUIET_FACTOR)
+            factor = BURST_FACTOR if burst else QUIET_FACTOR
+            rate = mean_per_ms * (1 if workload.steady else factor)
             while (now_ms := now_ms + rng.expovariate(rate)) < phase_ends_ms:
                 number = len(arrivals)
                 arrivals.append(_make_arrival(workload, rng, team, int(now_ms), number))
--- a/src/cranberrywheel_load/bench_schedulers.py
+++ b/src/cranberrywheel_load/bench_schedulers.py
@@ -15,7 +15,7 @@
 from cranberrywheel.request.fair_queue import FairQueue
 from cranberrywheel.request.model import Request
 from cranberrywheel.request.retry import RetryBudget, blames_request, plan_retry
-from cranberrywheel_load.bench_arrivals import CAPACITY, SHARES, SLOTS, WORKERS
+from cranberrywheel_load.bench_arrivals import CAPACITY, SLOTS, WORKERS
 
 POOL = "pool"
 #: Upper limit of each team as a part of all slots.
@@ -25,9 +25,14 @@
 
 
 class Policy:
-    """The decisions of the product, as the dispatcher combines them."""
+    """The decisions of the product, as the dispatcher combines them.
 
-    def __init__(self, seed: int) -> None:
+    :param seed: of the random choices.
+    :param shares: share of each team.
+    """
+
+    def __init__(self, seed: int, shares: t.Mapping[str, float]) -> None:
+        self._shares = shares
         self._rng = random.Random(seed)
         self._queue = FairQueue(MAX_QUEUED)
         self._estimates = RunTimeEstimates()
@@ -51,7 +56,7 @@
 
     def admit(self, request: Request, now_ms: int) -> bool:
         """Queue a request unless it is refused."""
-        share = SHARES[request.team]
+        share = self._shares[request.team]
         queued = self._queue.ahead_of(request.team, request.urgent, share)
         wait_ms = self._estimates.wait_ms(request.queue, DECLARED_MS, queued, CAPACITY)
         run_ms = self._estimates.run_ms(request.queue, DECLARED_MS)
@@ -71,7 +76,7 @@
             return None
         limit = LIMIT_FRACTION * CAPACITY
         request = self._queue.pop(
-            now_ms, SHARES, self._use, lambda team: self._use[team] < limit
+            now_ms, self._shares, self._use, lambda team: self._use[team] < limit
         )
         if request is None:
             return None
@@ -229,8 +234,8 @@
 
 
 Scheduler = Policy | Baseline
-SCHEDULERS: dict[str, t.Callable[[int], Scheduler]] = {
+SCHEDULERS: dict[str, t.Callable[[int, t.Mapping[str, float]], Scheduler]] = {
     "policy": Policy,
-    "round-robin": lambda _seed: Baseline(CAPACITY),
-    "equal-parts": lambda _seed: Baseline(CAPACITY // len(SHARES)),
+    "round-robin": lambda _seed, _shares: Baseline(CAPACITY),
+    "equal-parts": lambda _seed, shares: Baseline(max(1, CAPACITY // len(shares))),
 }
--- a/src/cranberrywheel_load/policy_bench.py
+++ b/src/cranberrywheel_load/policy_bench.py
@@ -21,7 +21,6 @@
 from cranberrywheel.request.model import Request
 from cranberrywheel_load.bench_arrivals import (
     CAPACITY,
-    SHARES,
     SLOTS,
     WORKERS,
     WORKLOADS,
@@ -100,12 +99,18 @@
 
     :param scheduler: what is measured.
     :param arrivals: requests in order of arrival.
+    :param shares: share of each team.
     :param fault: one of ``FAULTS``.
     """
 
     def __init__(
-        self, scheduler: Scheduler, arrivals: list[Arrival], fault: str
+        self,
+        scheduler: Scheduler,
+        arrivals: list[Arrival],
+        shares: t.Mapping[str, float],
+        fault: str,
     ) -> None:
+        self._shares = shares
         self._scheduler = scheduler
         self._clock = ManualClock()
         self._fault = fault
@@ -247,11 +252,9 @@
         running = collections.Counter(
             run.arrival.request.team for run in self._running.values()
         )
-        for team in SHARES:
+        for team, share in self._shares.items():
             wanted = running[team] + self._waiting_by_team[team]
-            entitled = min(
-                SHARES[team] * CAPACITY, wanted + self._refused_by_team[team]
-            )
+            entitled = min(share * CAPACITY, wanted + self._refused_by_team[team])
             self.measures.used_ms[window, team] += running[team] * TICK_MS
             self.measures.entitled_ms[window, team] += entitled * TICK_MS
         self._refused_by_team.clear()
@@ -298,7 +301,8 @@
         """
         workload = WORKLOADS[self.workload]
         arrivals = make_arrivals(workload, self.load, self.seconds, seed)
-        return Simulation(SCHEDULERS[self.scheduler](seed), arrivals, self.fault).run()
+        scheduler = SCHEDULERS[self.scheduler](seed, workload.shares)
+        return Simulation(scheduler, arrivals, workload.shares, self.fault).run()
 
 
 def _percentile(values: list[float], part: float) -> float:
