Keep places in a full queue for urgent requests

Cause: with 51 waiting teams the queue was full, and urgent requests were refused. Change: one place in 16 is left to urgent requests.

--- a/src/cranberrywheel/request/fair_queue.py
+++ b/src/cranberrywheel/request/fair_queue.py
@@ -12,8 +12,10 @@
 MIN_SHARE = 0.01
 
 #: A team may queue this many times the free places. A bursting team then leaves room
-#: for the others: one takes four fifths of the queue, five take 95% between them.
+#: for the others: one takes four fifths of the places, five take 95% between them.
 PLACES_PER_FREE_PLACE = 4
+#: One place in this many is left to urgent requests when all teams wait.
+URGENT_PART = 16
 
 #: Use is averaged over this time, because a team whose share is less than one slot
 #: reaches it only by holding a slot part of the time. Of 250, 500, 1,000 and 2,000 ms
@@ -178,6 +180,7 @@
         free = self._max_queued - len(self._requests_by_id)
         if free <= 0 or request.urgent:
             return free > 0
+        free -= self._max_queued // URGENT_PART
         held = len(self._normal_by_team.get(request.team, ()))
         return held < PLACES_PER_FREE_PLACE * free
 
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -69,6 +69,19 @@
         self.assertEqual(["old"], [r.request_id for r in queue.take_expired(5)])
         self.assertEqual([], queue.take_expired(5))
 
+    def test_full_queue_keeps_places_for_urgent_requests(self):
+        queue, number = FairQueue(160), 0
+        while True:
+            try:
+                queue.push(request(f"r{number}", f"team{number}"))
+                number += 1
+            except OverloadedError:
+                break
+        for count in range(10):
+            queue.push(request(f"u{count}", "team0", urgent=True))
+        item = request("u10", urgent=True)
+        self.assertRaises(OverloadedError, queue.push, item)
+
     def test_expired_request_is_never_started(self):
         queue = self.queue(request("old", deadline_ms=5, urgent=True), request("r2"))
         self.assertEqual("r2", queue.pop(5, {}, {}, always).request_id)
