--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -69,6 +69,19 @@
         self.assertEqual(["old"], [r.request_id for r in queue.take_expired(5)])
         self.assertEqual([], queue.take_expired(5))
 
+    def test_full_queue_keeps_places_for_urgent_requests(self):
+        queue, number = FairQueue(160), 0
+        while True:
+            try:
+                queue.push(request(f"r{number}", f"team{number}"))
+                number += 1
+            except OverloadedError:
+                break
+        for count in range(10):
+            queue.push(request(f"u{count}", "team0", urgent=True))
+        item = request("u10", urgent=True)
+        self.assertRaises(OverloadedError, queue.push, item)
+
     def test_expired_request_is_never_started(self):
         queue = self.queue(request("old", deadline_ms=5, urgent=True), request("r2"))
         self.assertEqual("r2", queue.pop(5, {}, {}, always).request_id)
@@ -121,6 +134,14 @@
                 served[team] >= 0.9 * min(offered[team], 0.2 * 2_000), (team, served)
             )
 
+    def test_many_small_teams_do_not_starve_a_large_one(self):
+        # One slot for each small team would leave no slot to the large team.
+        shares = {"large": 0.5} | {f"small{n}": 0.05 for n in range(10)}
+        weights = {"large": 10.0} | dict.fromkeys(list(shares)[1:], 1.0)
+        served, _ = self.run_burst(shares, weights)
+        for team, share in shares.items():
+            self.assertTrue(served[team] >= 0.85 * share * 2_000, (team, served))
+
     def run_burst(self, shares, weights, slots=8, steps=2_000):
         rng = random.Random(SEED)
         queue, running = FairQueue(100), collections.deque()
