--- a/src/cranberrywheel_load/control_cost.py
+++ b/src/cranberrywheel_load/control_cost.py
@@ -115,9 +115,12 @@
     )
 
 
-def measure(entries: int, workers: int, teams: int, seconds: float) -> ControlCost:
+def measure(
+    entries: int, workers: int, teams: int, seconds: float, interval_ms: int
+) -> ControlCost:
     """Run entry instances without callers and measure their control cost.
 
+    :param interval_ms: time between two exchanges with peers.
     :param seconds: length of the measurement after the start has settled.
     """
     zones = min(entries, 4)
@@ -125,6 +128,7 @@
     plan = ClusterPlan(
         text=text,
         entry_zones=tuple(f"z{i % zones}" for i in range(entries)),
+        entry_settings={"entry": {"exchange_interval_ms": interval_ms}},
         with_relays=True,
     )
     with (
@@ -171,10 +175,14 @@
     """Measure the chosen series and print figures and slopes."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--interval-ms", type=int, default=500)
     parser.add_argument("--sizes", choices=(*SERIES, "all"), default="all")
     options = parser.parse_args(arguments)
     for series in SERIES if options.sizes == "all" else (options.sizes,):
-        costs = [measure(*size, options.seconds) for size in SERIES[series]]
+        costs = [
+            measure(*size, options.seconds, options.interval_ms)
+            for size in SERIES[series]
+        ]
         for size, cost in zip(SERIES[series], costs, strict=True):
             figures = dataclasses.asdict(cost).items()
             values = " ".join(f"{name}={value:.2f}" for name, value in figures)
