Resolve the merge of the hand-over checks

Cause: a merge was committed with its conflict in peer_service.py. Change: names are checked and the results are a tuple.

--- a/src/cranberrywheel/connection/peer_service.py
+++ b/src/cranberrywheel/connection/peer_service.py
@@ -132,14 +132,10 @@
     async def HandOver(self, stream: t.Any) -> None:
         message = await self._receive("HandOver", stream)
         try:
-<<<<<<< HEAD
+            check_names([message.process_id, *(m.key_id for m in message.marks)])
             results = tuple(
                 (r.ticket, decode_answer(r.answer)) for r in message.results
             )
-=======
-            check_names([message.process_id, *(m.key_id for m in message.marks)])
-            results = [(r.ticket, decode_answer(r.answer)) for r in message.results]
->>>>>>> store
         except PeerError as error:
             raise self._refuse("HandOver", error) from None
         for mark in message.marks:
