Test the count told while a limit is lowered, and limits that do not divide

Cause: two deliberate faults in a scratch copy passed all tests: telling the dispatcher the record's count before the sum fits, and leaving units that the entry count does not divide unheld. Change: one test for each.

--- a/tests/test_unit_keeper.py
+++ b/tests/test_unit_keeper.py
@@ -30,6 +30,14 @@
         group.run(10_000)
         self.assertEqual([4, 4, 4], [e.usable("t") for e in group.entries])
 
+    def test_units_that_do_not_divide_are_held_too(self):
+        """Units left free cannot be used during an outage."""
+        group = self.group(5)
+        text = TEXT.replace("limit = 12", "limit = 14")
+        group.entries[0].apply(text, 1).result(0)
+        group.run(8_000)
+        self.assertEqual(14, group.usable_total("t"))
+
     def test_store_outage(self):
         """All units stay for 60 s and the long part for an hour."""
         group = self.group()
@@ -173,6 +181,31 @@
         group.run(8_000)
         self.assertEqual(9, group.usable_total("t"))
 
+    def test_count_of_a_record_with_the_old_limit_is_not_used(self):
+        """Another entry may write the record before it knows the new limit."""
+        group = self.group()
+        a, b, c = group.entries
+        c.paused = b.cut_off = True
+        b.session.reader.step = lambda: None
+        put = a.clients[0].put
+
+        def put_configuration_only(key, *args):
+            a.clients[0].delay_writes = key.startswith("limits/")
+            return put(key, *args)
+
+        a.clients[0].put = put_configuration_only
+        a.apply(TEXT.replace("limit = 12", "limit = 6"), 1).result(0)
+        set_held, usable = a.ledger.set_held, [a.usable("t")]
+
+        def set_held_and_note(*args):
+            set_held(*args)
+            usable.append(a.usable("t"))
+
+        a.ledger.set_held = set_held_and_note
+        b.waiting_by_team = {"t": 9}
+        group.run(5_000)
+        self.assertEqual(2, max(usable))
+
     def test_stop_returns_units_and_the_registration(self):
         """A planned stop must not withhold units."""
         group = self.group()
