--- a/src/cranberrywheel_load/control_cost.py
+++ b/src/cranberrywheel_load/control_cost.py
@@ -17,7 +17,8 @@
 import time
 import typing as t
 
-from cranberrywheel_load.cluster import Cluster, ClusterPlan
+from cranberrywheel_load.cluster import Cluster
+from cranberrywheel_load.cluster_plan import ClusterPlan
 from cranberrywheel_standin.http_call import call_json
 
 #: Time in which 14 entries divide the units, which takes many writes, and settle.
@@ -102,17 +103,44 @@
     return sum(t.cast(dict[str, int], counters).values())
 
 
-def _reading(cluster: Cluster, pids: list[int]) -> tuple[float, float, int, int, int]:
-    peer_ports = {place.peer_port for place in cluster.places.values()}
-    traffic = cluster.traffic()
-    peer = sum(n for port, n in traffic.items() if port in peer_ports)
-    return (
-        time.monotonic(),
-        sum(map(_processor_s, pids)),
-        peer,
-        sum(traffic.values()) - peer,
-        _store_calls(cluster),
-    )
+class ControlReader:
+    """Measures the entry processes of a cluster from its creation on.
+
+    Peer and platform traffic is what passes the cluster's relays; calls to workers
+    of other zones pass relays too and count as neither.
+    """
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self._pids = [cluster.processes[name].pid for name in cluster.places]
+        self._before = self._read()
+
+    def _read(self) -> tuple[float, float, int, int, int]:
+        peer_ports = {place.peer_port for place in self._cluster.places.values()}
+        platform_port = int(self._cluster.platform_url.rpartition(":")[2])
+        traffic = self._cluster.traffic()
+        return (
+            time.monotonic(),
+            sum(map(_processor_s, self._pids)),
+            sum(n for port, n in traffic.items() if port in peer_ports),
+            traffic.get(platform_port, 0),
+            _store_calls(self._cluster),
+        )
+
+    def cost(self) -> ControlCost:
+        """Return the mean cost since the creation."""
+        length_s, processor_s, peer, platform, calls = (
+            b - a for a, b in zip(self._before, self._read(), strict=True)
+        )
+        entries = len(self._pids)
+        return ControlCost(
+            core_percent=100 * processor_s / length_s / entries,
+            memory_mb=sum(map(_memory_mb, self._pids)) / entries,
+            # Each exchange is paid by the entry that asks and by the one that answers.
+            peer_bytes_s=2 * peer / length_s / entries,
+            platform_bytes_s=platform / length_s / entries,
+            store_calls_s=calls / length_s,
+        )
 
 
 def measure(
@@ -137,22 +165,9 @@
     ):
         cluster.apply_text(text)
         time.sleep(SETTLE_S)
-        pids = [cluster.processes[name].pid for name in cluster.places]
-        before = _reading(cluster, pids)
+        reader = ControlReader(cluster)
         time.sleep(seconds)
-        after = _reading(cluster, pids)
-        memory_mb = sum(map(_memory_mb, pids)) / entries
-    length_s, processor_s, peer, platform, calls = (
-        b - a for a, b in zip(before, after, strict=True)
-    )
-    return ControlCost(
-        core_percent=100 * processor_s / length_s / entries,
-        memory_mb=memory_mb,
-        # Each exchange is paid by the entry that asks and by the one that answers.
-        peer_bytes_s=2 * peer / length_s / entries,
-        platform_bytes_s=platform / length_s / entries,
-        store_calls_s=calls / length_s,
-    )
+        return reader.cost()
 
 
 def fit(points: t.Sequence[tuple[float, float]]) -> tuple[float, float, float]:
