Keep one malformed limit record from blocking a registration

Cause: resolving a lost write of a malformed record raised before the guard that skips such a team, so no team could be rejoined after a lapsed lease. Change: the resolution moves inside the guard. Conclusion: only the team of the malformed record is without units.

--- a/src/cranberrywheel/process/unit_keeper.py
+++ b/src/cranberrywheel/process/unit_keeper.py
@@ -175,11 +175,8 @@
         """
         self._own = registration
         for team in list(self._states_by_team):
-            key = LIMITS_PREFIX + team
-            if self._writer.is_lost(key):
-                self._writer.resolve(key)
             try:
-                self._rejoin_team(key)
+                self._rejoin_team(LIMITS_PREFIX + team)
             except (StoreUnavailableError, StoreConflictError):
                 raise
             except StoreError as error:
@@ -188,6 +185,8 @@
                 self._to_dispatcher(UnitsHeld(team, 0, 0))
 
     def _rejoin_team(self, key: str) -> None:
+        if self._writer.is_lost(key):
+            self._writer.resolve(key)
         stored = self._writer.read(key)
         if stored is None:
             return
