Do not deny requests whose result was dropped before a hand-over

Cause: a receiver answered not-run for every ticket that the export did not list, also for requests that ran and whose result was dropped after its retention. Change: an export carries the latest expiry of a dropped result, as an entry with serial 0; tickets up to that expiry are unknown to the receiver. WorkerTable.choose is shorter. Conclusion: found by reading; not-run stays true after a hand-over.

--- a/src/cranberrywheel/process/worker_table.py
+++ b/src/cranberrywheel/process/worker_table.py
@@ -27,6 +27,16 @@
 MAX_PENALTY_MS = 10_000
 #: A worker that refused a start is probably full; it keeps the slot this long.
 REFUSAL_PENALTY_MS = 100
+Names = t.Collection[str]
+
+
+def _load(
+    excluded: Names, avoided_racks: Names, worker: WorkerState, _now_ms: int
+) -> float | None:
+    row = worker.row
+    if row.name in excluded or row.rack in avoided_racks:
+        return None
+    return worker.load() / row.slots
 
 
 class WorkerTable:
@@ -82,7 +92,7 @@
             worker.leaving = name in self._leaving
             self._refresh(worker)
 
-    def set_leaving(self, names: t.Collection[str]) -> None:
+    def set_leaving(self, names: Names) -> None:
         """Replace the set of workers that get no new work.
 
         :param names: workers that the instance list or a peer reports as leaving.
@@ -134,8 +144,8 @@
         self,
         pool: str,
         now_ms: int,
-        excluded: t.Collection[str] = (),
-        avoided_racks: t.Collection[str] = (),
+        excluded: Names = (),
+        avoided_racks: Names = (),
         may_probe: bool = True,
     ) -> WorkerRow | None:
         """Choose the worker for one attempt.
@@ -159,21 +169,12 @@
             self._schedule_probe(probed, now_ms + FIRST_BACKOFF_MS)
             return probed.row
 
-        def load(
-            worker: WorkerState, _now_ms: int, racks: t.Collection[str]
-        ) -> float | None:
-            row = worker.row
-            if row.name in excluded or row.rack in racks:
-                return None
-            return worker.load() / row.slots
-
-        groups = (state.near, state.far)
-        view = functools.partial(load, racks=avoided_racks)
-        chosen = choose_worker(groups, view, self._rng, now_ms)
-        if chosen is None and avoided_racks:
-            view = functools.partial(load, racks=())
-            chosen = choose_worker(groups, view, self._rng, now_ms)
-        return chosen.row if chosen else None
+        for racks in (avoided_racks, ()) if avoided_racks else ((),):
+            view = functools.partial(_load, excluded, racks)
+            groups = (state.near, state.far)
+            if chosen := choose_worker(groups, view, self._rng, now_ms):
+                return chosen.row
+        return None
 
     def has_room(self, pool: str, now_ms: int) -> bool:
         """Tell whether :meth:`choose` would find a worker for a first attempt.
@@ -211,9 +212,8 @@
         :param verdict: how the attempt ended.
         :param duration_ms: time since it was sent.
         :param now_ms: clock reading.
-        :param expected_ms: run time expected of its queue. Give it for all attempts
-            of a pool whose queues differ in run time, or long requests make their
-            worker look slow.
+        :param expected_ms: run time expected of its queue. Without it, long requests
+            make their worker look slow in a pool whose queues differ.
         """
         found = self._workers_by_name.get(worker)
         if found is None:
--- a/src/cranberrywheel/request/ticket.py
+++ b/src/cranberrywheel/request/ticket.py
@@ -21,6 +21,9 @@
 #: the names of teams, queues and processes.
 SEPARATOR = "~"
 MAC_BYTES = 16
+#: Serial of the entry in an export that says which tickets were forgotten. Issued
+#: tickets count from 1.
+FORGOTTEN_SERIAL = "0"
 #: A team may hold this many times the free places of the book, so that one team that
 #: asks for many tickets leaves some for the others.
 PLACES_PER_FREE_PLACE = 4
@@ -66,6 +69,9 @@
 @dataclasses.dataclass(slots=True)
 class _HandedOver:
     answers_by_ticket: dict[str, Answer]
+    #: Results of tickets that expired up to this reading of the other process's clock
+    #: may have been dropped before the export.
+    forgotten_ms: int
     #: Set by the first ``expire`` after the import.
     drop_ms: int | None = None
 
@@ -131,6 +137,8 @@
         self._drops: list[tuple[int, str]] = []
         self._handed_over_by_process: dict[str, _HandedOver] = {}
         self._exported = False
+        #: Latest expiry of a ticket whose result was dropped, or -1.
+        self._forgotten_ms = -1
 
     def issue(self, team: str, queue: str, now_ms: int) -> str:
         """Create a ticket.
@@ -243,6 +251,8 @@
                 heapq.heappush(self._drops, (later_ms, ticket))
             else:
                 self._records_by_ticket.pop(ticket, None)
+                if finished:
+                    self._forgotten_ms = max(self._forgotten_ms, fields.expires_ms)
                 self._reserved -= 1
                 self._reserved_by_team[fields.team] -= 1
         self._expire_handed_over(now_ms)
@@ -251,12 +261,17 @@
         """Return all results for a peer and start nothing more.
 
         Requests that are still claimed are listed with outcome ``unknown``, because
-        the receiver answers unlisted tickets with ``not-run``.
+        the receiver answers unlisted tickets with ``not-run``. One further entry says
+        which tickets may have run but were dropped after their retention.
 
         :returns: pairs of ticket and answer.
         """
         self._exported = True
         results = []
+        if self._forgotten_ms >= 0:
+            fields = (self._process_id, "", "", FORGOTTEN_SERIAL)
+            signed = SEPARATOR.join((*fields, str(self._forgotten_ms)))
+            results.append((signed + SEPARATOR + self._mac(signed), _unknown_answer()))
         for ticket, record in self._records_by_ticket.items():
             if record.phase is _Phase.FINISHED and record.answer:
                 results.append((ticket, record.answer))
@@ -283,7 +298,11 @@
             raise OverloadedError(
                 f"The results of {process_id} do not fit.", "Hand over to another peer."
             )
-        self._handed_over_by_process[process_id] = _HandedOver(answers)
+        parsed = (_parse(ticket)[0] for ticket in answers)
+        forgotten_ms = max(
+            (f.expires_ms for f in parsed if f.serial == FORGOTTEN_SERIAL), default=-1
+        )
+        self._handed_over_by_process[process_id] = _HandedOver(answers, forgotten_ms)
 
     def _mac(self, signed: str) -> str:
         digest = hmac.new(self._secret, signed.encode(), hashlib.sha256).digest()
@@ -300,7 +319,7 @@
     def _look_up(self, ticket: str, fields: _Fields, now_ms: int) -> Claim | None:
         """Return what is known, or ``None`` for a ticket that can be claimed."""
         if fields.process_id != self._process_id:
-            return self._look_up_handed_over(ticket, fields.process_id)
+            return self._look_up_handed_over(ticket, fields)
         record = self._records_by_ticket.get(ticket)
         if record is None:
             if now_ms >= fields.expires_ms + self._settings.ticket_retention_ms:
@@ -312,14 +331,14 @@
             return Claim(ClaimState.NOT_RUN)
         return Claim(ClaimState.RUNNING)
 
-    def _look_up_handed_over(self, ticket: str, process_id: str) -> Claim:
-        handed = self._handed_over_by_process.get(process_id)
+    def _look_up_handed_over(self, ticket: str, fields: _Fields) -> Claim:
+        handed = self._handed_over_by_process.get(fields.process_id)
         if handed is None:
             return Claim(ClaimState.UNKNOWN)
         answer = handed.answers_by_ticket.get(ticket)
-        if answer is None:
+        if answer is None and fields.expires_ms > handed.forgotten_ms:
             return Claim(ClaimState.NOT_RUN)
-        if answer.outcome is Outcome.UNKNOWN:
+        if answer is None or answer.outcome is Outcome.UNKNOWN:
             return Claim(ClaimState.UNKNOWN)
         return Claim(ClaimState.FINISHED, answer)
 
--- a/tests/test_ticket.py
+++ b/tests/test_ticket.py
@@ -166,6 +166,17 @@
         self.assertEqual(ClaimState.NOT_RUN, self.claim(1, unused).state)
         self.assertRaises(OverloadedError, self.book.issue, "team", "queue", 1)
 
+    def test_result_dropped_before_the_hand_over_is_not_denied(self):
+        # Guards against a not-run for a request that ran long before.
+        self.run_request()
+        now_ms = LIFETIME_MS + RETENTION_MS
+        self.book.expire(now_ms)
+        later = self.book.issue("team", "queue", now_ms)
+        other = book("z1.e2.y")
+        other.import_results("z1.e1.x", self.book.export_results())
+        self.assertEqual(ClaimState.UNKNOWN, other.query(self.ticket, 0).state)
+        self.assertEqual(ClaimState.NOT_RUN, other.query(later, 0).state)
+
     def test_handed_over_results_expire(self):
         other = book("z1.e2.y")
         other.import_results("z1.e1.x", [])
