Prove the unit time model for traces of any length

Change: unit_proof.py extends the model by the true times of the recorded readings; its invariant is inductive. The tests search to 6 steps where a proof exists. Conclusion: the times hold for any number of renewals, pauses and rejoins.

--- a/src/cranberrywheel_spec/check.py
+++ b/src/cranberrywheel_spec/check.py
@@ -17,6 +17,7 @@
 from cranberrywheel_spec.key_freshness import key_freshness
 from cranberrywheel_spec.pool_moves import pool_moves
 from cranberrywheel_spec.tickets import tickets
+from cranberrywheel_spec.unit_proof import unit_proof
 from cranberrywheel_spec.unit_times import LONG, SHORT, unit_times
 from cranberrywheel_spec.unit_transfers import unit_transfers
 
@@ -29,6 +30,14 @@
     key_freshness(),
 )
 
+#: Models with an inductive invariant, by the name of the model that they prove.
+PROOFS: dict[str, Model] = {
+    "unit times, short": unit_proof(SHORT),
+    "unit times, long": unit_proof(LONG),
+    "unit transfers": unit_transfers(),
+    "tickets": tickets(),
+}
+
 
 def size(model: Model) -> str:
     """Describe the size of a model: variables and actions."""
@@ -62,8 +71,8 @@
     print(f"  all guards: {result.violated or 'holds'}, every trace to {result.depth}")
     for step in result.steps:
         print(f"    {step}")
-    if model.invariant:
-        failed = prove(model)
+    if proof := PROOFS.get(model.name):
+        failed = prove(proof)
         good = good and not failed
         text = f"not proved: {', '.join(failed)}" if failed else "proved"
         print(f"  any length: {text}")
--- a/tests/test_spec_models.py
+++ b/tests/test_spec_models.py
@@ -11,6 +11,7 @@
 from cranberrywheel_spec.key_freshness import key_freshness
 from cranberrywheel_spec.pool_moves import pool_moves
 from cranberrywheel_spec.tickets import tickets
+from cranberrywheel_spec.unit_proof import unit_proof
 from cranberrywheel_spec.unit_times import LONG, SHORT, SHORT_AS_DESIGNED, unit_times
 from cranberrywheel_spec.unit_transfers import unit_transfers
 
@@ -19,10 +20,17 @@
     """Guards against a protocol change that breaks an invariant, and against a check
     that would not notice: each guard that is dropped must give a violation."""
 
-    def test_properties_hold_to_the_depth(self):
-        self.assertEqual("", search(self.model).violated)
-        if self.model.invariant:
-            self.assertEqual([], prove(self.model))
+    def test_properties_hold(self):
+        proof = check.PROOFS.get(self.model.name)
+        # A proof covers any length; the search is then a second, shorter check.
+        self.assertEqual("", search(self.model, depth=6 if proof else 0).violated)
+        if proof:
+            self.assertEqual([], prove(proof))
+
+    def test_proof_needs_each_guard(self):
+        proof = check.PROOFS.get(self.model.name)
+        for guard in proof.guards if proof else ():
+            self.assertNotEqual([], prove(proof, guard), guard)
 
     def test_each_missing_guard_is_found(self):
         found = {g: check.without(self.model, g).violated for g in self.model.guards}
@@ -34,6 +42,8 @@
 
     def test_margin_over_token_and_task_lease_alone_is_too_short(self):
         self.assertEqual(7, search(unit_times(SHORT_AS_DESIGNED)).depth)
+        failed = prove(unit_proof(SHORT_AS_DESIGNED))
+        self.assertEqual(["reclaimer writes the record"], failed)
 
 
 class LongUnitTimesTest(ModelChecks, testtools.TestCase):
@@ -98,6 +108,7 @@
     def test_report_fails_for_a_guard_without_effect(self):
         idle = dataclasses.replace(COUNTER, properties=lambda s: {"small": s.n >= 0})
         with contextlib.redirect_stdout(io.StringIO()) as output:
+            self.patch(check, "PROOFS", {"counter": COUNTER})
             self.assertTrue(check.report(COUNTER, deeper=0, traces=True))
             self.assertFalse(check.report(idle, deeper=0, traces=False))
         self.assertIn("without 'bound': HOLDS", output.getvalue())
