Let an export state from which expiry on results are kept

Cause: with the latest dropped expiry a peer answered not-run for a ticket past its retention that never ran; true, but not what the checked model allows, and the comparison failed. Change: forgotten_ms is the owner's clock reading less its retention.

--- a/src/cranberrywheel/process/dispatcher.py
+++ b/src/cranberrywheel/process/dispatcher.py
@@ -66,7 +66,7 @@
                 msg.process_id, msg.export
             ),
             m.ExportResults: lambda msg: msg.export.set_result(
-                state.tickets.export_results()
+                state.tickets.export_results(self._now_ms())
             ),
             m.Stop: self._begin_stop,
             target_client.AttemptFinished: self._attempts.finished,
--- a/src/cranberrywheel/request/ticket.py
+++ b/src/cranberrywheel/request/ticket.py
@@ -53,8 +53,8 @@
 class TicketExport:
     """Results that a process hands over when it shuts down.
 
-    :param forgotten_ms: latest expiry, on its clock, of a ticket that ran and whose
-        result it has dropped; -1 for none.
+    :param forgotten_ms: latest expiry, on its clock, of a ticket that may have run
+        and whose result it may have dropped.
     :param results: pairs of ticket and answer.
     """
 
@@ -144,8 +144,6 @@
         self._drops: list[tuple[int, str]] = []
         self._handed_over_by_process: dict[str, _HandedOver] = {}
         self._exported = False
-        #: Latest expiry of a ticket whose result was dropped, or -1.
-        self._forgotten_ms = -1
 
     def issue(self, team: str, queue: str, now_ms: int) -> str:
         """Create a ticket.
@@ -258,8 +256,6 @@
                 heapq.heappush(self._drops, (later_ms, ticket))
             else:
                 self._records_by_ticket.pop(ticket, None)
-                if finished:
-                    self._forgotten_ms = max(self._forgotten_ms, fields.expires_ms)
                 self._reserved -= 1
                 self._reserved_by_team[fields.team] -= 1
         self._expire_handed_over(now_ms)
@@ -277,11 +273,13 @@
         claim = self._look_up(ticket, fields, now_ms)
         return claim is not None and claim.state is not ClaimState.NOT_RUN
 
-    def export_results(self) -> TicketExport:
+    def export_results(self, now_ms: int) -> TicketExport:
         """Return all results for a peer and start nothing more.
 
         Requests that are still claimed are listed with outcome ``unknown``, because
         the receiver answers unlisted tickets with ``not-run``.
+
+        :param now_ms: clock reading.
         """
         self._exported = True
         results = []
@@ -290,7 +288,10 @@
                 results.append((ticket, record.answer))
             elif record.phase is not _Phase.VOID:
                 results.append((ticket, _unknown_answer()))
-        return TicketExport(forgotten_ms=self._forgotten_ms, results=tuple(results))
+        return TicketExport(
+            forgotten_ms=now_ms - self._settings.ticket_retention_ms,
+            results=tuple(results),
+        )
 
     def import_results(self, process_id: str, export: TicketExport) -> None:
         """Answer for a process that shut down.
--- a/src/cranberrywheel_spec/ticket_conformance.py
+++ b/src/cranberrywheel_spec/ticket_conformance.py
@@ -145,7 +145,7 @@
                 self.walk.take("owner drops the record")
 
     def hand_over(self) -> None:
-        export = self.owner.export_results()
+        export = self.owner.export_results(self.now_ms)
         self.peer.import_results("z1.e1.0", export)
         self.walk.take("owner exports")
         self.walk.take("peer takes over")
--- a/tests/test_ticket.py
+++ b/tests/test_ticket.py
@@ -151,7 +151,7 @@
         self.run_request()
         self.book.claim(running, "team", "queue", 0)
         other = book("z1.e2.y")
-        other.import_results("z1.e1.x", self.book.export_results())
+        other.import_results("z1.e1.x", self.book.export_results(0))
         self.assertEqual(ANSWER, other.query(self.ticket, 0).answer)
         self.assertEqual(ClaimState.NOT_RUN, other.query(unused, 0).state)
         # A request that may still run must not be reported as not run.
@@ -167,13 +167,13 @@
         self.book.expire(now_ms)
         later = self.book.issue("team", "queue", now_ms)
         other = book("z1.e2.y")
-        other.import_results("z1.e1.x", self.book.export_results())
+        other.import_results("z1.e1.x", self.book.export_results(now_ms))
         self.assertEqual(ClaimState.UNKNOWN, other.query(self.ticket, 0).state)
         self.assertEqual(ClaimState.NOT_RUN, other.query(later, 0).state)
 
     def test_handed_over_results_expire(self):
         other = book("z1.e2.y")
-        other.import_results("z1.e1.x", self.book.export_results())
+        other.import_results("z1.e1.x", self.book.export_results(0))
         self.assertEqual(ClaimState.NOT_RUN, other.query(self.ticket, 0).state)
         other.expire(0)
         other.expire(LIFETIME_MS + RETENTION_MS)
@@ -192,7 +192,7 @@
         # Guards against a partial import, after which not-run would be false.
         self.run_request()
         other = book("z1.e2.y", max_tickets=0)
-        export = self.book.export_results()
+        export = self.book.export_results(0)
         self.assertRaises(OverloadedError, other.import_results, "z1.e1.x", export)
         self.assertEqual(ClaimState.UNKNOWN, other.query(self.ticket, 0).state)
 
--- a/tests/test_ticket_conformance.py
+++ b/tests/test_ticket_conformance.py
@@ -22,8 +22,8 @@
 
 
 class UnlistedBook(TicketBook):
-    def export_results(self):
-        export = super().export_results()
+    def export_results(self, now_ms):
+        export = super().export_results(now_ms)
         listed = tuple((t, a) for t, a in export.results if a.outcome != "unknown")
         return dataclasses.replace(export, results=listed)
 
