Make TicketBook.expire easier to read

Cause: the dates at which a record is kept were computed from several flags. Change: one branch for running, one for retained, one for dropped records.

--- a/src/cranberrywheel/request/estimates.py
+++ b/src/cranberrywheel/request/estimates.py
@@ -72,7 +72,7 @@
 
         :param queue: queue name.
         :param declared_ms: run time in the configuration.
-        :param queued: requests that start before it.
+        :param queued: requests that start before it; see ``FairQueue.ahead_of``.
         :param slots: slots that serve them.
         :returns: milliseconds; infinite without slots.
         """
--- a/src/cranberrywheel/request/ticket.py
+++ b/src/cranberrywheel/request/ticket.py
@@ -239,22 +239,21 @@
         retention_ms = self._settings.ticket_retention_ms
         while self._drops and self._drops[0][0] <= now_ms:
             due_ms, ticket = heapq.heappop(self._drops)
-            record = self._records_by_ticket.get(ticket)
             fields = _parse(ticket)[0]
-            finished = record is not None and record.phase is _Phase.FINISHED
-            running = record is not None and record.phase in (
-                _Phase.CLAIMED,
-                _Phase.STARTED,
-            )
-            if running or (finished and due_ms < fields.expires_ms + retention_ms):
-                later_ms = max(due_ms, now_ms if running else 0) + retention_ms
+            kept_until_ms = fields.expires_ms + retention_ms
+            record = self._records_by_ticket.get(ticket)
+            phase = record.phase if record else _Phase.VOID
+            if phase in (_Phase.CLAIMED, _Phase.STARTED):
+                later_ms = max(kept_until_ms, now_ms + retention_ms)
                 heapq.heappush(self._drops, (later_ms, ticket))
+            elif phase is _Phase.FINISHED and due_ms < kept_until_ms:
+                heapq.heappush(self._drops, (kept_until_ms, ticket))
             else:
                 self._records_by_ticket.pop(ticket, None)
-                if finished:
-                    self._forgotten_ms = max(self._forgotten_ms, fields.expires_ms)
                 self._reserved -= 1
                 self._reserved_by_team[fields.team] -= 1
+                if phase is _Phase.FINISHED:
+                    self._forgotten_ms = max(self._forgotten_ms, fields.expires_ms)
         self._expire_handed_over(now_ms)
 
     def export_results(self) -> list[tuple[str, Answer]]:
