Pass handed-over results on, hold short units for 150 s, use the decisions' advice

Change: short_hold_ms 150 s; exports of others are handed on and a stopped peer is dropped at once; withdraw needs two entries or all; CLOCK_BOOTTIME; start_by, ahead_of, may_probe, expected run times and excused workers in placement. No experiment was run yet.

--- a/src/cranberrywheel/clock.py
+++ b/src/cranberrywheel/clock.py
@@ -5,7 +5,9 @@
 
 
 class Clock:
-    """Reads the monotonic clock of this process.
+    """Reads the time since boot, which also passes while the machine is suspended.
+
+    A clock that stopped during a suspend would let leases seem valid afterwards.
 
     Readings are comparable only within one process; messages carry durations.
     """
@@ -15,7 +17,7 @@
 
         :returns: milliseconds since an arbitrary start.
         """
-        return time.monotonic_ns() // 1_000_000
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
     def sleep_ms(self, duration_ms: int) -> None:
         """Block the calling thread.
--- a/src/cranberrywheel/connection/peer_service.py
+++ b/src/cranberrywheel/connection/peer_service.py
@@ -73,6 +73,8 @@
         self._submit_forwarded = submit_forwarded
         self._cancel_forwarded = cancel_forwarded
         self._import_results = import_results
+        #: Set before the service cancels its calls.
+        self.stopping = False
         self._note_malformed = note_malformed
 
     def _refuse(self, call: str, error: PeerError) -> grpclib.exceptions.GRPCError:
@@ -123,9 +125,11 @@
         except CranberrywheelError as error:
             answer = error_answer(incoming.request_id, error)
         except asyncio.CancelledError:
-            # The peer hung up or the service stops. grpclib answers nothing to a
-            # cancelled call, and the peer would wait for its whole timeout.
             self._cancel_forwarded(incoming.request_id)
+            if not self.stopping:
+                raise
+            # grpclib answers nothing to a cancelled call, and the peer would wait
+            # for its whole timeout.
             raise grpclib.exceptions.GRPCError(Status.UNAVAILABLE) from None
         await stream.send_message(encode_answer(answer))
 
@@ -240,13 +244,13 @@
         return self._submit(self._forward(peer_address, message, timeout_ms))
 
     def hand_over(
-        self, peer_address: str, export: TicketExport
+        self, peer_address: str, process_id: str, export: TicketExport
     ) -> "concurrent.futures.Future[int]":
         """Hand ticket results and withdrawal marks to a peer at shutdown.
 
         :returns: gets the number of accepted results, or :class:`PeerError`.
         """
-        message = peer_pb2.HandOverRequest(process_id=self._exchange.process_id)
+        message = peer_pb2.HandOverRequest(process_id=process_id)
         message.forgotten_ms = export.forgotten_ms
         for ticket, answer in export.results:
             message.results.add(ticket=ticket, answer=encode_answer(answer))
@@ -278,6 +282,7 @@
         self._started.set_result(None)
         rounds = asyncio.ensure_future(self._run_exchanges())
         await self._stop_event.wait()
+        self._handlers.stopping = True
         rounds.cancel()
         server.close()
         # Running calls are answered with an error first.
--- a/src/cranberrywheel/process/attempts.py
+++ b/src/cranberrywheel/process/attempts.py
@@ -61,6 +61,7 @@
     worker: WorkerRow
     state: AttemptState
     created_ms: int
+    expected_ms: float
     sent_ms: int = 0
     lease_sent_ms: int = 0
     seen_running_ms: int = 0
@@ -131,10 +132,16 @@
         return list(self._by_task.values())
 
     def start(
-        self, request: Request, queue: Queue, worker: WorkerRow, checkpoint: str = ""
+        self,
+        request: Request,
+        queue: Queue,
+        worker: WorkerRow,
+        expected_ms: float,
+        checkpoint: str = "",
     ) -> str | None:
         """Start a request at a worker.
 
+        :param expected_ms: run time that its queue's requests usually take.
         :param checkpoint: id of the checkpointed task that it continues, or ``""``.
 
         :returns: the task id, or ``None`` if the team has no unit left.
@@ -150,6 +157,7 @@
             worker=worker,
             state=AttemptState.NEEDS_TOKEN,
             created_ms=now_ms,
+            expected_ms=expected_ms,
             checkpoint=checkpoint,
         )
         self._by_task[task_id] = attempt
@@ -389,7 +397,9 @@
         now_ms = self._clock.now_ms()
         self._by_task.pop(attempt.task_id, None)
         duration_ms = now_ms - (attempt.sent_ms or now_ms)
-        self._workers.finished(attempt.worker.name, verdict, duration_ms, now_ms)
+        self._workers.finished(
+            attempt.worker.name, verdict, duration_ms, now_ms, attempt.expected_ms
+        )
         if attempt.request.team:
             self._ledger.give_back(attempt.task_id)
 
--- a/src/cranberrywheel/process/dispatcher.py
+++ b/src/cranberrywheel/process/dispatcher.py
@@ -62,12 +62,8 @@
             m.ReleaseUnits: self._release_units,
             m.PeerReport: state.fleet.set_peer,
             m.PeerLost: lambda msg: state.fleet.drop_peer(msg.process_id),
-            m.ResultsHandedOver: lambda msg: state.tickets.import_results(
-                msg.process_id, msg.export
-            ),
-            m.ExportResults: lambda msg: msg.export.set_result(
-                state.tickets.export_results(self._now_ms())
-            ),
+            m.ResultsHandedOver: self._results_handed_over,
+            m.ExportResults: self._export_results,
             m.Stop: self._begin_stop,
             target_client.AttemptFinished: self._attempts.finished,
             target_client.TokenFetched: self._attempts.token_fetched,
@@ -142,6 +138,16 @@
         self._flow.drop_removed_queues()
         _log.event("configuration in force", version=snapshot.version)
 
+    def _export_results(self, message: m.ExportResults) -> None:
+        tickets = self._state.tickets
+        own = (self._state.process_id, tickets.export_results(self._now_ms()))
+        message.exports.set_result([own, *tickets.export_handed_over()])
+
+    def _results_handed_over(self, message: m.ResultsHandedOver) -> None:
+        self._state.tickets.import_results(message.process_id, message.export)
+        # Its listener is closed: nothing may be forwarded to it any more.
+        self._state.fleet.drop_peer(message.process_id)
+
     def _units_held(self, message: m.UnitsHeld) -> None:
         self._state.ledger.set_held(
             message.team, message.long_units, message.short_units
--- a/src/cranberrywheel/process/entry.py
+++ b/src/cranberrywheel/process/entry.py
@@ -178,12 +178,14 @@
         done.result(timeout=STORE_STOP_WAIT_S)
 
     def _hand_over(self) -> None:
-        exported: Future[TicketExport] = Future()
+        exported: Future[list[tuple[str, TicketExport]]] = Future()
         self._dispatcher.post(m.ExportResults(exported))
-        export = exported.result(timeout=HAND_OVER_WAIT_S)
+        exports = exported.result(timeout=HAND_OVER_WAIT_S)
         pending: list[tuple[str, t.Any]] = [
-            (peer.peer_address, self._peers.hand_over(peer.peer_address, export))
+            (peer.peer_address, self._peers.hand_over(peer.peer_address, *export))
             for peer in self._exchange.peers()
+            for export in exports
+            if export[0] != peer.process_id
         ]
         for address, future in pending:
             try:
--- a/src/cranberrywheel/process/messages.py
+++ b/src/cranberrywheel/process/messages.py
@@ -80,9 +80,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class ExportResults:
-    """To the dispatcher: the future gets the results of finished tickets."""
+    """To the dispatcher: the future gets the results of finished tickets.
 
-    export: "Future[TicketExport]"
+    They come by process id: its own, and those that were handed over to it.
+    """
+
+    exports: "Future[list[tuple[str, TicketExport]]]"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cranberrywheel/process/pending.py
+++ b/src/cranberrywheel/process/pending.py
@@ -36,6 +36,7 @@
     :param attempts: attempts so far.
     :param may_have_run: whether an attempt was started or may have been.
     :param checkpoint: id of the checkpointed task to continue, or ``""``.
+    :param failed_workers: workers on which an attempt ran and failed or broke.
     :param misfits: workers that said the request does not fit.
     """
 
@@ -46,6 +47,7 @@
     misfits: int = 0
     may_have_run: bool = False
     checkpoint: str = ""
+    failed_workers: set[str] = dataclasses.field(default_factory=set)
     tried_workers: set[str] = dataclasses.field(default_factory=set)
     avoided_racks: set[str] = dataclasses.field(default_factory=set)
 
--- a/src/cranberrywheel/process/placement.py
+++ b/src/cranberrywheel/process/placement.py
@@ -13,7 +13,7 @@
 from cranberrywheel.process.request_flow import RequestFlow
 from cranberrywheel.request.model import Answer, Outcome, Request
 from cranberrywheel.request.problem import problem_answer
-from cranberrywheel.request.retry import plan_retry
+from cranberrywheel.request.retry import blames_request, plan_retry
 
 #: Workers that must say "does not fit" before a request counts as impossible.
 MISFITS_TO_REFUSE = 2
@@ -60,7 +60,7 @@
                 if request is None:
                     break
                 if not self._start(request, pool, now_ms):
-                    fair_queue.push(request)
+                    self.flow.push(request)
                     break
             for request in fair_queue.take_expired(now_ms):
                 self.flow.drop_expired(request)
@@ -70,16 +70,20 @@
         if pending is None:
             return True
         workers = self._state.workers
-        worker = (
-            workers.choose(pool, now_ms, pending.tried_workers, pending.avoided_racks)
-            or workers.choose(pool, now_ms, pending.tried_workers)
-            or workers.choose(pool, now_ms)
-        )
+        # A probe may fail, so it takes a request that can be retried and can wait.
+        may_probe = request.idempotent and not request.urgent
+        tried, racks = pending.tried_workers, pending.avoided_racks
+        worker = workers.choose(pool, now_ms, tried, racks, may_probe)
+        if worker is None and tried:
+            worker = workers.choose(pool, now_ms, may_probe=may_probe)
         if worker is None:
             return False
         assert self._state.snapshot is not None
         found = self._state.snapshot.configuration.queues_by_name[request.queue]
-        task_id = self.attempts.start(request, found, worker, pending.checkpoint)
+        expected_ms = self._state.estimates.run_ms(found.name, found.run_ms)
+        task_id = self.attempts.start(
+            request, found, worker, expected_ms, pending.checkpoint
+        )
         if task_id is None:
             return False
         if request.ticket:
@@ -186,7 +190,7 @@
         if request.service not in self._state.queues_by_service:
             return
         try:
-            self._state.queues_by_service[request.service].push(request)
+            self.flow.push(request)
         except OverloadedError as error:
             self.flow.finish_not_run(pending, error)
 
@@ -198,6 +202,12 @@
     ) -> bool:
         now_ms = self._state.clock.now_ms()
         request = pending.request
+        if not certainly_not_started:
+            pending.failed_workers.add(result.attempt.worker.name)
+            if blames_request(pending.failed_workers):
+                self._state.workers.excuse(pending.failed_workers, now_ms)
+                _log.event("request failed everywhere", request_id=request.request_id)
+                return False
         delay_ms = plan_retry(
             request,
             pending.attempts,
--- a/src/cranberrywheel/process/relief.py
+++ b/src/cranberrywheel/process/relief.py
@@ -14,14 +14,13 @@
 _log = PartLogger("relief")
 
 
-def _describe(state: EntryState, attempt: Attempt) -> RunningTask:
-    run_ms = state.estimates.run_ms(attempt.queue.name, attempt.queue.run_ms)
+def _describe(attempt: Attempt) -> RunningTask:
     return RunningTask(
         request_id=attempt.task_id,
         urgent=attempt.request.urgent,
         can_checkpoint=attempt.queue.can_checkpoint,
         can_throttle=False,
-        expected_end_ms=round(attempt.created_ms + run_ms),
+        expected_end_ms=round(attempt.created_ms + attempt.expected_ms),
         displaced=attempt.displaced,
     )
 
@@ -43,7 +42,7 @@
         if state.workers.has_room(pool, now_ms):
             continue
         running = [
-            _describe(state, attempt)
+            _describe(attempt)
             for attempt in attempts.running()
             if attempt.worker.pool == pool and attempt.state is AttemptState.RUNNING
         ]
--- a/src/cranberrywheel/process/request_flow.py
+++ b/src/cranberrywheel/process/request_flow.py
@@ -118,14 +118,15 @@
                 "The Idempotency-Key is not a ticket of this system.",
                 "Send the ticket from Next-Idempotency-Key as Idempotency-Key.",
             ) from None
-        if owner != self._state.process_id and not waiter.incoming.forwarded:
-            peer = self._state.fleet.peer_address(owner)
-            if peer:
-                self.forward(peer, waiter)
-                return True
         claim = self._state.tickets.claim(
             request.ticket, request.team, request.queue, now_ms
         )
+        if claim.state is ClaimState.UNKNOWN and not waiter.incoming.forwarded:
+            # Results that the owner handed over come first: it has stopped.
+            peer = self._state.fleet.peer_address(owner)
+            if peer and owner != self._state.process_id:
+                self.forward(peer, waiter)
+                return True
         if claim.state is ClaimState.NEW:
             return False
         if claim.state is ClaimState.RUNNING:
@@ -156,7 +157,7 @@
         self._state.retry_budget.note_request(now_ms)
         try:
             self._check_wait(request, now_ms)
-            self._state.queues_by_service[request.service].push(request)
+            self.push(request)
         except OverloadedError:
             if request.ticket:
                 self._state.tickets.release(request.ticket, now_ms)
@@ -164,6 +165,21 @@
         self._state.pending.add(PendingRequest(request=request, waiters=[waiter]))
         self._watch_deadline(waiter)
 
+    def push(self, request: Request) -> None:
+        """Queue a request for as long as it can still end before its deadline.
+
+        :raises OverloadedError: if the queue has no place for it.
+        """
+        assert self._state.snapshot is not None
+        found = self._state.snapshot.configuration.queues_by_name[request.queue]
+        run_ms = self._state.estimates.run_ms(found.name, found.run_ms)
+        # Learned run times vary; a request gets at least half of its time to start.
+        latest_ms = request.deadline_ms - run_ms
+        half_ms = (request.arrived_ms + request.deadline_ms) / 2
+        self._state.queues_by_service[request.service].push(
+            request, round(max(latest_ms, half_ms))
+        )
+
     def _check_wait(self, request: Request, now_ms: int) -> None:
         assert self._state.snapshot is not None
         found = self._state.snapshot.configuration.queues_by_name[request.queue]
@@ -171,11 +187,16 @@
         slots = (
             self._state.fleet.slots_of_pool(pool.name) // self._state.fleet.entry_count
         )
-        queued = len(self._state.queues_by_service[request.service])
+        queued = self._state.queues_by_service[request.service].ahead_of(
+            request.team,
+            request.urgent,
+            self._state.fleet.shares_by_team.get(request.team, 0.0),
+        )
         wait_ms = self._state.estimates.wait_ms(
-            request.queue, found.run_ms, queued, max(1, slots)
+            request.queue, found.run_ms, round(queued), max(1, slots)
         )
-        if queued and now_ms + wait_ms > request.deadline_ms:
+        run_ms = self._state.estimates.run_ms(request.queue, found.run_ms)
+        if queued and now_ms + wait_ms + run_ms > request.deadline_ms:
             raise OverloadedError(
                 f"Queue {request.queue!r} would take {wait_ms / 1000:.1f} s, longer "
                 "than the deadline.",
--- a/src/cranberrywheel/programs/operator.py
+++ b/src/cranberrywheel/programs/operator.py
@@ -160,8 +160,11 @@
             for name in rest
         ]
         self.show_result(answer, lines)
-        # Held by one entry alone, a withdrawal would be lost with that entry.
-        return 0 if stored or len(confirmed) > 1 else REFUSED
+        # A mark alone must reach every entry: one that reads the store would take the
+        # key as granted. A stored withdrawal needs a second entry that knows it, or
+        # it is missed if its only holder dies as the store goes down.
+        complete = not rest or (stored and len(confirmed) > 1)
+        return 0 if complete else REFUSED
 
 
 class StatusCommand(OperatorCommand):
--- a/src/cranberrywheel/request/ticket.py
+++ b/src/cranberrywheel/request/ticket.py
@@ -257,8 +257,6 @@
                 self._records_by_ticket.pop(ticket, None)
                 self._reserved -= 1
                 self._reserved_by_team[fields.team] -= 1
-                if phase is _Phase.FINISHED:
-                    self._forgotten_ms = max(self._forgotten_ms, fields.expires_ms)
         self._expire_handed_over(now_ms)
 
     def may_have_run(self, ticket: str, now_ms: int) -> bool:
@@ -294,6 +292,22 @@
             results=tuple(results),
         )
 
+    def export_handed_over(self) -> list[tuple[str, TicketExport]]:
+        """Return what this process answers for others, to pass it on.
+
+        :returns: pairs of process id and its export.
+        """
+        return [
+            (
+                process_id,
+                TicketExport(
+                    forgotten_ms=handed.forgotten_ms,
+                    results=tuple(handed.answers_by_ticket.items()),
+                ),
+            )
+            for process_id, handed in self._handed_over_by_process.items()
+        ]
+
     def import_results(self, process_id: str, export: TicketExport) -> None:
         """Answer for a process that shut down.
 
--- a/src/cranberrywheel/settings.py
+++ b/src/cranberrywheel/settings.py
@@ -34,7 +34,7 @@
     :param task_lease_ms: how long a task runs without renewal.
     """
 
-    short_hold_ms: int = 90_000
+    short_hold_ms: int = 150_000
     short_hold_margin_ms: int = 30_000
     long_hold_ms: int = 3_900_000
     long_fraction: float = 0.5
--- a/src/cranberrywheel_load/experiment.py
+++ b/src/cranberrywheel_load/experiment.py
@@ -28,7 +28,7 @@
 SLOTS = 2
 #: the store outage of the design, and its short hold time.
 OUTAGE_S = 60.0
-SHORT_HOLD_MS = 90_000
+SHORT_HOLD_MS = 150_000
 SHORT_HOLD_MARGIN_MS = 30_000
 LONG_HOLD_MS = 3_900_000
 #: part of the run before the fault begins.
--- a/src/cranberrywheel_load/units.py
+++ b/src/cranberrywheel_load/units.py
@@ -36,7 +36,7 @@
     "long_fraction 0": LimitSettings(long_fraction=0),
     "long_fraction 0.5": LimitSettings(long_fraction=0.5),
     "long_fraction 1": LimitSettings(long_fraction=1),
-    "0.5, short hold 150 s": LimitSettings(short_hold_ms=150_000),
+    "0.5, short hold 90 s": LimitSettings(short_hold_ms=90_000),
     "single lease, 10 min": LimitSettings(long_fraction=0, short_hold_ms=600_000),
 }
 
--- a/src/cranberrywheel_spec/unit_times.py
+++ b/src/cranberrywheel_spec/unit_times.py
@@ -16,7 +16,7 @@
 # Two clocks differ by at most (1 + e) / (1 - e), which is below 1.01.
 CLOCK_ERROR = z3.Q(49, 10_000)
 CLOCKS = ("holder_s", "store_s", "reclaimer_s", "worker_s")
-TTL_S, SHORT_HOLD_S, LONG_HOLD_S, TOKEN_S, TASK_S = 90, 90, 3_900, 2, 10
+TTL_S, SHORT_HOLD_S, LONG_HOLD_S, TOKEN_S, TASK_S = 150, 150, 3_900, 2, 10
 MARGIN = z3.Q(101, 100)
 
 
--- a/tests/test_limit_units.py
+++ b/tests/test_limit_units.py
@@ -8,7 +8,7 @@
 from cranberrywheel.process.limit_units import Absence, Need, UnitLedger
 from cranberrywheel.settings import LimitSettings
 
-SETTINGS = LimitSettings()
+SETTINGS = LimitSettings(short_hold_ms=90_000)
 HOLDERS = "abcd"
 COUNTS = st.integers(0, 12)
 
--- a/tests/test_peer_service.py
+++ b/tests/test_peer_service.py
@@ -160,7 +160,9 @@
         """Results and marks of a process that stops must survive it."""
         self.a.exchange.add_mark("k1")
         export = TicketExport(forgotten_ms=7, results=(("ticket", answer()),))
-        count = self.a.service.hand_over(self.b.address, export).result(WAIT_S)
+        count = self.a.service.hand_over(self.b.address, "z1.e9.x", export).result(
+            WAIT_S
+        )
         self.assertEqual(1, count)
         self.assertEqual(export, self.b.export)
         self.assertEqual({"k1"}, self.b.exchange.unwritten_marks())
@@ -169,7 +171,7 @@
         """A wrong outcome must not be passed on to a caller."""
         bad = dataclasses.replace(answer(), outcome="odd")
         export = TicketExport(forgotten_ms=7, results=(("ticket", bad),))
-        handed = self.a.service.hand_over(self.b.address, export)
+        handed = self.a.service.hand_over(self.b.address, "z1.e9.x", export)
         self.assertIsInstance(handed.exception(WAIT_S), PeerError)
         self.assertEqual(1, self.b.service.malformed_count)
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -39,7 +39,7 @@
     def test_defaults_are_filled_in(self):
         settings = load_entry_settings(self.write(ENTRY))
         self.assertEqual(0.25, settings.limits.long_fraction)
-        self.assertEqual(90_000, settings.limits.short_hold_ms)
+        self.assertEqual(150_000, settings.limits.short_hold_ms)
         self.assertEqual("http://127.0.0.1:9", settings.platform.url)
 
     def test_bad_values_name_file_section_and_key(self):
