Learn sizes from workers' usage reports

Cause: sizes of finished runs were recorded as 0, so a queue whose jobs can never run was refused only where the worker itself said does-not-fit. Change: entries ask for usage every 5 s where their tasks have run for 1 s; runs without a report leave the learned size alone. Figures: test_jobs_that_use_more_than_a_worker_has_are_refused_with_the_reason fails without the change (no usage is asked for) and passes with it.

--- a/src/cranberrywheel/connection/target_client.py
+++ b/src/cranberrywheel/connection/target_client.py
@@ -102,6 +102,26 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FetchUsage:
+    """To the target client: ask a worker for the usage of its tasks."""
+
+    worker: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UsageFetched:
+    """From the target client: usage as the worker reported it, with its lag.
+
+    :param usage_by_task: cores and memory in MB by task id; malformed rows are left
+        out.
+    """
+
+    worker: str
+    usage_by_task: dict[str, tuple[float, int]]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AbortAttempt:
     """To the target client: drop an attempt's connection, without an answer."""
@@ -366,6 +386,8 @@
     curl.setopt(pycurl.TIMEOUT_MS, CONTROL_TIMEOUT_MS)
     if isinstance(message, FetchToken):
         curl.setopt(pycurl.URL, f"{base}/start-token")
+    elif isinstance(message, FetchUsage):
+        curl.setopt(pycurl.URL, f"{base}/usage")
     elif isinstance(message, QueryTask):
         curl.setopt(pycurl.URL, f"{base}/tasks/{message.task_id}/result")
     else:
@@ -407,6 +429,9 @@
         return TokenFetched(
             worker=message.worker, token=token, asked_ms=transfer.asked_ms
         )
+    if isinstance(message, FetchUsage):
+        rows = transfer.json().get("tasks", ()) if status == 200 else ()
+        return UsageFetched(worker=message.worker, usage_by_task=_read_usage(rows))
     if isinstance(message, QueryTask):
         return TaskQueried(
             task_id=message.task_id,
@@ -424,6 +449,16 @@
     )
 
 
+def _read_usage(rows: t.Any) -> dict[str, tuple[float, int]]:
+    usage = {}
+    for row in rows if isinstance(rows, list) else ():
+        try:
+            usage[str(row["id"])] = (float(row["cores"]), int(row["memory_mb"]))
+        except (KeyError, TypeError, ValueError):
+            continue
+    return usage
+
+
 def _end_of(transfer: _Transfer, status: int) -> AttemptEnd:
     if 200 <= status < 300:
         return AttemptEnd.RAN
--- a/src/cranberrywheel/process/attempts.py
+++ b/src/cranberrywheel/process/attempts.py
@@ -12,10 +12,12 @@
     ControlFinished,
     ControlTask,
     FetchToken,
+    FetchUsage,
     QueryTask,
     StartAttempt,
     TaskQueried,
     TokenFetched,
+    UsageFetched,
 )
 from cranberrywheel.logs import PartLogger
 from cranberrywheel.process.limit_units import UnitLedger
@@ -27,6 +29,8 @@
 
 #: Pause between two tries to stop or query a task.
 CONTROL_RETRY_MS = 500
+#: Younger tasks are seldom in a usage report, which lags.
+USAGE_AGE_MS = 1_000
 #: Renewals are sent this often per task lease.
 RENEWALS_PER_LEASE = 3
 
@@ -52,6 +56,8 @@
     :param lease_sent_ms: clock reading before the last lease was sent.
     :param checkpoint: id of the checkpointed task that it continues, or ``""``.
     :param displaced: whether it was asked to make room for urgent work.
+    :param used_cores: most cores in usage reports, or ``None`` before the first.
+    :param used_memory_mb: most memory in usage reports, or ``None``.
     :param seen_running_ms: when the worker last confirmed that the task runs.
     """
 
@@ -67,6 +73,8 @@
     seen_running_ms: int = 0
     checkpoint: str = ""
     displaced: bool = False
+    used_cores: float | None = None
+    used_memory_mb: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -344,6 +352,24 @@
     def _token_bound_ms(self) -> int:
         return self._settings.start_token_ms + self._settings.start_token_ms // 100 + 1
 
+    def fetch_usage(self) -> None:
+        """Ask for usage where tasks run long enough to be in a lagging report."""
+        now_ms = self._clock.now_ms()
+        workers = {
+            attempt.worker.name: attempt.worker.address
+            for attempt in self._by_task.values()
+            if attempt.sent_ms and now_ms - attempt.sent_ms >= USAGE_AGE_MS
+        }
+        for worker, address in workers.items():
+            self._post(FetchUsage(worker=worker, address=address))
+
+    def usage_fetched(self, message: UsageFetched) -> None:
+        """Note what a worker reported of this process's tasks."""
+        for task_id, (cores, memory_mb) in message.usage_by_task.items():
+            if attempt := self._by_task.get(task_id):
+                attempt.used_cores = max(attempt.used_cores or 0.0, cores)
+                attempt.used_memory_mb = max(attempt.used_memory_mb or 0, memory_mb)
+
     def renew_leases(self) -> None:
         """Renew the leases that are due and end attempts whose lease is over."""
         now_ms = self._clock.now_ms()
--- a/src/cranberrywheel/process/dispatcher.py
+++ b/src/cranberrywheel/process/dispatcher.py
@@ -14,6 +14,7 @@
 
 TICK_MS = 100
 REPORT_EVERY_TICKS = 5
+USAGE_EVERY_TICKS = 50
 #: Messages handled before timers get a turn.
 MESSAGES_PER_TURN = 200
 
@@ -69,6 +70,7 @@
             target_client.TokenFetched: self._attempts.token_fetched,
             target_client.ControlFinished: self._attempts.control_finished,
             target_client.TaskQueried: self._attempts.task_queried,
+            target_client.UsageFetched: self._attempts.usage_fetched,
         }
 
     def start(self) -> None:
@@ -171,6 +173,8 @@
         if self._ticks % REPORT_EVERY_TICKS == 0:
             self._state.tickets.expire(now_ms)
             self._send_reports(now_ms)
+        if self._ticks % USAGE_EVERY_TICKS == 0:
+            self._attempts.fetch_usage()
         self._stop_if_idle()
 
     def _send_reports(self, now_ms: int) -> None:
--- a/src/cranberrywheel/process/placement.py
+++ b/src/cranberrywheel/process/placement.py
@@ -112,8 +112,8 @@
             self._state.estimates.record(
                 request.queue,
                 self._state.clock.now_ms() - result.attempt.sent_ms,
-                0.0,
-                0,
+                result.attempt.used_cores,
+                result.attempt.used_memory_mb,
             )
         pending = self._state.pending.find(request.request_id)
         if pending is None or pending.task_id != result.attempt.task_id:
--- a/src/cranberrywheel/request/estimates.py
+++ b/src/cranberrywheel/request/estimates.py
@@ -36,22 +36,27 @@
         self._runs_by_queue: dict[str, _QueueRuns] = {}
 
     def record(
-        self, queue: str, duration_ms: int, cores: float, memory_mb: int
+        self,
+        queue: str,
+        duration_ms: int,
+        cores: float | None = None,
+        memory_mb: int | None = None,
     ) -> None:
         """Learn from one finished run.
 
         :param queue: queue name.
         :param duration_ms: time that it ran.
-        :param cores: cores that it used.
-        :param memory_mb: most memory that it used.
+        :param cores: cores that it used, or ``None`` if no usage report covered it.
+        :param memory_mb: most memory that it used, or ``None``.
         """
         runs = self._runs_by_queue.get(queue)
         if runs is None:
             runs = self._runs_by_queue[queue] = _QueueRuns()
         runs.runs = min(runs.runs + 1, MEAN_RUNS)
         runs.mean_ms += (duration_ms - runs.mean_ms) / runs.runs
-        runs.cores.append(cores)
-        runs.memory_mb.append(memory_mb)
+        if cores is not None and memory_mb is not None:
+            runs.cores.append(cores)
+            runs.memory_mb.append(memory_mb)
 
     def run_ms(self, queue: str, declared_ms: int) -> float:
         """Return the expected run time of a request.
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -6,8 +6,10 @@
     AttemptEnd,
     ControlFinished,
     ControlTask,
+    FetchUsage,
     QueryTask,
     TaskQueried,
+    UsageFetched,
 )
 from cranberrywheel.errors import NotReadyError
 from cranberrywheel.process import messages as m
@@ -282,3 +284,15 @@
         self.bench.post(m.MarkWithdrawn(self.bench.key_id))
         future = self.bench.submit("b", "payments", ticket)
         self.assert_refused(future, "unauthorized", Outcome.UNKNOWN)
+
+    def test_jobs_that_use_more_than_a_worker_has_are_refused_with_the_reason(self):
+        # Guards against jobs that can never run and that retry for ever.
+        for number in range(8):
+            self.bench.submit(f"r{number}")
+            (start,) = self.bench.starts()
+            self.bench.advance(5_000)
+            self.assertIn(start.worker, {u.worker for u in self.bench.take(FetchUsage)})
+            usage = {start.task_id: (64.0, 100)}
+            self.bench.post(UsageFetched(worker=start.worker, usage_by_task=usage))
+            self.bench.end(start)
+        self.assert_refused(self.bench.submit("late"), "never-fits")
