--- a/src/cranberrywheel/process/dispatcher.py
+++ b/src/cranberrywheel/process/dispatcher.py
@@ -4,7 +4,7 @@
 import threading
 import typing as t
 
-from cranberrywheel.connection import target_client
+from cranberrywheel.connection import target_messages
 from cranberrywheel.logs import PartLogger
 from cranberrywheel.process import messages as m
 from cranberrywheel.process.entry_state import EntryState
@@ -36,6 +36,7 @@
         self._attempts = self._placement.attempts
         self._stopping: m.Stop | None = None
         self._ticks = 0
+        self._ejected: set[str] = set()
         self._running = True
         self._handlers = self._build_handlers()
         state.timers.add(state.clock.now_ms() + TICK_MS, self._tick)
@@ -66,11 +67,11 @@
             m.ResultsHandedOver: self._results_handed_over,
             m.ExportResults: self._export_results,
             m.Stop: self._begin_stop,
-            target_client.AttemptFinished: self._attempts.finished,
-            target_client.TokenFetched: self._attempts.token_fetched,
-            target_client.ControlFinished: self._attempts.control_finished,
-            target_client.TaskQueried: self._attempts.task_queried,
-            target_client.UsageFetched: self._attempts.usage_fetched,
+            target_messages.AttemptFinished: self._attempts.finished,
+            target_messages.TokenFetched: self._attempts.token_fetched,
+            target_messages.ControlFinished: self._attempts.control_finished,
+            target_messages.TaskQueried: self._attempts.task_queried,
+            target_messages.UsageFetched: self._attempts.usage_fetched,
         }
 
     def start(self) -> None:
@@ -173,10 +174,22 @@
         if self._ticks % REPORT_EVERY_TICKS == 0:
             self._state.tickets.expire(now_ms)
             self._send_reports(now_ms)
+            if self._state.snapshot is not None:
+                self._log_ejections()
         if self._ticks % USAGE_EVERY_TICKS == 0:
             self._attempts.fetch_usage()
         self._stop_if_idle()
 
+    def _log_ejections(self) -> None:
+        assert self._state.snapshot is not None
+        pools = self._state.snapshot.configuration.pools_by_name
+        ejected = {w for pool in pools for w in self._state.workers.ejected(pool)}
+        for worker in sorted(ejected - self._ejected):
+            _log.event("ejected worker", worker=worker)
+        for worker in sorted(self._ejected - ejected):
+            _log.event("worker may be chosen again", worker=worker)
+        self._ejected = ejected
+
     def _send_reports(self, now_ms: int) -> None:
         metrics = self._state.metrics
         metrics.gauge("running", len(self._attempts))
--- a/src/cranberrywheel/process/placement.py
+++ b/src/cranberrywheel/process/placement.py
@@ -1,13 +1,19 @@
 """Requests between queues and workers: placement, results, retries."""
 
-from cranberrywheel.connection.target_client import CHECKPOINTED_KIND, AttemptEnd
+from cranberrywheel.connection.target_client import (
+    CHECKPOINTED_KIND,
+)
+from cranberrywheel.connection.target_messages import (
+    AttemptEnd,
+)
 from cranberrywheel.errors import (
     NeverFitsError,
     OverloadedError,
     TargetFailedError,
 )
 from cranberrywheel.logs import PartLogger
-from cranberrywheel.process.attempts import AttemptResult, Attempts
+from cranberrywheel.process.attempt import AttemptResult
+from cranberrywheel.process.attempts import Attempts
 from cranberrywheel.process.entry_state import EntryState
 from cranberrywheel.process.pending import PendingRequest
 from cranberrywheel.process.request_flow import RequestFlow
--- a/src/cranberrywheel/process/relief.py
+++ b/src/cranberrywheel/process/relief.py
@@ -1,7 +1,8 @@
 """Relief for requests that wait too long: displaced work and peers' units."""
 
 from cranberrywheel.logs import PartLogger
-from cranberrywheel.process.attempts import Attempt, Attempts, AttemptState
+from cranberrywheel.process.attempt import Attempt, AttemptState
+from cranberrywheel.process.attempts import Attempts
 from cranberrywheel.process.entry_state import EntryState
 from cranberrywheel.process.request_flow import RequestFlow
 from cranberrywheel.request.displacement import RunningTask, choose_displaced
--- a/tests/dispatcher_fakes.py
+++ b/tests/dispatcher_fakes.py
@@ -5,7 +5,7 @@
 
 from cranberrywheel.clock import ManualClock
 from cranberrywheel.connection.store_client import Instance, InstanceList
-from cranberrywheel.connection.target_client import (
+from cranberrywheel.connection.target_messages import (
     AttemptEnd,
     AttemptFinished,
     FetchToken,
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,8 +1,10 @@
+from concurrent.futures import Future
+
 import testtools
 from dispatcher_fakes import DispatcherBench
 
 from cranberrywheel.connection.store_client import InstanceList
-from cranberrywheel.connection.target_client import (
+from cranberrywheel.connection.target_messages import (
     AttemptEnd,
     ControlFinished,
     ControlTask,
@@ -13,8 +15,9 @@
 )
 from cranberrywheel.errors import NotReadyError
 from cranberrywheel.process import messages as m
-from cranberrywheel.request.model import Outcome
+from cranberrywheel.request.model import Answer, Outcome
 from cranberrywheel.request.problem import problem_answer
+from cranberrywheel.request.ticket import TicketExport
 
 
 class DispatcherTest(testtools.TestCase):
@@ -296,3 +299,18 @@
             self.bench.post(UsageFetched(worker=start.worker, usage_by_task=usage))
             self.bench.end(start)
         self.assert_refused(self.bench.submit("late"), "never-fits")
+
+    def test_handed_over_ticket_is_answered_here_and_passed_on(self):
+        # Guards against forwards to a stopped owner and against results that are
+        # lost when their receiver is replaced too.
+        report = m.PeerReport("z1.e1.y", "z1", "h:1", "h:2", False, (), {}, ())
+        ticket = self.bench.ticket().replace("z1.e1.x", "z1.e1.y")
+        paid = Answer(request_id="", outcome=Outcome.OK, status=200, body=b"paid")
+        export = TicketExport(forgotten_ms=0, results=((ticket, paid),))
+        self.bench.post(report, m.ResultsHandedOver("z1.e1.y", export))
+        answer = self.bench.submit("a", "payments", ticket).result(0)
+        self.assertEqual(b"paid", answer.body)
+        self.assertEqual([], self.bench.forwarded)
+        exports = Future()
+        self.bench.post(m.ExportResults(exports))
+        self.assertEqual(export, dict(exports.result(0))["z1.e1.y"])
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -6,6 +6,9 @@
 
 from cranberrywheel.clock import Clock
 from cranberrywheel.connection.target_client import (
+    TargetClient,
+)
+from cranberrywheel.connection.target_messages import (
     AttemptEnd,
     AttemptFinished,
     ControlFinished,
@@ -13,7 +16,6 @@
     FetchToken,
     QueryTask,
     StartAttempt,
-    TargetClient,
 )
 from cranberrywheel_standin.serving import Server
 from cranberrywheel_standin.worker import Worker, WorkerConfig, WorkerFaults
