--- a/src/cranberrywheel/process/dispatcher.py
+++ b/src/cranberrywheel/process/dispatcher.py
@@ -10,6 +10,7 @@
 from cranberrywheel.process.entry_state import EntryState
 from cranberrywheel.process.placement import Placement
 from cranberrywheel.process.relief import displace_for_urgent, forward_for_units
+from cranberrywheel.process.ticket_calls import TicketCalls
 from cranberrywheel.request.fair_queue import FairQueue
 
 TICK_MS = 100
@@ -46,12 +47,13 @@
 
     def _build_handlers(self) -> dict[type, t.Callable[[t.Any], None]]:
         state = self._state
+        tickets = TicketCalls(state)
         return {
             m.SubmitRequest: self._flow.submit,
             m.CancelRequest: lambda msg: self._flow.cancel(msg.request_id),
             m.ForwardFinished: self._flow.forward_finished,
-            m.IssueTickets: self._flow.issue_tickets,
-            m.QueryTicket: self._flow.query_ticket,
+            m.IssueTickets: tickets.issue,
+            m.QueryTicket: tickets.query,
             m.ReadStatus: lambda msg: msg.status.set_result(self._status()),
             m.ReadFleet: lambda msg: msg.fleet.set_result(state.fleet.describe()),
             m.ConfigurationAdopted: self._adopt,
--- a/src/cranberrywheel/process/request_flow.py
+++ b/src/cranberrywheel/process/request_flow.py
@@ -10,7 +10,6 @@
     NotReadyError,
     OverloadedError,
     RequestError,
-    TicketExpiredError,
     TicketRequiredError,
     UnknownOutcomeError,
     UnknownQueueError,
@@ -24,9 +23,10 @@
 )
 from cranberrywheel.process.entry_state import EntryState
 from cranberrywheel.process.pending import Forward, PendingRequest, Waiter
+from cranberrywheel.process.ticket_calls import claimed_answer
 from cranberrywheel.request.model import Answer, Outcome, Request
 from cranberrywheel.request.problem import problem_answer
-from cranberrywheel.request.ticket import Claim, ClaimState, owner_of
+from cranberrywheel.request.ticket import ClaimState, owner_of
 
 _log = PartLogger("request")
 
@@ -135,24 +135,9 @@
                 self._state.pending.add_waiter(pending, waiter)
                 self._watch_deadline(waiter)
                 return True
-        self._answer(waiter, self._claimed_answer(request.request_id, claim))
+        self._answer(waiter, claimed_answer(request.request_id, claim))
         return True
 
-    def _claimed_answer(self, request_id: str, claim: Claim) -> Answer:
-        if claim.state is ClaimState.FINISHED:
-            return dataclasses.replace(claim.answer, request_id=request_id)
-        if claim.state is ClaimState.NOT_RUN:
-            error: RequestError = TicketExpiredError(
-                "The ticket can no longer start its request, which was never run.",
-                "Send the request again with a fresh ticket.",
-            )
-        else:
-            error = UnknownOutcomeError(
-                "The process that could tell what became of the request is gone.",
-                "Check with the target before you send a new request.",
-            )
-        return problem_answer(request_id, error)
-
     def _enqueue(self, request: Request, waiter: Waiter, now_ms: int) -> None:
         self._state.retry_budget.note_request(now_ms)
         try:
@@ -349,52 +334,6 @@
         )
         self._answer(forward.waiter, problem_answer(message.request_id, error))
 
-    def issue_tickets(self, message: m.IssueTickets) -> None:
-        """Issue tickets to the team of a key."""
-        now_ms = self._state.clock.now_ms()
-        try:
-            found = find_queue(self._state.snapshot, message.queue)
-            assert self._state.snapshot is not None
-            team = authorize_team(
-                self._state.snapshot,
-                found,
-                message.authorization,
-                self._state.freshness,
-                self._state.marked_ids,
-                self._state.settings,
-                now_ms,
-            )
-            message.tickets.set_result(
-                [
-                    self._state.tickets.issue(team, message.queue, now_ms)
-                    for _ in range(message.count)
-                ]
-            )
-        except RequestError as error:
-            message.tickets.set_exception(error)
-
-    def query_ticket(self, message: m.QueryTicket) -> None:
-        """Tell what is known about a ticket."""
-        now_ms = self._state.clock.now_ms()
-        try:
-            claim = self._state.tickets.query(message.ticket, now_ms)
-        except RequestError as error:
-            message.answer.set_result(problem_answer("", error))
-            return
-        if claim.state is ClaimState.RUNNING:
-            body = b'{"state":"running"}'
-            message.answer.set_result(
-                Answer(
-                    request_id="",
-                    outcome=Outcome.UNKNOWN,
-                    status=202,
-                    body=body,
-                    content_type="application/json",
-                )
-            )
-            return
-        message.answer.set_result(self._claimed_answer("", claim))
-
     def drop_removed_queues(self) -> None:
         """Refuse what is queued for queues that the new version lacks."""
         assert self._state.snapshot is not None
--- a/src/cranberrywheel/version/configuration.py
+++ b/src/cranberrywheel/version/configuration.py
@@ -8,6 +8,15 @@
 import pydantic
 
 from cranberrywheel.errors import ConfigurationError
+from cranberrywheel.version.configuration_sections import (
+    DeploymentSection,
+    PoolSection,
+    QueueSection,
+    Section,
+    ServiceSection,
+    TeamSection,
+    ZoneSection,
+)
 
 #: The store holds values up to a megabyte; keys and JSON quoting need room too.
 MAX_TEXT_BYTES = 600_000
@@ -16,81 +25,6 @@
 _SECTION_LINE = re.compile(r"\s*\[([^\]]*)\]")
 _KEY_LINE = re.compile(r"([A-Za-z_][A-Za-z0-9_]*)\s*[=:]")
 
-Words = t.Annotated[
-    tuple[str, ...],
-    pydantic.BeforeValidator(
-        lambda text: tuple(w.strip() for w in str(text).split(",") if w.strip())
-    ),
-]
-
-
-class _Section(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
-
-class DeploymentSection(_Section):
-    """``[deployment]``: name, cost weights and the maintenance period."""
-
-    name: str
-    weight_buffer_cost: float = pydantic.Field(1.0, ge=0, le=1000)
-    weight_rollout_time: float = pydantic.Field(1.0, ge=0, le=1000)
-    weight_moves: float = pydantic.Field(1.0, ge=0, le=1000)
-    weight_share: float = pydantic.Field(1.0, ge=0, le=1000)
-    maintenance_period_hours: int = pydantic.Field(336, ge=1, le=100_000)
-    reboot_minutes: int = pydantic.Field(10, ge=1, le=10_000)
-
-
-class ZoneSection(_Section):
-    """``[zone NAME]``: an availability zone and its region."""
-
-    region: str = ""
-
-
-class PoolSection(_Section):
-    """``[pool NAME]``: workers as ``name@zone/rack`` and their declared size."""
-
-    workers: Words
-    cores: float = pydantic.Field(gt=0, le=100_000)
-    memory_mb: int = pydantic.Field(gt=0, le=1_000_000_000)
-    accelerators: int = pydantic.Field(0, ge=0, le=1000)
-    slots_per_executor: int = pydantic.Field(8, ge=1, le=10_000)
-    connections: int = pydantic.Field(64, ge=1, le=100_000)
-    spare: bool = False
-
-
-class ServiceSection(_Section):
-    """``[service NAME]``: its pool, dependencies and availability budget."""
-
-    pool: str
-    depends_on: Words = ()
-    min_healthy: int = pydantic.Field(ge=0, le=1_000_000)
-
-
-class QueueSection(_Section):
-    """``[queue NAME]``: how requests of this kind are treated."""
-
-    service: str
-    access: t.Literal["keyed", "open"] = "keyed"
-    idempotent: bool = False
-    urgent: bool = False
-    mean_per_second: float = pydantic.Field(1.0, gt=0, le=1_000_000)
-    run_ms: int = pydantic.Field(100, ge=1, le=100_000_000)
-    cores: float = pydantic.Field(1.0, gt=0, le=100_000)
-    memory_mb: int = pydantic.Field(64, ge=1, le=1_000_000_000)
-    timeout_ms: int = pydantic.Field(30_000, ge=1, le=100_000_000)
-    max_queued: int = pydantic.Field(500, ge=1, le=1_000_000)
-    can_checkpoint: bool = False
-    stale_keys: t.Literal["pause", "serve"] = "pause"
-    stale_serve_ms: int = pydantic.Field(60_000, ge=1, le=3_600_000)
-
-
-class TeamSection(_Section):
-    """``[team NAME]``: share of the full fleet, upper limit and rights."""
-
-    share: float = pydantic.Field(ge=0, le=1)
-    limit: int = pydantic.Field(ge=0, le=1_000_000)
-    queues: Words = ("*",)
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Worker:
@@ -203,7 +137,7 @@
         return self.pools_by_name[service.pool]
 
 
-_MODELS: dict[str, type[_Section]] = {
+_MODELS: dict[str, type[Section]] = {
     "zone": ZoneSection,
     "pool": PoolSection,
     "service": ServiceSection,
@@ -252,7 +186,7 @@
     return parser
 
 
-def _validate(model: type[_Section], section: str, values: t.Any, index: _LineIndex):
+def _validate(model: type[Section], section: str, values: t.Any, index: _LineIndex):
     try:
         return model.model_validate(dict(values))
     except pydantic.ValidationError as error:
