--- a/src/cranberrywheel/connection/target_client.py
+++ b/src/cranberrywheel/connection/target_client.py
@@ -38,6 +38,9 @@
 TASK_FAILED_KIND = "task-failed"
 CONNECT_TIMEOUT_MS = 1_000
 CONTROL_TIMEOUT_MS = 5_000
+#: A request waits for its start token. Workers answer in milliseconds, and urgent
+#: work must still start elsewhere within 1.5 s if the worker's zone is partitioned.
+TOKEN_TIMEOUT_MS = 700
 MAX_CONNECTIONS = 1_024
 
 _log = PartLogger("target-client")
@@ -239,6 +242,7 @@
     curl.setopt(pycurl.TIMEOUT_MS, CONTROL_TIMEOUT_MS)
     if isinstance(message, FetchToken):
         curl.setopt(pycurl.URL, f"{base}/start-token")
+        curl.setopt(pycurl.TIMEOUT_MS, TOKEN_TIMEOUT_MS)
     elif isinstance(message, FetchUsage):
         curl.setopt(pycurl.URL, f"{base}/usage")
     elif isinstance(message, QueryTask):
--- a/src/cranberrywheel/process/admission.py
+++ b/src/cranberrywheel/process/admission.py
@@ -11,12 +11,15 @@
     UnauthorizedError,
     UnknownQueueError,
 )
-from cranberrywheel.process.messages import ConfigurationSnapshot, IncomingRequest
+from cranberrywheel.process.messages import (
+    IncomingRequest,
+)
 from cranberrywheel.request.model import Request
 from cranberrywheel.settings import EntrySettings
 from cranberrywheel.version.configuration import Queue
 from cranberrywheel.version.freshness import FreshnessTracker
 from cranberrywheel.version.keys import authorize
+from cranberrywheel.version.snapshot import ConfigurationSnapshot
 
 MAX_HEADER_CHARS = 1_024
 
--- a/src/cranberrywheel/process/entry.py
+++ b/src/cranberrywheel/process/entry.py
@@ -8,7 +8,6 @@
 
 from cranberrywheel.clock import Clock
 from cranberrywheel.connection.http_server import HttpServer
-from cranberrywheel.connection.peer_service import PeerService
 from cranberrywheel.connection.target_client import (
     TargetClient,
 )
@@ -21,6 +20,7 @@
 from cranberrywheel.process.exchange import PeerExchange
 from cranberrywheel.process.membership import new_process_id
 from cranberrywheel.process.operator_api import OperatorApi
+from cranberrywheel.process.peer_service import PeerService
 from cranberrywheel.process.store_session import StoreSession
 from cranberrywheel.request.model import Answer
 from cranberrywheel.request.ticket import TicketExport
--- a/src/cranberrywheel/process/entry_state.py
+++ b/src/cranberrywheel/process/entry_state.py
@@ -21,6 +21,7 @@
 from cranberrywheel.request.ticket import TicketBook
 from cranberrywheel.settings import EntrySettings
 from cranberrywheel.version.freshness import FreshnessTracker
+from cranberrywheel.version.snapshot import ConfigurationSnapshot
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,7 +62,7 @@
     fleet: FleetView
     tickets: TicketBook
     metrics: Metrics
-    snapshot: m.ConfigurationSnapshot | None = None
+    snapshot: ConfigurationSnapshot | None = None
     drained: bool = False
     marked_ids: set[str] = dataclasses.field(default_factory=set)
     freshness: FreshnessTracker = dataclasses.field(default_factory=FreshnessTracker)
--- a/src/cranberrywheel/process/exchange.py
+++ b/src/cranberrywheel/process/exchange.py
@@ -18,7 +18,6 @@
 )
 from cranberrywheel.process.messages import (
     ConfigurationAdopted,
-    ConfigurationSnapshot,
     LoadReport,
     MarkWithdrawn,
     PeerLoad,
@@ -29,6 +28,7 @@
 from cranberrywheel.settings import EntrySettings
 from cranberrywheel.version.adoption import ConfigurationHolder
 from cranberrywheel.version.freshness import FreshnessTracker
+from cranberrywheel.version.snapshot import ConfigurationSnapshot
 
 #: Exchanges that may fail in a row before a peer is reported lost.
 MISSED_EXCHANGES = 5
--- a/src/cranberrywheel/process/messages.py
+++ b/src/cranberrywheel/process/messages.py
@@ -11,7 +11,7 @@
 from cranberrywheel.connection.store_client import InstanceList
 from cranberrywheel.request.model import Answer
 from cranberrywheel.request.ticket import TicketExport
-from cranberrywheel.version.configuration import Configuration
+from cranberrywheel.version.snapshot import ConfigurationSnapshot
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -102,35 +102,6 @@
     fleet: "Future[dict[str, t.Any]]"
 
 
-@dataclasses.dataclass(frozen=True)
-class KeyEntry:
-    """A team key as stored: only the hash of its secret."""
-
-    key_id: str
-    team: str
-    secret_sha256: str
-
-
-@dataclasses.dataclass(frozen=True)
-class ConfigurationSnapshot:
-    """One version of the configuration record.
-
-    :param version: store revision of the record.
-    :param text_version: counter of text changes.
-    :param text: the operators' text.
-    :param configuration: the parsed text.
-    :param keys_by_id: granted keys; withdrawn ones are absent.
-    :param withdrawn_ids: ids of withdrawn keys.
-    """
-
-    version: int
-    text_version: int
-    text: str
-    configuration: Configuration
-    keys_by_id: dict[str, KeyEntry]
-    withdrawn_ids: frozenset[str]
-
-
 @dataclasses.dataclass(frozen=True)
 class ConfigurationAdopted:
     """To the dispatcher: a higher version is in force."""
--- a/src/cranberrywheel/process/operator_api.py
+++ b/src/cranberrywheel/process/operator_api.py
@@ -17,6 +17,7 @@
     UnknownQueueError,
 )
 from cranberrywheel.process import messages as m
+from cranberrywheel.version.snapshot import ConfigurationSnapshot
 
 #: Longer than the store session needs to find out that the store is down.
 STORE_WAIT_S = 15
@@ -53,7 +54,7 @@
         token: str,
         to_dispatcher: t.Callable[[t.Any], None],
         to_store: t.Callable[[t.Any], None],
-        snapshot: t.Callable[[], m.ConfigurationSnapshot | None],
+        snapshot: t.Callable[[], ConfigurationSnapshot | None],
     ) -> None:
         self._token = token
         self._to_dispatcher = to_dispatcher
--- a/src/cranberrywheel/process/unit_keeper.py
+++ b/src/cranberrywheel/process/unit_keeper.py
@@ -18,7 +18,6 @@
     group_by_place,
 )
 from cranberrywheel.process.messages import (
-    ConfigurationSnapshot,
     ReleaseUnits,
     UnitsHeld,
     UnitsWanted,
@@ -26,6 +25,7 @@
 from cranberrywheel.process.record_writer import RecordWriter
 from cranberrywheel.settings import LimitSettings
 from cranberrywheel.version.records import StoredRecord, parse_record
+from cranberrywheel.version.snapshot import ConfigurationSnapshot
 
 LIMITS_PREFIX = "limits/"
 #: Longest wait for the dispatcher to release units. A late release is undone by
--- a/src/cranberrywheel/programs/operator.py
+++ b/src/cranberrywheel/programs/operator.py
@@ -7,6 +7,7 @@
 
 from cleo.application import Application
 from cleo.helpers import argument, option
+from returns.result import Success
 
 import cranberrywheel
 from cranberrywheel.programs.console import REFUSED, run_application
@@ -62,10 +63,7 @@
         for client in clients:
             if client.url in zones_by_url:
                 continue
-            try:
-                status = client.call("GET", "/v1/status")
-            except OperatorCallError:
-                continue
+            status = client.call("GET", "/v1/status").value_or({})
             if status.get("text_version", 0) >= text_version:
                 zones_by_url[client.url] = str(status.get("zone"))
         missing = [c.url for c in clients if c.url not in zones_by_url]
@@ -176,10 +174,11 @@
     def work(self) -> int:
         statuses: dict[str, t.Any] = {}
         for client in self.clients():
-            try:
-                statuses[client.url] = client.call("GET", "/v1/status")
-            except OperatorCallError as error:
-                statuses[client.url] = {"error": error.message}
+            statuses[client.url] = (
+                client.call("GET", "/v1/status")
+                .lash(lambda error: Success({"error": error.message}))
+                .unwrap()
+            )
         lines = [*_status_lines(statuses), *self._wave_lines()]
         self.show_result(statuses, lines)
         return REFUSED if any("error" in s for s in statuses.values()) else 0
--- a/src/cranberrywheel/programs/operator_client.py
+++ b/src/cranberrywheel/programs/operator_client.py
@@ -6,6 +6,7 @@
 import typing as t
 
 import pycurl
+from returns.result import Failure, Result, Success
 
 from cranberrywheel.errors import CranberrywheelError
 
@@ -42,12 +43,12 @@
         path: str,
         body: bytes | None = None,
         headers: t.Sequence[str] = (),
-    ) -> dict[str, t.Any]:
+    ) -> Result[dict[str, t.Any], OperatorCallError]:
         """Make one call.
 
         :param body: request body, or ``None`` for none.
-        :returns: the JSON object of the answer.
-        :raises OperatorCallError: with the instance's own message and remedy.
+        :returns: the JSON object of the answer, or a failure with the instance's
+            own message and remedy.
         """
         answer = io.BytesIO()
         curl = pycurl.Curl()
@@ -67,30 +68,34 @@
             curl.perform()
             status = curl.getinfo(pycurl.RESPONSE_CODE)
         except pycurl.error as error:
-            raise OperatorCallError(
-                f"{self.url} did not answer: {error.args[1]}.",
-                "Check --entry, or name another instance.",
-            ) from None
+            return Failure(
+                OperatorCallError(
+                    f"{self.url} did not answer: {error.args[1]}.",
+                    "Check --entry, or name another instance.",
+                )
+            )
         finally:
             curl.close()
         return _decode(self.url, status, answer.getvalue())
 
 
-def _decode(url: str, status: int, data: bytes) -> dict[str, t.Any]:
+def _decode(
+    url: str, status: int, data: bytes
+) -> Result[dict[str, t.Any], OperatorCallError]:
     try:
         body = json.loads(data)
     except ValueError:
         body = None
     if not isinstance(body, dict):
-        raise OperatorCallError(
-            f"{url} answered with status {status} and no JSON.",
-            "Check that --entry names an entry instance.",
-            status,
+        return Failure(
+            OperatorCallError(
+                f"{url} answered with status {status} and no JSON.",
+                "Check that --entry names an entry instance.",
+                status,
+            )
         )
     if status >= 400:
-        raise OperatorCallError(
-            str(body.get("detail", f"status {status}")),
-            str(body.get("remedy", "")),
-            status,
-        )
-    return body
+        detail = str(body.get("detail", f"status {status}"))
+        remedy = str(body.get("remedy", ""))
+        return Failure(OperatorCallError(detail, remedy, status))
+    return Success(body)
--- a/src/cranberrywheel/programs/operator_command.py
+++ b/src/cranberrywheel/programs/operator_command.py
@@ -6,6 +6,7 @@
 
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
+from returns.pipeline import is_successful
 
 from cranberrywheel.errors import ConfigurationError, CranberrywheelError
 from cranberrywheel.programs.console import REFUSED
@@ -99,12 +100,12 @@
         """Call the instances in turn until one can be reached."""
         problem: OperatorCallError | None = None
         for client in self.clients():
-            try:
-                return client.call(method, path, body, headers)
-            except OperatorCallError as error:
-                if error.status:
-                    raise
-                problem = error
+            result = client.call(method, path, body, headers)
+            if is_successful(result):
+                return result.unwrap()
+            problem = result.failure()
+            if problem.status:
+                raise problem
         assert problem is not None
         raise problem
 
--- a/src/cranberrywheel/version/adoption.py
+++ b/src/cranberrywheel/version/adoption.py
@@ -8,9 +8,9 @@
 from cranberrywheel.connection.store_client import Record
 from cranberrywheel.errors import ConfigurationError, StoreError
 from cranberrywheel.logs import PartLogger
-from cranberrywheel.process.messages import ConfigurationSnapshot, KeyEntry
 from cranberrywheel.version.configuration import parse_configuration
 from cranberrywheel.version.records import StoredRecord, parse_record
+from cranberrywheel.version.snapshot import ConfigurationSnapshot, KeyEntry
 
 CONFIGURATION_KEY = "configuration"
 #: Withdrawn ids that the record keeps. They only tell holders of a withdrawal
--- a/src/cranberrywheel/version/keys.py
+++ b/src/cranberrywheel/version/keys.py
@@ -6,7 +6,7 @@
 import secrets
 
 from cranberrywheel.errors import UnauthorizedError
-from cranberrywheel.process.messages import KeyEntry
+from cranberrywheel.version.snapshot import KeyEntry
 
 KEY_ID_BYTES = 6
 SECRET_BYTES = 24
--- a/src/cranberrywheel_spec/freshness_conformance.py
+++ b/src/cranberrywheel_spec/freshness_conformance.py
@@ -7,11 +7,14 @@
 from cranberrywheel.connection.store_client import Instance, InstanceList, Record
 from cranberrywheel.generated.peer_pb2 import PeerState
 from cranberrywheel.process.exchange import PeerExchange
-from cranberrywheel.process.messages import KeyEntry, ProofTaken
+from cranberrywheel.process.messages import (
+    ProofTaken,
+)
 from cranberrywheel.settings import EntrySettings, PlatformSettings
 from cranberrywheel.version.adoption import CONFIGURATION_KEY, dump_body
 from cranberrywheel.version.freshness import FreshnessTracker
 from cranberrywheel.version.records import parse_record, prepare_write
+from cranberrywheel.version.snapshot import KeyEntry
 from cranberrywheel_spec.conformance import ConformanceMachine
 from cranberrywheel_spec.key_freshness import (
     BOUND_S,
--- a/tests/dispatcher_fakes.py
+++ b/tests/dispatcher_fakes.py
@@ -18,6 +18,7 @@
 from cranberrywheel.settings import EntrySettings, PlatformSettings
 from cranberrywheel.version.configuration import parse_configuration
 from cranberrywheel.version.keys import create_key
+from cranberrywheel.version.snapshot import ConfigurationSnapshot
 
 TEXT = """\
 [deployment]
@@ -100,7 +101,7 @@
         self.state = state
         self.key, entry = create_key("red")
         self.key_id = entry.key_id
-        snapshot = m.ConfigurationSnapshot(
+        snapshot = ConfigurationSnapshot(
             5, 1, TEXT, parse_configuration(TEXT), {entry.key_id: entry}, frozenset()
         )
         rows = tuple(
--- a/tests/test_peer_service.py
+++ b/tests/test_peer_service.py
@@ -9,7 +9,6 @@
 import testtools
 
 from cranberrywheel.clock import Clock
-from cranberrywheel.connection.peer_service import PeerService
 from cranberrywheel.errors import (
     OverloadedError,
     PeerError,
@@ -19,6 +18,7 @@
 from cranberrywheel.generated.peer_pb2 import PeerState
 from cranberrywheel.process.exchange import PeerExchange
 from cranberrywheel.process.messages import IncomingRequest, LoadReport, PeerReport
+from cranberrywheel.process.peer_service import PeerService
 from cranberrywheel.request.model import Answer, Outcome
 from cranberrywheel.request.ticket import TicketExport
 from cranberrywheel.settings import EntrySettings, PlatformSettings
