--- a/src/cranberrywheel/process/admission.py
+++ b/src/cranberrywheel/process/admission.py
@@ -11,9 +11,7 @@
     UnauthorizedError,
     UnknownQueueError,
 )
-from cranberrywheel.process.messages import (
-    IncomingRequest,
-)
+from cranberrywheel.process.messages import IncomingRequest
 from cranberrywheel.request.model import Request
 from cranberrywheel.settings import EntrySettings
 from cranberrywheel.version.configuration import Queue
--- a/src/cranberrywheel/process/entry.py
+++ b/src/cranberrywheel/process/entry.py
@@ -8,9 +8,7 @@
 
 from cranberrywheel.clock import Clock
 from cranberrywheel.connection.http_server import HttpServer
-from cranberrywheel.connection.target_client import (
-    TargetClient,
-)
+from cranberrywheel.connection.target_client import TargetClient
 from cranberrywheel.errors import CranberrywheelError, SettingsError
 from cranberrywheel.logs import PartLogger
 from cranberrywheel.process import messages as m
--- a/src/cranberrywheel/process/placement.py
+++ b/src/cranberrywheel/process/placement.py
@@ -1,11 +1,7 @@
 """Requests between queues and workers: placement, results, retries."""
 
-from cranberrywheel.connection.target_client import (
-    CHECKPOINTED_KIND,
-)
-from cranberrywheel.connection.target_messages import (
-    AttemptEnd,
-)
+from cranberrywheel.connection.target_client import CHECKPOINTED_KIND
+from cranberrywheel.connection.target_messages import AttemptEnd
 from cranberrywheel.errors import (
     NeverFitsError,
     OverloadedError,
--- a/src/cranberrywheel_spec/freshness_conformance.py
+++ b/src/cranberrywheel_spec/freshness_conformance.py
@@ -7,9 +7,7 @@
 from cranberrywheel.connection.store_client import Instance, InstanceList, Record
 from cranberrywheel.generated.peer_pb2 import PeerState
 from cranberrywheel.process.exchange import PeerExchange
-from cranberrywheel.process.messages import (
-    ProofTaken,
-)
+from cranberrywheel.process.messages import ProofTaken
 from cranberrywheel.settings import EntrySettings, PlatformSettings
 from cranberrywheel.version.adoption import CONFIGURATION_KEY, dump_body
 from cranberrywheel.version.freshness import FreshnessTracker
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -5,9 +5,7 @@
 import testtools
 
 from cranberrywheel.clock import Clock
-from cranberrywheel.connection.target_client import (
-    TargetClient,
-)
+from cranberrywheel.connection.target_client import TargetClient
 from cranberrywheel.connection.target_messages import (
     AttemptEnd,
     AttemptFinished,
