Pass queries of tickets on to their owner

Cause: GET /v1/requests/<ticket> answered unknown at every entry but the owner, so a caller behind the balancer seldom learned the truth. Change: an entry asks the owner over the peer link; a peer does not pass it on.

--- a/src/cranberrywheel/process/entry.py
+++ b/src/cranberrywheel/process/entry.py
@@ -105,7 +105,11 @@
 
     def _submit_forwarded(self, incoming: m.IncomingRequest) -> "Future[Answer]":
         answer: Future[Answer] = Future()
-        self._dispatcher.post(m.SubmitRequest(incoming, answer))
+        if incoming.query:
+            query = m.QueryTicket(incoming.idempotency_key, answer, forwarded=True)
+            self._dispatcher.post(query)
+        else:
+            self._dispatcher.post(m.SubmitRequest(incoming, answer))
         return answer
 
     def is_ready(self) -> bool:
--- a/src/cranberrywheel/process/messages.py
+++ b/src/cranberrywheel/process/messages.py
@@ -24,6 +24,7 @@
     :param idempotency_key: the ``Idempotency-Key`` header, or ``""``.
     :param timeout_ms: the caller's timeout, or 0 for the queue's.
     :param forwarded: true if a peer sent it; it is then not forwarded again.
+    :param query: true if a peer only asks what is known about the ticket.
     """
 
     request_id: str
@@ -35,6 +36,7 @@
     timeout_ms: int
     traceparent: str = ""
     forwarded: bool = False
+    query: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,10 +74,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class QueryTicket:
-    """To the dispatcher: the future gets what is known about a ticket."""
+    """To the dispatcher: the future gets what is known about a ticket.
+
+    :param forwarded: true if a peer asks; the query is then not passed on.
+    """
 
     ticket: str
     answer: "Future[Answer]"
+    forwarded: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cranberrywheel/process/peer_service.py
+++ b/src/cranberrywheel/process/peer_service.py
@@ -114,6 +114,7 @@
             content_type=message.content_type,
             timeout_ms=message.timeout_ms,
             traceparent=message.traceparent,
+            query=message.query,
             forwarded=True,
         )
         try:
@@ -239,6 +240,7 @@
             body=incoming.body,
             timeout_ms=timeout_ms,
             traceparent=incoming.traceparent,
+            query=incoming.query,
             request_id=incoming.request_id,
         )
         return self._submit(self._forward(peer_address, message, timeout_ms))
--- a/src/cranberrywheel/process/ticket_calls.py
+++ b/src/cranberrywheel/process/ticket_calls.py
@@ -1,6 +1,8 @@
 """Callers' calls about tickets, and what a claimed ticket means for them."""
 
 import dataclasses
+import uuid
+from concurrent.futures import Future
 
 from cranberrywheel.errors import (
     RequestError,
@@ -12,7 +14,10 @@
 from cranberrywheel.process.entry_state import EntryState
 from cranberrywheel.request.model import Answer, Outcome
 from cranberrywheel.request.problem import problem_answer
-from cranberrywheel.request.ticket import Claim, ClaimState
+from cranberrywheel.request.ticket import Claim, ClaimState, owner_of
+
+#: Less than a caller of the query waits for its answer.
+QUERY_TIMEOUT_MS = 3_000
 
 
 def claimed_answer(request_id: str, claim: Claim) -> Answer:
@@ -68,6 +73,29 @@
         except RequestError as error:
             message.tickets.set_exception(error)
 
+    def _ask_owner(self, peer_address: str, message: m.QueryTicket) -> None:
+        incoming = m.IncomingRequest(
+            request_id=uuid.uuid4().hex,
+            queue="",
+            authorization="",
+            idempotency_key=message.ticket,
+            body=b"",
+            content_type="",
+            timeout_ms=QUERY_TIMEOUT_MS,
+            query=True,
+        )
+
+        def copy(done: "Future[Answer]") -> None:
+            if not done.cancelled() and done.exception() is None:
+                message.answer.set_result(done.result())
+                return
+            claim = Claim(ClaimState.UNKNOWN)
+            message.answer.set_result(claimed_answer("", claim))
+
+        self._state.links.forward(
+            peer_address, incoming, QUERY_TIMEOUT_MS
+        ).add_done_callback(copy)
+
     def query(self, message: m.QueryTicket) -> None:
         """Tell what is known about a ticket."""
         now_ms = self._state.clock.now_ms()
@@ -76,6 +104,11 @@
         except RequestError as error:
             message.answer.set_result(problem_answer("", error))
             return
+        if claim.state is ClaimState.UNKNOWN and not message.forwarded:
+            peer = self._state.fleet.peer_address(owner_of(message.ticket))
+            if peer:
+                self._ask_owner(peer, message)
+                return
         if claim.state is ClaimState.RUNNING:
             body = b'{"state":"running"}'
             message.answer.set_result(
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -314,3 +314,19 @@
         exports = Future()
         self.bench.post(m.ExportResults(exports))
         self.assertEqual(export, dict(exports.result(0))["z1.e1.y"])
+
+    def test_query_of_a_peers_ticket_asks_its_owner(self):
+        report = m.PeerReport("z1.e1.y", "z1", "h:1", "h:2", False, (), {}, ())
+        self.bench.post(report)
+        ticket = self.bench.ticket().replace("z1.e1.x", "z1.e1.y")
+        known, lost, passed_on = Future(), Future(), Future()
+        self.bench.post(m.QueryTicket(ticket, known), m.QueryTicket(ticket, lost))
+        (_, incoming, first), (_, _, second) = self.bench.forwarded
+        self.assertTrue(incoming.query)
+        paid = Answer(request_id="", outcome=Outcome.OK, status=200, body=b"paid")
+        first.set_result(paid)
+        second.set_exception(ConnectionError())
+        self.assertEqual(paid, known.result(0))
+        self.assert_refused(lost, "unknown-outcome", Outcome.UNKNOWN)
+        self.bench.post(m.QueryTicket(ticket, passed_on, forwarded=True))
+        self.assert_refused(passed_on, "unknown-outcome", Outcome.UNKNOWN)
