Check withdrawn keys and leaving workers in running processes

Cause: the history rules for keys and leaving targets were only tried on written histories. Change: three process tests: a withdrawn key at every entry, a key withdrawn during a store outage, a leaving worker. With the leaving set not passed on, the third fails (a start 5,102 ms late); with withdrawal marks ignored, the second fails.

--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -324,3 +324,52 @@
         # The caller's payment was taken; a refusal must not deny that.
         for entry in ("entry-1", "entry-2"):
             self.assertNotEqual("not-run", self.call(entry, "orders", ticket)[1])
+
+    # Keys and leaving workers
+
+    def withdraw_key(self):
+        key_id = self.key.partition(".")[0]
+        status, answer = self.cluster.operate("DELETE", f"/v1/keys/{key_id}")
+        self.assertEqual(200, status, answer)
+        self.cluster.history.write("withdraw", key_id=key_id)
+
+    def wait_for_refusal(self, entry, kind):
+        wait_until(
+            lambda: self.call(entry, "prices")[2] == kind, WAIT_S, f"{entry}: {kind}"
+        )
+
+    def test_a_withdrawn_key_stops_at_every_entry(self):
+        self.withdraw_key()
+        for entry in ("entry-1", "entry-2") * 2:
+            self.wait_for_refusal(entry, "unauthorized")
+        self.assert_history_holds()
+
+    def test_a_key_withdrawn_during_a_store_outage_stops_and_stays_withdrawn(self):
+        self.cluster.set_platform_faults(outage=True)
+        self.withdraw_key()
+        for entry in ("entry-1", "entry-2"):
+            self.wait_for_refusal(entry, "unauthorized")
+        self.cluster.set_platform_faults()
+        wait_until(
+            lambda: not self.cluster.operate("GET", "/v1/configuration")[1]["keys"],
+            WAIT_S,
+            "the withdrawal is in the store",
+        )
+        for entry in ("entry-1", "entry-2"):
+            self.assertEqual("unauthorized", self.call(entry, "prices")[2])
+        self.assert_history_holds()
+
+    def test_a_leaving_worker_gets_no_new_work(self):
+        url = f"{self.cluster.platform_url}/v1/instances/desk-1"
+        call_json("PUT", url, {"state": "leaving"})
+
+        def ran_past_the_bound():
+            for entry in ("entry-1", "entry-2"):
+                self.call(entry, "browse")
+            events = self.history().events
+            left_ms = next(e.at_ms for e in events if e.event == "leaving")
+            bound_ms = self.history().meta.leaving_bound_ms
+            return events[-1].at_ms > left_ms + bound_ms + 1_000
+
+        wait_until(ran_past_the_bound, WAIT_S, "calls after the bound")
+        self.assert_history_holds()
