Use one implementation of the record envelope

Cause: record_store.py had its own envelope beside version/records.py, with the recent write ids in the other order. Change: the planner's records use parse_record, prepare_write and resolve_lost_write. The envelope is now checked strictly, so the tests' written records carry all fields; the test of a foreign envelope without recent ids became one of a foreign writer whose id must be carried forward, and the malformed cases gained an incomplete envelope.

--- a/src/cranberrywheel/process/disruptions.py
+++ b/src/cranberrywheel/process/disruptions.py
@@ -3,8 +3,9 @@
 import typing as t
 
 from cranberrywheel.process.fleet_model import services_by_pool
-from cranberrywheel.process.record_store import RecordStore, StoredBody
+from cranberrywheel.process.record_store import RecordStore
 from cranberrywheel.version.configuration import Configuration
+from cranberrywheel.version.records import StoredRecord
 
 KEY = "disruptions"
 
@@ -14,7 +15,7 @@
 
     def __init__(self, records: RecordStore) -> None:
         self._records = records
-        self._stored: StoredBody | None = None
+        self._stored: StoredRecord | None = None
 
     def read(self) -> dict[str, tuple[str, ...]]:
         """Read which instances are out, per service.
--- a/src/cranberrywheel/process/record_store.py
+++ b/src/cranberrywheel/process/record_store.py
@@ -1,56 +1,22 @@
 """Reads and writes JSON records with their envelope and resolves lost answers."""
 
-import dataclasses
-import json
 import typing as t
-import uuid
 
-from cranberrywheel.connection.store_client import StoreClient
-from cranberrywheel.errors import (
-    StoreConflictError,
-    StoreError,
-    StoreUnavailableError,
+from cranberrywheel.connection.store_client import Record, StoreClient
+from cranberrywheel.errors import StoreConflictError, StoreUnavailableError
+from cranberrywheel.version.records import (
+    PreparedWrite,
+    StoredRecord,
+    WriteOutcome,
+    parse_record,
+    prepare_write,
+    resolve_lost_write,
 )
 
-#: Number of write ids that each writer carries forward.
-RECENT_WRITES = 16
 #: Attempts to find out whether a write with a lost answer took effect.
 MAX_RESOLVE_ATTEMPTS = 3
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class StoredBody:
-    """Body of a record with what the next writer needs.
-
-    :param recent_write_ids: ids of the last writes, this one included.
-    """
-
-    body: dict[str, t.Any]
-    revision: int
-    write_id: str
-    recent_write_ids: tuple[str, ...]
-
-
-def _parse(key: str, value: str, revision: int) -> StoredBody:
-    try:
-        envelope = json.loads(value)
-        body = dict(envelope["body"])
-        write_id = str(envelope["write_id"])
-        recent = [str(i) for i in envelope.get("recent_write_ids", ())]
-    except (AttributeError, KeyError, TypeError, ValueError):
-        raise StoreError(
-            f"The record {key} has no valid envelope.", "Delete or correct it."
-        ) from None
-    if write_id not in recent:
-        recent.append(write_id)
-    return StoredBody(
-        body=body,
-        revision=revision,
-        write_id=write_id,
-        recent_write_ids=tuple(recent[-RECENT_WRITES:]),
-    )
-
-
 class RecordStore:
     """Records of one writer; use it from one thread only.
 
@@ -60,9 +26,9 @@
     def __init__(self, client: StoreClient, writer: str) -> None:
         self._client = client
         self._writer = writer
-        self._known: dict[str, StoredBody] = {}
+        self._known: dict[str, StoredRecord] = {}
 
-    def read(self, key: str) -> StoredBody | None:
+    def read(self, key: str) -> StoredRecord | None:
         """Read a record; an unchanged one is not transferred again.
 
         :raises StoreUnavailableError: without a usable answer.
@@ -74,15 +40,13 @@
         if record is None:
             self._known.pop(key, None)
             return None
-        self._known[key] = _parse(key, record.value, record.revision)
+        self._known[key] = parse_record(record)
         return self._known[key]
 
-    def read_all(self, prefix: str) -> dict[str, StoredBody]:
+    def read_all(self, prefix: str) -> dict[str, StoredRecord]:
         """Read all records under a prefix; keys are without the prefix."""
         return {
-            record.key.removeprefix(prefix): _parse(
-                record.key, record.value, record.revision
-            )
+            record.key.removeprefix(prefix): parse_record(record)
             for record in self._client.list(prefix)
         }
 
@@ -90,9 +54,9 @@
         self,
         key: str,
         body: dict[str, t.Any],
-        known: StoredBody | None,
+        known: StoredRecord | None,
         lease: str = "",
-    ) -> StoredBody:
+    ) -> StoredRecord:
         """Write a record by compare-and-swap.
 
         :param known: the record that the body was derived from, or ``None``.
@@ -101,23 +65,21 @@
         :raises StoreUnavailableError: the write may have taken effect; the caller
             must read the record before it writes again.
         """
-        write_id = uuid.uuid4().hex
-        before = known.recent_write_ids if known else ()
-        recent = (*before, write_id)[-RECENT_WRITES:]
-        value = self._dump(body, write_id, recent)
-        expected = known.revision if known else 0
+        write = prepare_write(key, known, self._writer, body)
         for attempt in range(MAX_RESOLVE_ATTEMPTS):
             try:
-                revision = self._client.put(key, value, expected, lease)
-                self._known[key] = _parse(key, value, revision)
+                revision = self._client.put(
+                    key, write.value, write.expected_revision, lease
+                )
+                self._known[key] = parse_record(Record(key, write.value, revision))
                 return self._known[key]
             except StoreUnavailableError:
                 # The read may show that the write took effect. If it did not, the
                 # same write can be sent again, because only one of both can win.
-                if stored := self._find_write(key, write_id):
+                if stored := self._find_write(write):
                     return stored
             except StoreConflictError:
-                if attempt and (stored := self._find_write(key, write_id)):
+                if attempt and (stored := self._find_write(write)):
                     return stored
                 raise
         raise StoreUnavailableError(
@@ -125,24 +87,15 @@
             "Check the platform's key-value service.",
         )
 
-    def _dump(
-        self, body: dict[str, t.Any], write_id: str, recent: tuple[str, ...]
-    ) -> str:
-        envelope = {
-            "write_id": write_id,
-            "writer": self._writer,
-            "recent_write_ids": recent,
-            "body": body,
-        }
-        return json.dumps(envelope)
-
-    def _find_write(self, key: str, write_id: str) -> StoredBody | None:
-        stored = self.read(key)
-        if stored is None or write_id not in stored.recent_write_ids:
+    def _find_write(self, write: PreparedWrite) -> StoredRecord | None:
+        stored = self.read(write.key)
+        if stored is None:
+            return None
+        if resolve_lost_write(write, stored) is not WriteOutcome.WRITTEN:
             return None
-        if stored.write_id != write_id:
+        if stored.write_id != write.write_id:
             raise StoreConflictError(
-                f"{key} was written again after the lost answer.",
+                f"{write.key} was written again after the lost answer.",
                 "Read it again.",
                 stored.revision,
             )
--- a/src/cranberrywheel/process/zone_record.py
+++ b/src/cranberrywheel/process/zone_record.py
@@ -20,9 +20,10 @@
     parse_zone_pools,
     seed_zone_pools,
 )
-from cranberrywheel.process.record_store import RecordStore, StoredBody
+from cranberrywheel.process.record_store import RecordStore
 from cranberrywheel.process.zone_lease import ZoneLease
 from cranberrywheel.version.configuration import Configuration
+from cranberrywheel.version.records import StoredRecord
 
 _log = PartLogger("planner")
 
@@ -49,7 +50,7 @@
         self._records = records
         self._lease = lease
         self._clock = clock
-        self._stored: StoredBody | None = None
+        self._stored: StoredRecord | None = None
         self._claimed_fence = 0
         #: Clock reading at which the platform confirmed the recorded state.
         self._confirmed_ms_by_name: dict[str, int] = {}
--- a/tests/planner_fixtures.py
+++ b/tests/planner_fixtures.py
@@ -189,7 +189,8 @@
         present = self.platform.get("configuration")
         revision = present.revision if present else 0
         body = {"text_version": revision + 1, "text": configuration_text}
-        value = json.dumps({"write_id": "1", "writer": "test", "body": body})
+        envelope = {"write_id": "1", "writer": "test", "recent_write_ids": []}
+        value = json.dumps({**envelope, "body": body})
         self.platform.put("configuration", value, revision, "")
 
     def planner(self, zone="x", instance="p1"):
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -1,3 +1,5 @@
+import json
+
 import testtools
 from planner_fixtures import NOW_MS, Deployment, text
 
@@ -180,8 +182,9 @@
         self.deployment.platform.faults.lose_answers = 1
         mine = first.write("k", {"n": 2}, known)
         later.write("k", {"n": 3}, later.read("k"))
-        self.deployment.platform.put("foreign", '{"write_id": "w", "body": {}}', 0, "")
-        self.assertIn("w", first.read("foreign").recent_write_ids)
+        foreign = later.write("foreign", {}, None)
+        first.write("foreign", {}, first.read("foreign"))
+        self.assertIn(foreign.write_id, first.read("foreign").recent_write_ids)
         self.assertIn(mine.write_id, first.read("k").recent_write_ids)
 
     def test_store_outage_starts_nothing(self):
@@ -246,7 +249,9 @@
 
     def test_malformed_records_end_the_round_with_a_remedy(self):
         # Guards against a planner that dies of one bad record.
-        for value in ("no JSON", '{"write_id": "w", "body": {"fence": 1}}'):
+        envelope = {"write_id": "w", "writer": "x", "recent_write_ids": []}
+        incomplete = json.dumps({**envelope, "body": {"fence": 1}})
+        for value in ("no JSON", '{"body": {}}', incomplete):
             self.deployment.platform.entries_by_key.pop("pools/y", None)
             self.deployment.platform.put("pools/y", value, 0, "")
             self.deployment.rounds(self.planner, 1)
