Count cancelled attempts out and keep the larger budget of a shared pool

Cause: found by reading the whole change. An attempt stopped before its start token came ended without a report, so the team's use count never fell again and its share shrank. Two services of one pool overwrote each other's ejection limit, so entries could eject below the larger availability budget. Change: every end of an attempt is reported; the limit follows the largest min_healthy of a pool's services.

--- a/src/cranberrywheel/process/attempts.py
+++ b/src/cranberrywheel/process/attempts.py
@@ -213,6 +213,7 @@
             return
         if attempt.state is AttemptState.NEEDS_TOKEN:
             self._end(attempt, AttemptVerdict.CANCELLED)
+            self._report(attempt, AttemptEnd.NOT_SENT, detail="cancelled")
             return
         attempt.state = AttemptState.STOPPING
         self._control(attempt, "stop")
--- a/src/cranberrywheel/process/fleet_view.py
+++ b/src/cranberrywheel/process/fleet_view.py
@@ -135,9 +135,13 @@
         for row in rows:
             if row.serving:
                 serving_by_pool[row.pool] = serving_by_pool.get(row.pool, 0) + 1
+        budget_by_pool: dict[str, int] = {}
         for service in self._configuration.services_by_name.values():
-            spare = serving_by_pool.get(service.pool, 0) - service.min_healthy
-            self._workers.set_ejection_limit(service.pool, max(0, spare))
+            known = budget_by_pool.get(service.pool, 0)
+            budget_by_pool[service.pool] = max(known, service.min_healthy)
+        for pool, min_healthy in budget_by_pool.items():
+            spare = serving_by_pool.get(pool, 0) - min_healthy
+            self._workers.set_ejection_limit(pool, max(0, spare))
 
     def set_peer(self, report: m.PeerReport) -> None:
         """Use a peer's report."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,7 +1,7 @@
 from concurrent.futures import Future
 
 import testtools
-from dispatcher_fakes import DispatcherBench
+from dispatcher_fakes import TEXT, DispatcherBench
 
 from cranberrywheel.connection.store_client import InstanceList
 from cranberrywheel.connection.target_messages import (
@@ -18,6 +18,7 @@
 from cranberrywheel.request.model import Answer, Outcome
 from cranberrywheel.request.problem import problem_answer
 from cranberrywheel.request.ticket import TicketExport
+from cranberrywheel.version.configuration import parse_configuration
 
 
 class DispatcherTest(testtools.TestCase):
@@ -330,3 +331,19 @@
         self.assert_refused(lost, "unknown-outcome", Outcome.UNKNOWN)
         self.bench.post(m.QueryTicket(ticket, passed_on, forwarded=True))
         self.assert_refused(passed_on, "unknown-outcome", Outcome.UNKNOWN)
+
+    def test_request_cancelled_before_its_start_token_leaves_the_use_counts(self):
+        # Guards against teams that seem to use more and more of their share.
+        self.bench.give_tokens = lambda: None
+        self.bench.submit("a")
+        self.assertEqual(1, self.bench.state.fleet.use_by_team["red"])
+        self.bench.post(m.CancelRequest("a"))
+        self.assertEqual(0, self.bench.state.fleet.use_by_team["red"])
+
+    def test_services_of_one_pool_are_ejected_within_the_larger_budget(self):
+        extra = "[service t]\npool = p\nmin_healthy = 3\n[service u]\npool = p\n"
+        configuration = parse_configuration(f"{TEXT}{extra}min_healthy = 0\n")
+        limits = {}
+        self.bench.state.workers.set_ejection_limit = limits.__setitem__
+        self.bench.state.fleet.set_configuration(configuration)
+        self.assertEqual({"p": 0}, limits)
