--- a/src/cranberrywheel/clock.py
+++ b/src/cranberrywheel/clock.py
@@ -1,7 +1,6 @@
 """Monotonic time in milliseconds, replaceable by a manual clock in tests."""
 
 import time
-import typing as t
 
 
 class Clock:
@@ -51,6 +50,3 @@
         if duration_ms < 0:
             raise ValueError("a monotonic clock cannot move back")
         self._now_ms += duration_ms
-
-
-NowMs = t.Callable[[], int]
--- a/src/cranberrywheel/connection/target_client.py
+++ b/src/cranberrywheel/connection/target_client.py
@@ -13,7 +13,6 @@
 
 from cranberrywheel.clock import Clock
 from cranberrywheel.connection.target_messages import (
-    AbortAttempt,
     AttemptEnd,
     AttemptFinished,
     ControlFinished,
@@ -102,7 +101,6 @@
         self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_CONNECTIONS)
         self._timer_due_ms: int | None = None
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
-        self._attempts_by_task: dict[str, _Transfer] = {}
         self._idle: list[pycurl.Curl] = []
         self._stopping = False
         self._thread = threading.Thread(
@@ -187,10 +185,7 @@
                 message = self._inbox.get_nowait()
             except queue.Empty:
                 return
-            if isinstance(message, AbortAttempt):
-                if transfer := self._attempts_by_task.get(message.task_id):
-                    self._remove(transfer)
-            elif message is not None:
+            if message is not None:
                 self._begin(message)
 
     def _begin(self, message: t.Any) -> None:
@@ -203,15 +198,11 @@
         curl.setopt(pycurl.HEADERFUNCTION, transfer.header)
         _configure(curl, message)
         self._transfers[curl] = transfer
-        if isinstance(message, StartAttempt):
-            self._attempts_by_task[message.task_id] = transfer
         self._multi.add_handle(curl)
 
     def _remove(self, transfer: _Transfer) -> None:
         self._multi.remove_handle(transfer.curl)
         del self._transfers[transfer.curl]
-        if isinstance(transfer.message, StartAttempt):
-            self._attempts_by_task.pop(transfer.message.task_id, None)
         self._idle.append(transfer.curl)
 
     def _collect(self) -> None:
--- a/src/cranberrywheel/connection/target_messages.py
+++ b/src/cranberrywheel/connection/target_messages.py
@@ -95,13 +95,6 @@
     usage_by_task: dict[str, tuple[float, int]]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class AbortAttempt:
-    """To the target client: drop an attempt's connection, without an answer."""
-
-    task_id: str
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AttemptFinished:
     """From the target client: the end of an attempt.
