--- a/src/cranberrywheel/logs.py
+++ b/src/cranberrywheel/logs.py
@@ -1,9 +1,20 @@
 """One event a line, with a fixed prefix for each part and key=value fields."""
 
+import collections
+import logging as standard_logging
+import os
+import sys
+import threading
+import time
 import typing as t
 
 from absl import logging
 
+#: Lines that wait for a reader of standard output; further ones are counted only.
+MAX_WAITING_LINES = 5_000
+#: Time between two writes of the waiting lines.
+FLUSH_S = 0.25
+
 
 def format_field(value: t.Any) -> str:
     """Render one value; text with blanks or quotes is quoted.
@@ -46,3 +57,74 @@
     def warning(self, event: str, **fields: t.Any) -> None:
         """Log something that an operator may want to look at."""
         logging.warning("%s", self._line(event, fields))
+
+    @logging.skip_log_prefix
+    def failure(self, event: str, error: BaseException) -> None:
+        """Log an exception that no code expected, with its place in the source."""
+        last = error.__traceback__
+        while last is not None and last.tb_next is not None:
+            last = last.tb_next
+        place = ""
+        if last is not None:
+            name = last.tb_frame.f_code.co_filename.rpartition("/")[2]
+            place = f"{name}:{last.tb_lineno}"
+        logging.error("%s", self._line(event, {"error": repr(error), "at": place}))
+
+
+class _LineBuffer(standard_logging.Handler):
+    """Keeps lines until the writer thread takes them; never blocks a caller."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._lines: collections.deque[str] = collections.deque()
+        self._dropped = 0
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="log", daemon=True)
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def emit(self, record: standard_logging.LogRecord) -> None:
+        if len(self._lines) >= MAX_WAITING_LINES:
+            self._dropped += 1
+            return
+        milliseconds = int(record.created * 1000)
+        self._lines.append(
+            f"{record.levelname[0]} {milliseconds} {record.getMessage()}"
+        )
+
+    def _run(self) -> None:
+        while not self._stopped.wait(FLUSH_S):
+            self._write()
+        self._write()
+
+    def _write(self) -> None:
+        if not self._lines:
+            return
+        lines = [self._lines.popleft() for _ in range(len(self._lines))]
+        if self._dropped:
+            lines.append(f"W {int(time.time() * 1000)} [log] dropped={self._dropped}")
+            self._dropped = 0
+        data = ("\n".join(lines) + "\n").encode()
+        while data:
+            data = data[os.write(sys.stdout.fileno(), data) :]
+
+    def stop(self) -> None:
+        self._stopped.set()
+        self._thread.join(timeout=1)
+
+
+def write_to_stdout() -> t.Callable[[], None]:
+    """Write all events to standard output through a bounded buffer.
+
+    :returns: a function that writes what is left and ends the writer.
+    """
+    buffer = _LineBuffer()
+    root = standard_logging.getLogger()
+    for handler in list(root.handlers):
+        root.removeHandler(handler)
+    logger = logging.get_absl_logger()
+    logger.handlers[:] = [buffer]
+    logger.propagate = False
+    buffer.start()
+    return buffer.stop
--- /dev/null
+++ b/src/cranberrywheel/node/__init__.py
@@ -0,0 +1,1 @@
+"""One process on the platform: its tasks, their wiring and its start and stop."""
--- /dev/null
+++ b/src/cranberrywheel/node/duties.py
@@ -0,0 +1,204 @@
+"""Carries out the upkeep of machines while this process leads."""
+
+import json
+import typing as t
+
+from cranberrywheel.connection.http_loop import HttpLoop
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.node.keys import LEADER_KEY, WAVE_PREFIX
+from cranberrywheel.node.watch import PrefixWatch
+from cranberrywheel.platform import machines as wire
+from cranberrywheel.platform.store import Item, Store, Write
+from cranberrywheel.submission.executor import Executor
+from cranberrywheel.submission.machines import DutyVerdict, Machine
+from cranberrywheel.submission.scheduler import Scheduler
+from cranberrywheel.submission.upkeep import (
+    WaveState,
+    choose_machines,
+    is_empty_enough,
+    runs_to_move,
+)
+
+#: Time between two looks at the machines while a wave is open.
+INTERVAL_MS = 400
+#: Pause before an order that got no answer is repeated.
+RETRY_MS = 700
+
+_log = PartLogger("duties")
+
+
+class Duties:
+    """Upkeep of the waves that operators ask for.
+
+    :param is_valid: whether this process certainly leads at this moment.
+    """
+
+    def __init__(
+        self,
+        loop: HttpLoop,
+        store: Store,
+        client: wire.MachineClient,
+        scheduler: Scheduler,
+        is_valid: t.Callable[[], bool],
+    ) -> None:
+        self._loop = loop
+        self._store = store
+        self._client = client
+        self._scheduler = scheduler
+        self._is_valid = is_valid
+        self._states_by_key: dict[str, WaveState] = {}
+        self._recorded: dict[str, set[str]] = {}
+        self._machines_by_id: dict[str, Machine] = {}
+        self._stopped = False
+        # Another leader may have sent an order for a machine just before.
+        self._first_order_ms = (
+            loop.clock.now_ms() + scheduler.bounds.duty_lease_ms + RETRY_MS
+        )
+        self._watch = PrefixWatch(loop, store, wire.WAVE_PREFIX, self._on_wave)
+
+    def start(self) -> None:
+        """Read what earlier leaders did, then follow the waves."""
+
+        def on_recorded(reply: t.Any) -> None:
+            if self._stopped:
+                return
+            if not reply.outcome.is_answer:
+                self._loop.after(RETRY_MS, self.start)
+                return
+            for item in reply.items:
+                key = wire.WAVE_PREFIX + item.key[len(WAVE_PREFIX) :]
+                self._recorded[key] = set(json.loads(item.value or b"[]"))
+            self._watch.start()
+            self._loop.after(INTERVAL_MS, self._step)
+
+        self._store.read_all(WAVE_PREFIX, on_recorded)
+
+    def stop(self) -> None:
+        """Order nothing any more."""
+        self._stopped = True
+        self._watch.stop()
+
+    def _on_wave(self, item: Item) -> None:
+        if item.value is None:
+            self._states_by_key.pop(item.key, None)
+            return
+        wave = wire.decode_wave(item.value)
+        if wave is None:
+            return
+        state = WaveState(wave, self._loop.clock.now_ms())
+        state.done = set(self._recorded.get(item.key, ()))
+        self._states_by_key[item.key] = state
+        self._scheduler.upkeep_due.update(state.left())
+        _log.event(
+            "wave",
+            wave=wave.number,
+            machines=len(wave.machines),
+            at_once=wave.at_once,
+            duration_ms=wave.duration_ms,
+        )
+
+    def _step(self) -> None:
+        if self._stopped:
+            return
+        self._loop.after(INTERVAL_MS, self._step)
+        if any(not state.completed for state in self._states_by_key.values()):
+            self._client.read_all(self._on_machines)
+
+    def _on_machines(self, machines: list[Machine] | None) -> None:
+        if machines is None or self._stopped:
+            return
+        self._machines_by_id = {machine.id: machine for machine in machines}
+        for key, state in self._states_by_key.items():
+            if not state.completed:
+                self._advance(key, state)
+
+    def _executors_by_machine(self) -> dict[str, Executor]:
+        return {
+            executor.entry.machine: executor
+            for executor in self._scheduler.executors_by_id.values()
+            if executor.registered
+        }
+
+    def _advance(self, key: str, state: WaveState) -> None:
+        now_ms = self._loop.clock.now_ms()
+        executors = self._executors_by_machine()
+        if now_ms < self._first_order_ms or not self._is_valid():
+            return
+        for machine_id in choose_machines(
+            state,
+            self._machines_by_id,
+            executors,
+            self._scheduler.bounds.upkeep_ms,
+            now_ms,
+        ):
+            state.emptying_since_ms[machine_id] = now_ms
+            _log.event("emptying", wave=state.wave.number, machine=machine_id)
+        for machine_id, since_ms in list(state.emptying_since_ms.items()):
+            executor = executors.get(machine_id)
+            if executor is not None:
+                executor.cordoned = True
+                pool = [
+                    other
+                    for other in self._scheduler.executors_by_id.values()
+                    if other.entry.service == executor.entry.service
+                ]
+                for run in runs_to_move(executor, pool, now_ms):
+                    self._scheduler.stop_run(run, now_ms, "planned upkeep")
+            if machine_id not in state.ordered and is_empty_enough(
+                executor, since_ms, now_ms
+            ):
+                self._order(key, state, machine_id)
+        if not state.left() and not state.completed:
+            state.completed = True
+        self._report(key, state)
+
+    def _order(self, key: str, state: WaveState, machine_id: str) -> None:
+        state.ordered.add(machine_id)
+
+        def on_reply(verdict: DutyVerdict) -> None:
+            _log.event(
+                "upkeep ordered",
+                wave=state.wave.number,
+                machine=machine_id,
+                outcome=verdict.value,
+                fence=self._scheduler.fence,
+            )
+            if verdict is DutyVerdict.OK or verdict is DutyVerdict.OTHER_WAVE:
+                state.done.add(machine_id)
+                state.emptying_since_ms.pop(machine_id, None)
+                self._scheduler.upkeep_due.discard(machine_id)
+                self._record(key, state)
+            elif verdict is DutyVerdict.BUSY:
+                self._release(state, machine_id)
+            self._loop.after(RETRY_MS, lambda: state.ordered.discard(machine_id))
+
+        self._client.begin_upkeep(
+            machine_id, state.wave.number, self._scheduler.fence, on_reply
+        )
+
+    def _release(self, state: WaveState, machine_id: str) -> None:
+        state.emptying_since_ms.pop(machine_id, None)
+        executor = self._executors_by_machine().get(machine_id)
+        if executor is not None:
+            executor.cordoned = False
+
+    def _record(self, key: str, state: WaveState) -> None:
+        name = key[len(wire.WAVE_PREFIX) :]
+        value = json.dumps(sorted(state.done)).encode()
+        self._write(WAVE_PREFIX + name, value)
+
+    def _report(self, key: str, state: WaveState) -> None:
+        name = key[len(wire.WAVE_PREFIX) :]
+        value = wire.encode_wave_status(state.completed)
+        if getattr(state, "reported", None) != value:
+            state.reported = value  # type: ignore[attr-defined]
+            self._write(wire.STATUS_PREFIX + name, value)
+
+    def _write(self, key: str, value: bytes) -> None:
+        conditions = ((LEADER_KEY, self._scheduler.fence),)
+
+        def on_reply(reply: t.Any) -> None:
+            if not reply.outcome.is_answer and not self._stopped:
+                self._loop.after(RETRY_MS, lambda: self._write(key, value))
+
+        self._store.write(Write(conditions, ((key, value, 0),)), on_reply)
--- /dev/null
+++ b/src/cranberrywheel/node/leadership.py
@@ -0,0 +1,222 @@
+"""Which process decides: a lease in the store with a rising fence."""
+
+import dataclasses
+import json
+import typing as t
+
+from cranberrywheel.connection.http_loop import HttpLoop
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.node.keys import LEADER_KEY, TERM_KEY
+from cranberrywheel.node.watch import PrefixWatch
+from cranberrywheel.platform.store import Item, Outcome, Store, StoreReply, Write
+
+#: Time to live of the leader's lease: a dead leader is noticed within it, and runs
+#: whose executor lease is longer survive the take-over.
+LEASE_MS = 1_500
+#: Time between renewals; three may fail before the lease ends.
+RENEW_MS = 400
+#: The holder stops this long before its lease may end in the store.
+SAFETY_MS = 150
+#: Pause before the next try to take the leadership.
+RETRY_MS = 200
+
+_log = PartLogger("leadership")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """The process that holds the leadership.
+
+    :param address: ``host:port`` of its peer service.
+    :param fence: revision of its record; rises with each leadership.
+    """
+
+    process: str
+    address: str
+    fence: int
+
+
+class Leadership:
+    """Follows the leadership and takes it when it is free.
+
+    All methods run on the loop's thread.
+
+    :param process: name of this incarnation.
+    :param address: ``host:port`` of its peer service.
+    :param may_compete: whether this process can lead at all.
+    :param on_gain: called with fence and term.
+    :param on_loss: called when this process must stop deciding.
+    """
+
+    def __init__(
+        self,
+        loop: HttpLoop,
+        store: Store,
+        process: str,
+        address: str,
+        may_compete: t.Callable[[], bool],
+        on_gain: t.Callable[[int, int], None],
+        on_loss: t.Callable[[], None],
+    ) -> None:
+        self._loop = loop
+        self._store = store
+        self._process = process
+        self._address = address
+        self._may_compete = may_compete
+        self._on_gain = on_gain
+        self._on_loss = on_loss
+        self.holder: Holder | None = None
+        self.fence = 0
+        self._lease = 0
+        self._valid_until_ms = 0
+        self._attempting = False
+        self._known = False
+        self._generation = 0
+        self._watch = PrefixWatch(
+            loop, store, LEADER_KEY, self._on_item, self._on_first_read
+        )
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this process leads, as far as it knows."""
+        return bool(self.fence)
+
+    def is_valid(self) -> bool:
+        """Whether nobody else can hold the leadership at this moment."""
+        return bool(self.fence) and self._loop.clock.now_ms() < self._valid_until_ms
+
+    def start(self) -> None:
+        """Begin to follow the leadership."""
+        self._watch.start()
+        self._loop.after(RETRY_MS, self._retry)
+
+    def release(self, done: t.Callable[[], None]) -> None:
+        """Give the leadership up, so that another process takes it at once."""
+        if not self.fence:
+            done()
+            return
+        lease = self._lease
+        self._lose("released")
+        self._store.end_lease(lease, lambda reply: done())
+
+    def step_down(self, reason: str) -> None:
+        """Stop leading because another leader was seen."""
+        if self.fence:
+            self._lose(reason)
+
+    def _retry(self) -> None:
+        self._loop.after(RETRY_MS, self._retry)
+        self._try_to_lead()
+
+    def _on_first_read(self) -> None:
+        self._known = True
+        self._try_to_lead()
+
+    def _on_item(self, item: Item) -> None:
+        if item.key != LEADER_KEY:
+            return
+        if item.value is None:
+            self.holder = None
+            self._try_to_lead()
+            return
+        holder = _decode_holder(item)
+        self.holder = holder
+        if self.fence and holder and holder.fence > self.fence:
+            self._lose("another process leads")
+
+    def _try_to_lead(self) -> None:
+        if (
+            self.fence
+            or self.holder
+            or self._attempting
+            or not self._known
+            or not self._may_compete()
+        ):
+            return
+        self._attempting = True
+        granted_ms = self._loop.clock.now_ms()
+
+        def on_lease(reply: StoreReply) -> None:
+            if reply.outcome is not Outcome.OK or not reply.lease:
+                self._attempting = False
+                return
+            self._lease = reply.lease
+            self._valid_until_ms = granted_ms + reply.ttl_ms - SAFETY_MS
+            self._store.read(TERM_KEY, on_term)
+
+        def on_term(reply: StoreReply) -> None:
+            if reply.outcome not in (Outcome.OK, Outcome.ABSENT):
+                self._attempting = False
+                return
+            item = reply.items[0] if reply.outcome is Outcome.OK else None
+            term = int(item.value or b"0") + 1 if item else 0
+            revision = item.revision if item else 0
+            record = {"process": self._process, "address": self._address}
+            write = Write(
+                conditions=((LEADER_KEY, 0), (TERM_KEY, revision)),
+                puts=(
+                    (LEADER_KEY, json.dumps(record).encode(), self._lease),
+                    (TERM_KEY, str(term).encode(), 0),
+                ),
+            )
+            self._store.write(write, lambda result: on_written(result, term))
+
+        def on_written(reply: StoreReply, term: int) -> None:
+            self._attempting = False
+            if reply.outcome is Outcome.OK:
+                self._gain(reply.revision, term)
+            else:
+                # Without an answer the record may still appear; its lease is not
+                # renewed, so that it ends and the next try finds the way free.
+                _log.event("did not gain the lead", outcome=reply.outcome.value)
+
+        self._store.grant_lease(LEASE_MS, on_lease)
+
+    def _gain(self, fence: int, term: int) -> None:
+        if self._loop.clock.now_ms() >= self._valid_until_ms:
+            _log.warning("gained the lead too late", fence=fence)
+            return
+        self.fence = fence
+        self.holder = Holder(self._process, self._address, fence)
+        self._generation += 1
+        _log.event("leads", fence=fence, term=term)
+        generation = self._generation
+        self._loop.after(RENEW_MS, lambda: self._renew(generation))
+        self._on_gain(fence, term)
+
+    def _lose(self, reason: str) -> None:
+        _log.event("leads no more", fence=self.fence, reason=reason)
+        self.fence = 0
+        self._lease = 0
+        self._generation += 1
+        if self.holder and self.holder.process == self._process:
+            self.holder = None
+        self._on_loss()
+
+    def _renew(self, generation: int) -> None:
+        if generation != self._generation:
+            return
+        sent_ms = self._loop.clock.now_ms()
+
+        def on_reply(reply: StoreReply) -> None:
+            if generation != self._generation:
+                return
+            if reply.outcome is Outcome.OK:
+                ttl_ms = reply.ttl_ms or LEASE_MS
+                self._valid_until_ms = sent_ms + ttl_ms - SAFETY_MS
+                self._loop.after(RENEW_MS, lambda: self._renew(generation))
+            elif reply.outcome is Outcome.ABSENT:
+                self._lose("the lease has ended")
+            else:
+                self._loop.after(RENEW_MS // 2, lambda: self._renew(generation))
+
+        self._store.renew_lease(self._lease, on_reply)
+
+
+def _decode_holder(item: Item) -> Holder | None:
+    try:
+        row = json.loads(item.value or b"")
+        return Holder(str(row["process"]), str(row["address"]), item.revision)
+    except (KeyError, TypeError, ValueError) as error:
+        _log.warning("unreadable leader record", error=repr(error))
+        return None
--- /dev/null
+++ b/src/cranberrywheel/node/metrics.py
@@ -0,0 +1,42 @@
+"""Counters and histograms of a node, served as text."""
+
+import typing as t
+
+import prometheus_client as prometheus
+
+#: Upper bounds of latency buckets in seconds: a store call takes 4 to 8 ms, callers
+#: wait for at most a few seconds.
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0)
+
+
+class Metrics:
+    """Metrics of one process."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus.CollectorRegistry()
+        self._answers = prometheus.Counter(
+            "cranberrywheel_answers",
+            "Answers to callers",
+            ["method", "status"],
+            registry=self.registry,
+        )
+        self._latency = prometheus.Histogram(
+            "cranberrywheel_answer_seconds",
+            "Time from a caller's request to its answer",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def note_answer(self, method: str, status: int, seconds: float) -> None:
+        """Count one answer."""
+        self._answers.labels(method, str(status)).inc()
+        self._latency.observe(seconds)
+
+    def gauge(self, name: str, text: str, read: t.Callable[[], float]) -> None:
+        """Serve a value that is read when it is asked for."""
+        gauge = prometheus.Gauge(name, text, registry=self.registry)
+        gauge.set_function(read)
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        return prometheus.generate_latest(self.registry)
--- /dev/null
+++ b/src/cranberrywheel/node/node.py
@@ -0,0 +1,536 @@
+"""Wires the tasks of one process on the platform."""
+
+import json
+import signal
+import threading
+import time
+import typing as t
+import uuid
+from concurrent.futures import Future
+
+from werkzeug.wrappers import Request, Response
+
+from cranberrywheel.clock import Clock
+from cranberrywheel.connection.http_loop import HttpLoop, HttpReply, HttpRequest
+from cranberrywheel.connection.http_server import HttpServer
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.node.front import FrontApi
+from cranberrywheel.node.intake import Acceptance, Intake
+from cranberrywheel.node.keys import (
+    CANCEL_SUFFIX,
+    FINAL_SUFFIX,
+    MEMBER_PREFIX,
+    PROGRESS_SUFFIX,
+    submission_key,
+)
+from cranberrywheel.node.leader import Leader
+from cranberrywheel.node.leadership import Leadership
+from cranberrywheel.node.metrics import Metrics
+from cranberrywheel.node.watch import PrefixWatch
+from cranberrywheel.platform.callers import READY_PATH
+from cranberrywheel.platform.configuration import (
+    CONFIGURATION_KEY,
+    OPERATOR_PREFIX,
+    decode_configuration,
+)
+from cranberrywheel.platform.executors import AdvisorClient, ExecutorClient
+from cranberrywheel.platform.machines import MachineClient
+from cranberrywheel.platform.settings import NodeSettings
+from cranberrywheel.platform.store import Item, Outcome, Store, StoreReply, Write
+from cranberrywheel.submission.model import Configuration, Queue, State, Submission
+from cranberrywheel.submission.record import decode_final_state
+from cranberrywheel.submission.scheduler import Scheduler
+
+#: Caller connections served at once; each holds a thread while it is open.
+FRONT_THREADS = 96
+#: Balancer probes, peers and metrics need few connections.
+SIDE_THREADS = 8
+MAX_BODY_BYTES = 300_000
+#: Lease of a member's record and its renewal. A member that is gone matters only as
+#: an address that does not answer.
+MEMBER_LEASE_MS = 5_000
+MEMBER_RENEW_MS = 1_500
+RETRY_MS = 250
+#: Longest wait for a peer: zones are about a millisecond apart.
+PEER_TIMEOUT_MS = 400
+#: Time between two questions to peers while the store is away.
+EVIDENCE_INTERVAL_MS = 300
+#: The store counts as away for a node that got no answer for this long.
+STORE_AWAY_MS = 600
+#: Peers' word that the store is away holds for this long.
+EVIDENCE_MS = 900
+#: Time between SIGTERM and the exit: the balancer takes two seconds to notice.
+DRAIN_MS = 3_000
+METRICS_PORT = 9464
+SIGNAL_POLL_S = 0.2
+
+_log = PartLogger("node")
+T = t.TypeVar("T")
+
+
+class Node:
+    """One process: front, leadership, configuration and, at times, the leader.
+
+    :param settings: what the platform tells the process.
+    """
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self.configuration: Configuration | None = None
+        self.stopping = False
+        self._stop_requested = threading.Event()
+        self._clock = Clock()
+        self._loop = HttpLoop(self._clock)
+        self._process = f"{settings.node}-{uuid.uuid4().hex[:8]}"
+        self._peer_address = f"{settings.ip}:{settings.peer_port}"
+        self._contact_ms = 0
+        self._store = Store(self._loop, settings.store, self._note_contact)
+        self._intake = Intake(self._loop, self._store)
+        self._executors = ExecutorClient(self._loop)
+        self._leader: Leader | None = None
+        self._registered = False
+        self._member_lease = 0
+        self._raw_configuration = b""
+        self._address_by_member: dict[str, str] = {}
+        self._evidence_ms = 0
+        self._leadership = Leadership(
+            self._loop,
+            self._store,
+            self._process,
+            self._peer_address,
+            self._may_compete,
+            self._on_gain,
+            self._on_loss,
+        )
+        self._config_watch = PrefixWatch(
+            self._loop, self._store, OPERATOR_PREFIX + "config", self._on_configuration
+        )
+        self._member_watch = PrefixWatch(
+            self._loop, self._store, MEMBER_PREFIX, self._on_member
+        )
+        self._metrics = Metrics()
+        self._metrics.gauge(
+            "cranberrywheel_is_leader",
+            "Whether this process leads",
+            lambda: float(self._leadership.is_leader),
+        )
+        self._metrics.gauge(
+            "cranberrywheel_live_submissions",
+            "Submissions that are not finished, at the leader",
+            lambda: float(
+                len(self._leader.scheduler.live_by_id) if self._leader else 0
+            ),
+        )
+        host, _, port = settings.front.rpartition(":")
+        self._front = HttpServer(
+            host,
+            int(port),
+            FrontApi(self, self._metrics),
+            FRONT_THREADS,
+            MAX_BODY_BYTES,
+        )
+        host, _, port = settings.ready.rpartition(":")
+        self._ready = HttpServer(
+            host, int(port), self._ready_app, SIDE_THREADS, MAX_BODY_BYTES
+        )
+        self._peers = HttpServer(
+            settings.ip,
+            settings.peer_port,
+            self._peer_app,
+            SIDE_THREADS,
+            MAX_BODY_BYTES,
+        )
+        self._metrics_server = HttpServer(
+            settings.ip, METRICS_PORT, self._metrics_app, 2, MAX_BODY_BYTES
+        )
+
+    # Life
+
+    def run(self) -> None:
+        """Run until SIGTERM, then drain and return."""
+        signal.signal(signal.SIGTERM, lambda *_: self._stop_requested.set())
+        signal.signal(signal.SIGINT, lambda *_: self._stop_requested.set())
+        signal.signal(signal.SIGHUP, lambda *_: _log.event("settings may have changed"))
+        self._loop.start()
+        self._loop.post(self._start)
+        for server in (self._front, self._ready, self._peers, self._metrics_server):
+            server.start()
+        _log.event("started", process=self._process, zone=self._settings.zone)
+        while not self._stop_requested.wait(SIGNAL_POLL_S):
+            pass
+        self._stop()
+
+    def _start(self) -> None:
+        self._config_watch.start()
+        self._member_watch.start()
+        self._leadership.start()
+        self._register()
+
+    def _stop(self) -> None:
+        self.stopping = True
+        _log.event("stopping", process=self._process, drain_ms=DRAIN_MS)
+        self._loop.post(lambda: self._leadership.release(lambda: None))
+        self._clock.sleep_ms(DRAIN_MS)
+        self._front.close_listener()
+        self._front.stop()
+        _log.event("stopped", process=self._process)
+
+    def _note_contact(self, answered: bool) -> None:
+        if answered:
+            now_ms = self._clock.now_ms()
+            if now_ms - self._contact_ms > STORE_AWAY_MS * 3:
+                _log.event("store reached", away_ms=now_ms - self._contact_ms)
+            self._contact_ms = now_ms
+
+    def _store_is_away(self) -> bool:
+        return self._clock.now_ms() - self._contact_ms > STORE_AWAY_MS
+
+    # Configuration
+
+    def _on_configuration(self, item: Item) -> None:
+        if item.key == CONFIGURATION_KEY and item.value is not None:
+            self._adopt_configuration(item.value, "store")
+
+    def _adopt_configuration(self, value: bytes, source: str) -> None:
+        try:
+            configuration = decode_configuration(value)
+        except ValueError as error:
+            _log.warning("unreadable configuration", error=str(error)[:200])
+            return
+        known = self.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self.configuration = configuration
+        self._raw_configuration = value
+        _log.event(
+            "configuration in force", version=configuration.version, source=source
+        )
+        if self._leader:
+            self._leader.set_configuration(configuration)
+
+    # Members
+
+    def _register(self) -> None:
+        if self.stopping:
+            return
+
+        def on_lease(reply: StoreReply) -> None:
+            if reply.outcome is not Outcome.OK:
+                self._loop.after(RETRY_MS, self._register)
+                return
+            self._member_lease = reply.lease
+            value = json.dumps({"address": self._peer_address}).encode()
+            put = (MEMBER_PREFIX + self._process, value, reply.lease)
+            self._store.write(Write(puts=(put,)), on_written)
+
+        def on_written(reply: StoreReply) -> None:
+            if reply.outcome is not Outcome.OK:
+                self._loop.after(RETRY_MS, self._register)
+                return
+            self._registered = True
+            self._loop.after(MEMBER_RENEW_MS, self._renew_member)
+
+        self._store.grant_lease(MEMBER_LEASE_MS, on_lease)
+
+    def _renew_member(self) -> None:
+        if self.stopping:
+            self._store.end_lease(self._member_lease, lambda reply: None)
+            return
+
+        def on_reply(reply: StoreReply) -> None:
+            if reply.outcome is Outcome.ABSENT:
+                self._register()
+            else:
+                self._loop.after(MEMBER_RENEW_MS, self._renew_member)
+
+        self._store.renew_lease(self._member_lease, on_reply)
+
+    def _on_member(self, item: Item) -> None:
+        member = item.key[len(MEMBER_PREFIX) :]
+        if item.value is None:
+            self._address_by_member.pop(member, None)
+            return
+        try:
+            self._address_by_member[member] = str(json.loads(item.value)["address"])
+        except (KeyError, TypeError, ValueError) as error:
+            _log.warning("unreadable member", member=member, error=repr(error))
+
+    def _peer_addresses(self) -> list[str]:
+        return [
+            address
+            for address in self._address_by_member.values()
+            if address != self._peer_address
+        ]
+
+    # Leadership
+
+    def _may_compete(self) -> bool:
+        return not self.stopping and self.configuration is not None and self._registered
+
+    def _on_gain(self, fence: int, term: int) -> None:
+        scheduler = Scheduler(fence, term, self._settings.bounds, self._clock.now_ms())
+        if self.configuration:
+            scheduler.set_configuration(self.configuration)
+        settings = self._settings
+        advisor = AdvisorClient(self._loop, settings.advisor)
+        machines = MachineClient(self._loop, settings.machines, self._process)
+        self._leader = Leader(
+            self._loop,
+            self._store,
+            self._executors,
+            advisor if settings.advisor else None,
+            machines if settings.machines else None,
+            scheduler,
+            self._leadership.is_valid,
+            self._may_continue,
+            self._leadership.step_down,
+        )
+        self._leader.start()
+
+    def _on_loss(self) -> None:
+        if self._leader:
+            self._leader.stop()
+            self._leader = None
+
+    def _may_continue(self) -> bool:
+        """Whether all peers say that the store is away for them too."""
+        now_ms = self._clock.now_ms()
+        if not self._store_is_away():
+            return False
+        self._collect_evidence(now_ms)
+        return now_ms - self._evidence_ms < EVIDENCE_MS
+
+    _asked_ms = 0
+
+    def _collect_evidence(self, now_ms: int) -> None:
+        if now_ms - self._asked_ms < EVIDENCE_INTERVAL_MS:
+            return
+        self._asked_ms = now_ms
+        addresses = self._peer_addresses()
+        left = set(addresses)
+        fence = self._leadership.fence
+
+        def on_reply(address: str, reply: HttpReply) -> None:
+            try:
+                body = json.loads(reply.body) if reply.status == 200 else {}
+            except ValueError:
+                body = {}
+            if body.get("store_away") and body.get("fence", 0) <= fence:
+                left.discard(address)
+            if not left and self._leadership.fence == fence:
+                self._evidence_ms = max(self._evidence_ms, now_ms)
+
+        for address in addresses:
+            request = HttpRequest(
+                "GET", address, "/peer/status", timeout_ms=PEER_TIMEOUT_MS
+            )
+            self._loop.call(request, lambda reply, a=address: on_reply(a, reply))
+
+    # What the front asks for
+
+    def _on_loop(self, begin: t.Callable[["Future[T]"], None]) -> "Future[T]":
+        future: Future[T] = Future()
+        self._loop.post(lambda: begin(future))
+        return future
+
+    def submit(self, submission: Submission, wait_ms: int) -> "Future[Acceptance]":
+        """Store a submission."""
+
+        def begin(future: "Future[Acceptance]") -> None:
+            give_up_ms = self._clock.now_ms() + wait_ms
+            self._intake.submit(submission, give_up_ms, future.set_result)
+
+        return self._on_loop(begin)
+
+    def find_state(self, submission_id: str, wait_ms: int) -> "Future[State | None]":
+        """Find a submission's state; ``None`` if there is no such submission."""
+        return self._on_loop(
+            lambda future: self._find_state(submission_id, wait_ms, future)
+        )
+
+    def _find_state(
+        self, submission_id: str, wait_ms: int, future: "Future[State | None]"
+    ) -> None:
+        give_up_ms = self._clock.now_ms() + wait_ms
+        if self._leader and self._leadership.is_valid():
+            state = self._leader.scheduler.state_of(submission_id)
+            if state is not None:
+                future.set_result(state)
+                return
+        key = submission_key(submission_id)
+
+        def read() -> None:
+            self._store.read_all(key, on_items)
+
+        def on_items(reply: StoreReply) -> None:
+            if reply.outcome is Outcome.OK:
+                by_key = {item.key: item.value or b"" for item in reply.items}
+                future.set_result(_state_from_records(key, by_key))
+            elif self._clock.now_ms() + RETRY_MS < give_up_ms:
+                if not self._ask_leader(submission_id, future, read):
+                    self._loop.after(RETRY_MS, read)
+
+        read()
+
+    def _ask_leader(
+        self,
+        submission_id: str,
+        future: "Future[State | None]",
+        otherwise: t.Callable[[], None],
+    ) -> bool:
+        holder = self._leadership.holder
+        if holder is None or holder.address == self._peer_address:
+            return False
+
+        def on_reply(reply: HttpReply) -> None:
+            try:
+                future.set_result(State(json.loads(reply.body)["state"]))
+            except (KeyError, TypeError, ValueError):
+                self._loop.after(RETRY_MS, otherwise)
+
+        path = f"/peer/submission/{submission_id}"
+        request = HttpRequest("GET", holder.address, path, timeout_ms=PEER_TIMEOUT_MS)
+        self._loop.call(request, on_reply)
+        return True
+
+    def cancel(self, submission_id: str, wait_ms: int) -> "Future[bool]":
+        """Cancel a submission; false if there is none."""
+        return self._on_loop(
+            lambda future: self._cancel(
+                submission_id, self._clock.now_ms() + wait_ms, future
+            )
+        )
+
+    def _cancel(
+        self, submission_id: str, give_up_ms: int, future: "Future[bool]"
+    ) -> None:
+        key = submission_key(submission_id)
+
+        def retry() -> None:
+            if self._clock.now_ms() + RETRY_MS < give_up_ms:
+                self._loop.after(
+                    RETRY_MS, lambda: self._cancel(submission_id, give_up_ms, future)
+                )
+
+        def on_items(reply: StoreReply) -> None:
+            if reply.outcome is not Outcome.OK:
+                retry()
+                return
+            by_key = {item.key: item for item in reply.items}
+            if key + FINAL_SUFFIX in by_key or key + CANCEL_SUFFIX in by_key:
+                future.set_result(True)
+            elif key not in by_key:
+                future.set_result(False)
+            else:
+                conditions = ((key, by_key[key].revision),)
+                put = (key + CANCEL_SUFFIX, b"{}", 0)
+                self._store.write(Write(conditions, (put,)), on_written)
+
+        def on_written(reply: StoreReply) -> None:
+            if reply.outcome is Outcome.OK:
+                future.set_result(True)
+            else:
+                retry()
+
+        self._store.read_all(key, on_items)
+
+    def count_waiting(self, queue: Queue) -> "Future[int]":
+        """Count a queue's submissions of which no task has started."""
+        return self._on_loop(lambda future: self._count_waiting(queue, future))
+
+    def _count_waiting(self, queue: Queue, future: "Future[int]") -> None:
+        leader = self._leader
+        if leader and leader.is_loaded:
+            future.set_result(leader.scheduler.queue_length(queue.key))
+            return
+        holder = self._leadership.holder
+        if holder is None or holder.address == self._peer_address:
+            self._loop.after(RETRY_MS, lambda: self._count_waiting(queue, future))
+            return
+
+        def on_reply(reply: HttpReply) -> None:
+            try:
+                future.set_result(int(json.loads(reply.body)["count"]))
+            except (KeyError, TypeError, ValueError):
+                self._loop.after(RETRY_MS, lambda: self._count_waiting(queue, future))
+
+        body = json.dumps({"queue": queue.key}).encode()
+        request = HttpRequest(
+            "POST", holder.address, "/peer/queue", body, timeout_ms=PEER_TIMEOUT_MS
+        )
+        self._loop.call(request, on_reply)
+
+    # Other interfaces
+
+    def _ready_app(self, environ: t.Any, start_response: t.Any) -> t.Any:
+        request = Request(environ)
+        ready = self.configuration is not None and not self.stopping
+        status = 200 if request.path == READY_PATH and ready else 503
+        return Response(b"", status=status)(environ, start_response)
+
+    def _metrics_app(self, environ: t.Any, start_response: t.Any) -> t.Any:
+        response = Response(self._metrics.render(), content_type="text/plain")
+        return response(environ, start_response)
+
+    def _peer_app(self, environ: t.Any, start_response: t.Any) -> t.Any:
+        request = Request(environ)
+        answer: Future[dict[str, t.Any]] = Future()
+        self._loop.post(lambda: answer.set_result(self._answer_peer(request)))
+        try:
+            body = answer.result(PEER_TIMEOUT_MS / 1000)
+        except TimeoutError:
+            body = {}
+        response = Response(
+            json.dumps(body),
+            status=200 if body else 404,
+            content_type="application/json",
+        )
+        return response(environ, start_response)
+
+    def _answer_peer(self, request: Request) -> dict[str, t.Any]:
+        leader = self._leader
+        if request.path == "/peer/status":
+            holder = self._leadership.holder
+            return {
+                "store_away": self._store_is_away(),
+                "fence": holder.fence if holder else 0,
+                "version": self.configuration.version if self.configuration else 0,
+            }
+        if request.path == "/peer/configuration" and self._raw_configuration:
+            return {"value": self._raw_configuration.decode()}
+        if leader is None or not leader.is_loaded:
+            return {}
+        if request.path == "/peer/queue":
+            try:
+                queue = str(json.loads(request.get_data())["queue"])
+            except (KeyError, TypeError, ValueError):
+                return {}
+            return {"count": leader.scheduler.queue_length(queue)}
+        if request.path.startswith("/peer/submission/"):
+            state = leader.scheduler.state_of(request.path.rpartition("/")[2])
+            return {"state": state.value} if state else {}
+        return {}
+
+
+def _state_from_records(key: str, value_by_key: dict[str, bytes]) -> State | None:
+    final = value_by_key.get(key + FINAL_SUFFIX)
+    if final is not None:
+        return decode_final_state(final)
+    if key not in value_by_key:
+        return None
+    if key + CANCEL_SUFFIX in value_by_key:
+        return State.CANCELLED
+    started = key + PROGRESS_SUFFIX in value_by_key
+    return State.RUNNING if started else State.PENDING
+
+
+def wait_for_settings(load: t.Callable[[], T], seconds: float) -> T:
+    """Load the settings; their file may come a moment after the process."""
+    give_up = time.monotonic() + seconds
+    while True:
+        try:
+            return load()
+        except OSError:
+            if time.monotonic() > give_up:
+                raise
+            time.sleep(0.05)
--- /dev/null
+++ b/src/cranberrywheel/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: names, formats and calls; nothing decides here."""
--- /dev/null
+++ b/src/cranberrywheel/platform/configuration.py
@@ -0,0 +1,109 @@
+"""The operators' configuration as the platform's store holds it."""
+
+import pydantic
+
+from cranberrywheel.submission.model import (
+    Configuration,
+    Organisation,
+    Queue,
+    Resources,
+    Service,
+)
+
+#: Prefix of everything that the operators write.
+OPERATOR_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+
+
+class _Wire(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore", populate_by_name=True)
+
+
+class _Route(_Wire):
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    attempts: int = 1
+    goal_factor: float = pydantic.Field(1.0, alias="targetFactor")
+    # The constant part of the response-time goal, not a latency of a target.
+    goal_ms: int = pydantic.Field(0, alias="targetLatencyMs")
+    timeout_ms: int = pydantic.Field(0, alias="timeoutMs")
+    public: bool = False
+    advisor: dict[str, float] | None = None
+
+
+class _Service(_Wire):
+    name: str
+    standby: bool = False
+
+
+class _Cap(_Wire):
+    cpu: int = 0
+    memory_mb: int = pydantic.Field(0, alias="memMb")
+    gpu: int = 0
+
+
+class _Tenant(_Wire):
+    name: str
+    api_keys: list[str] = pydantic.Field(default_factory=list, alias="apiKeys")
+    weight: float = 1.0
+    cap: _Cap = pydantic.Field(default_factory=_Cap)
+
+
+class _Limits(_Wire):
+    max_body_bytes: int = pydantic.Field(262_144, alias="maxBodyBytes")
+
+
+class _Config(_Wire):
+    version: int
+    routes: list[_Route] = pydantic.Field(default_factory=list)
+    services: list[_Service] = pydantic.Field(default_factory=list)
+    tenants: list[_Tenant] = pydantic.Field(default_factory=list)
+    limits: _Limits = pydantic.Field(default_factory=_Limits)
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """Decode a configuration.
+
+    :raises ValueError: if the bytes are no valid configuration.
+    """
+    wire = _Config.model_validate_json(value)
+    queues = [
+        Queue(
+            name=route.name,
+            host=route.host,
+            prefix=route.prefix,
+            service=route.service,
+            priority=route.priority,
+            attempts=max(1, route.attempts),
+            goal_factor=route.goal_factor,
+            goal_ms=route.goal_ms,
+            timeout_ms=route.timeout_ms,
+            public=route.public,
+            advised=route.advisor is not None,
+        )
+        for route in wire.routes
+    ]
+    by_host: dict[str, list[Queue]] = {}
+    for queue in sorted(queues, key=lambda q: -len(q.prefix)):
+        by_host.setdefault(queue.host, []).append(queue)
+    return Configuration(
+        version=wire.version,
+        queues_by_host={host: tuple(rows) for host, rows in by_host.items()},
+        queues_by_key={queue.key: queue for queue in queues},
+        services_by_name={s.name: Service(s.name, s.standby) for s in wire.services},
+        organisations_by_name={
+            tenant.name: Organisation(
+                tenant.name,
+                tenant.weight,
+                Resources(tenant.cap.cpu, tenant.cap.memory_mb, tenant.cap.gpu),
+            )
+            for tenant in wire.tenants
+        },
+        organisation_by_api_key={
+            key: tenant.name for tenant in wire.tenants for key in tenant.api_keys
+        },
+        max_body_bytes=wire.limits.max_body_bytes,
+    )
--- /dev/null
+++ b/src/cranberrywheel/platform/executors.py
@@ -0,0 +1,281 @@
+"""Executors: their entries in the store and the calls that run tasks."""
+
+import json
+import typing as t
+
+import pydantic
+
+from cranberrywheel.connection.http_loop import HttpLoop, HttpReply, HttpRequest
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.submission.model import Resources
+from cranberrywheel.submission.orders import (
+    EndRow,
+    ExecutorEntry,
+    Look,
+    OrderReply,
+    RunEnd,
+    RunningRow,
+    StartOrder,
+    Verdict,
+)
+
+#: Prefix of the entries that executors write.
+EXECUTOR_PREFIX = "servers/"
+#: Longest time that a look may wait for an end.
+MAX_WAIT_MS = 2_000
+#: A healthy executor answers in a few milliseconds.
+CALL_TIMEOUT_MS = 700
+#: Longest list of executors in one call for advice.
+MAX_ADVISED = 100
+
+_log = PartLogger("executors")
+
+
+class _Wire(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore", populate_by_name=True)
+
+
+class _Capacity(_Wire):
+    cpu: int
+    memory_mb: int = pydantic.Field(alias="memMb")
+    gpu: int = 0
+
+
+class _Entry(_Wire):
+    service: str
+    address: str
+    zone: str = ""
+    state: t.Literal["ready", "draining"]
+    capacity: _Capacity
+    labels: list[str] = pydantic.Field(default_factory=list)
+    machine: str = ""
+    # Start of the process, Unix milliseconds; a new value is a new boot.
+    born: int = 0
+
+
+def decode_executor(executor_id: str, value: bytes) -> ExecutorEntry | None:
+    """Decode an entry; one that cannot be read names no executor to use."""
+    try:
+        wire = _Entry.model_validate_json(value)
+    except pydantic.ValidationError as error:
+        _log.warning(
+            "ignored an entry",
+            executor=executor_id,
+            field=".".join(str(p) for p in error.errors()[0]["loc"]),
+        )
+        return None
+    racks = [label for label in wire.labels if label.startswith("r")]
+    return ExecutorEntry(
+        id=executor_id,
+        service=wire.service,
+        address=wire.address,
+        zone=wire.zone,
+        draining=wire.state == "draining",
+        capacity=Resources(
+            wire.capacity.cpu, wire.capacity.memory_mb, wire.capacity.gpu
+        ),
+        labels=frozenset(wire.labels),
+        rack=racks[0] if racks else "",
+        machine=wire.machine,
+        boot=wire.born,
+    )
+
+
+_VERDICT_BY_REASON = {
+    "fence": Verdict.FENCED,
+    "old": Verdict.DUPLICATE,
+    "late": Verdict.LATE,
+    "room": Verdict.NO_ROOM,
+    "ticket": Verdict.TICKET,
+}
+
+
+def _verdict(reply: HttpReply) -> tuple[Verdict, dict[str, t.Any]]:
+    if reply.status == 0:
+        return (Verdict.UNKNOWN if reply.sent else Verdict.REFUSED), {}
+    try:
+        body = json.loads(reply.body) if reply.body else {}
+    except ValueError:
+        body = {}
+    if not isinstance(body, dict):
+        body = {}
+    if reply.status == 200:
+        return Verdict.OK, body
+    if reply.status == 409:
+        reason = str(body.get("reason"))
+        return _VERDICT_BY_REASON.get(reason, Verdict.REFUSED), body
+    if reply.status == 421:
+        return Verdict.OTHER_BOOT, body
+    return Verdict.REFUSED, body
+
+
+def _running_rows(rows: t.Any) -> t.Iterator[RunningRow]:
+    for row in rows if isinstance(rows, list) else ():
+        try:
+            load = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
+            yield RunningRow(
+                str(row[0]), int(row[1]), str(row[2] or ""), float(row[3]), load
+            )
+        except (IndexError, TypeError, ValueError) as error:
+            _log.warning("skipped a row of a look", error=repr(error))
+
+
+def _end_rows(rows: t.Any) -> t.Iterator[EndRow]:
+    for row in rows if isinstance(rows, list) else ():
+        try:
+            yield EndRow(
+                int(row[0]), str(row[1]), int(row[2]), RunEnd(row[3]), str(row[4] or "")
+            )
+        except (IndexError, TypeError, ValueError) as error:
+            _log.warning("skipped an end of a look", error=repr(error))
+
+
+class ExecutorClient:
+    """Calls executors; ``done`` runs on the loop's thread."""
+
+    def __init__(self, loop: HttpLoop) -> None:
+        self._loop = loop
+
+    def _call(
+        self,
+        entry: ExecutorEntry,
+        path: str,
+        body: dict[str, t.Any],
+        done: t.Callable[[HttpReply], None],
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> None:
+        headers = (f"Cranberrywheel-Expect-Instance: {entry.id}",)
+        data = json.dumps(body, separators=(",", ":")).encode()
+        request = HttpRequest("POST", entry.address, path, data, headers, timeout_ms)
+        self._loop.call(request, done)
+
+    def _order(
+        self,
+        entry: ExecutorEntry,
+        path: str,
+        body: dict[str, t.Any],
+        done: t.Callable[[OrderReply], None],
+    ) -> None:
+        def decode(reply: HttpReply) -> None:
+            verdict, answer = _verdict(reply)
+            clock_ms = int(answer.get("timestampMs") or 0)
+            done(OrderReply(verdict, clock_ms, reply.error or str(reply.status)))
+
+        self._call(entry, path, body, decode)
+
+    def start(
+        self,
+        entry: ExecutorEntry,
+        order: StartOrder,
+        done: t.Callable[[OrderReply], None],
+    ) -> None:
+        """Start a run."""
+        body: dict[str, t.Any] = {
+            "task": order.task,
+            "run": order.number,
+            "spec": order.payload,
+            "deadlineMs": order.deadline_ms,
+            "fencingToken": order.fence,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        self._order(entry, "/api/run-start", body, done)
+
+    def stop(
+        self,
+        entry: ExecutorEntry,
+        task: str,
+        number: int,
+        fence: int,
+        done: t.Callable[[OrderReply], None],
+    ) -> None:
+        """Stop a run, or keep it from starting later."""
+        body = {"task": task, "run": number, "fencingToken": fence}
+        self._order(entry, "/api/run-stop", body, done)
+
+    def pace(
+        self,
+        entry: ExecutorEntry,
+        task: str,
+        number: int,
+        percent: int,
+        fence: int,
+        done: t.Callable[[OrderReply], None],
+    ) -> None:
+        """Let a run work at a share of its speed."""
+        body = {"task": task, "run": number, "percent": percent, "fencingToken": fence}
+        self._order(entry, "/api/pace", body, done)
+
+    def look(
+        self,
+        entry: ExecutorEntry,
+        fence: int,
+        acknowledged: int,
+        deadline_ms: int,
+        wait_ms: int,
+        done: t.Callable[[Look], None],
+    ) -> None:
+        """Renew the lease, acknowledge ends and wait for further ones.
+
+        :param acknowledged: sequence up to which ends may be forgotten.
+        :param deadline_ms: end of the lease on the executor's clock; 0 leaves it.
+        """
+        body: dict[str, t.Any] = {"fencingToken": fence, "ackCursor": acknowledged}
+        if deadline_ms:
+            body["deadlineMs"] = deadline_ms
+        if wait_ms:
+            body["waitMs"] = wait_ms
+
+        def decode(reply: HttpReply) -> None:
+            verdict, answer = _verdict(reply)
+            done(
+                Look(
+                    verdict,
+                    int(answer.get("timestampMs") or 0),
+                    int(answer.get("born") or 0),
+                    tuple(_running_rows(answer.get("running"))),
+                    tuple(_end_rows(answer.get("finished"))),
+                    reply.error or str(reply.status),
+                )
+            )
+
+        self._call(entry, "/api/hold", body, decode, wait_ms + CALL_TIMEOUT_MS)
+
+
+class AdvisorClient:
+    """Asks the service that allows executors for a step."""
+
+    def __init__(self, loop: HttpLoop, address: str) -> None:
+        self._loop = loop
+        self._address = address
+
+    def ask(
+        self,
+        step: str,
+        executor_ids: t.Sequence[str],
+        done: t.Callable[[dict[str, str], int], None],
+    ) -> None:
+        """Ask which executors may run a step.
+
+        :param done: gets tickets by executor id and the time for which they are
+            valid, in milliseconds; nothing and 0 without an answer.
+        """
+        body = {"step": step, "workers": list(executor_ids)[:MAX_ADVISED]}
+
+        def decode(reply: HttpReply) -> None:
+            verdict, answer = _verdict(reply)
+            try:
+                tickets = {str(row[0]): str(row[1]) for row in answer["allowed"]}
+                done(tickets, int(answer["validMs"]))
+            except (KeyError, IndexError, TypeError, ValueError):
+                _log.warning("no advice", step=step, verdict=verdict.value)
+                done({}, 0)
+
+        data = json.dumps(body).encode()
+        timeout_ms = CALL_TIMEOUT_MS * 4  # calls of one machine are served in turn
+        request = HttpRequest(
+            "POST", self._address, "/api/advise", data, timeout_ms=timeout_ms
+        )
+        self._loop.call(request, decode)
--- /dev/null
+++ b/src/cranberrywheel/platform/machines.py
@@ -0,0 +1,173 @@
+"""Machines: their list, moves between pools, upkeep, and the operators' waves."""
+
+import json
+import typing as t
+
+import pydantic
+
+from cranberrywheel.connection.http_loop import HttpLoop, HttpReply, HttpRequest
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.submission.machines import DutyVerdict, Machine, Wave
+
+WAVE_PREFIX = "op/wave/"
+STATUS_PREFIX = "status/wave/"
+CALL_TIMEOUT_MS = 1_500
+
+_log = PartLogger("machines")
+
+
+class _Wire(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore", populate_by_name=True)
+
+
+class _Wave(_Wire):
+    wave: int
+    machines: list[str]
+    duration_s: float = pydantic.Field(alias="durationS")
+    # Most machines that may be down for this wave at once.
+    at_once: int = pydantic.Field(1, alias="cap")
+
+
+class _Machine(_Wire):
+    machine: str
+    pool: str
+    state: str
+    zone: str = ""
+    labels: list[str] = pydantic.Field(default_factory=list)
+    id: str = ""
+
+
+class _Page(_Wire):
+    machines: list[_Machine]
+    next_page: str | None = pydantic.Field(None, alias="nextPageToken")
+
+
+def decode_wave(value: bytes) -> Wave | None:
+    """Decode the operators' order for a wave; ``None`` if it cannot be read."""
+    try:
+        wire = _Wave.model_validate_json(value)
+    except pydantic.ValidationError as error:
+        _log.warning("ignored a wave", error=error.errors()[0]["msg"])
+        return None
+    return Wave(
+        wire.wave,
+        tuple(wire.machines),
+        int(wire.duration_s * 1000),
+        max(1, wire.at_once),
+    )
+
+
+def encode_wave_status(completed: bool) -> bytes:
+    """Encode the status of a wave for the operators."""
+    return json.dumps({"state": "completed" if completed else "running"}).encode()
+
+
+_VERDICT_BY_REASON = {
+    "fence": DutyVerdict.FENCED,
+    "busy": DutyVerdict.BUSY,
+    "wave": DutyVerdict.OTHER_WAVE,
+}
+
+
+def _verdict(body: bytes) -> DutyVerdict:
+    try:
+        return _VERDICT_BY_REASON[json.loads(body)["reason"]]
+    except (KeyError, TypeError, ValueError):
+        return DutyVerdict.REFUSED
+
+
+class MachineClient:
+    """Calls the machines' interface; ``done`` runs on the loop's thread.
+
+    :param holder: name of this process in duty orders.
+    """
+
+    def __init__(self, loop: HttpLoop, address: str, holder: str) -> None:
+        self._loop = loop
+        self._address = address
+        self._holder = holder
+
+    def read_all(self, done: t.Callable[[list[Machine] | None], None]) -> None:
+        """Read the machines; ``done`` gets ``None`` without a usable answer."""
+        machines: list[Machine] = []
+
+        def read_page(token: str) -> None:
+            path = "/api/machines" + (f"?pageToken={token}" if token else "")
+            request = HttpRequest(
+                "GET", self._address, path, timeout_ms=CALL_TIMEOUT_MS
+            )
+            self._loop.call(request, on_page)
+
+        def on_page(reply: HttpReply) -> None:
+            try:
+                page = _Page.model_validate_json(reply.body)
+            except pydantic.ValidationError:
+                _log.warning("no list of machines", status=reply.status)
+                done(None)
+                return
+            machines.extend(
+                Machine(
+                    row.machine,
+                    row.pool,
+                    row.state == "up",
+                    row.state == "upkeep",
+                    row.zone,
+                    row.id,
+                )
+                for row in page.machines
+            )
+            if page.next_page:
+                read_page(page.next_page)
+            else:
+                done(machines)
+
+        read_page("")
+
+    def _order(
+        self,
+        path: str,
+        body: dict[str, t.Any],
+        fence: int,
+        done: t.Callable[[DutyVerdict], None],
+    ) -> None:
+        def decode(reply: HttpReply) -> None:
+            if reply.status == 200:
+                done(DutyVerdict.OK)
+            elif reply.status == 409:
+                done(_verdict(reply.body))
+            elif reply.status or not reply.sent:
+                done(DutyVerdict.REFUSED)
+            else:
+                done(DutyVerdict.UNKNOWN)
+
+        headers = (
+            f"Cranberrywheel-Duty-Holder: {self._holder}",
+            f"Cranberrywheel-Fencing-Token: {fence}",
+        )
+        data = json.dumps(body).encode()
+        request = HttpRequest(
+            "POST", self._address, path, data, headers, CALL_TIMEOUT_MS
+        )
+        self._loop.call(request, decode)
+
+    def begin_upkeep(
+        self,
+        machine: str,
+        wave: int,
+        fence: int,
+        done: t.Callable[[DutyVerdict], None],
+    ) -> None:
+        """Take a machine down for its upkeep."""
+        body = {"machine": machine, "wave": wave}
+        self._order("/api/machine-upkeep", body, fence, done)
+
+    def move(
+        self,
+        machine: str,
+        pool: str,
+        fence: int,
+        done: t.Callable[[DutyVerdict], None],
+    ) -> None:
+        """Move a machine to another pool."""
+        body = {"machine": machine, "pool": pool}
+        self._order("/api/machine-move", body, fence, done)
--- a/src/cranberrywheel/programs/console.py
+++ b/src/cranberrywheel/programs/console.py
@@ -12,9 +12,7 @@
 
 import cranberrywheel
 from cranberrywheel.errors import SettingsError
-
-#: Exit codes of all programs.
-OK, REFUSED, USAGE = 0, 1, 2
+from cranberrywheel.programs.exit_codes import OK, REFUSED, USAGE
 
 
 def run_application(application: Application) -> int:
--- /dev/null
+++ b/src/cranberrywheel/programs/node.py
@@ -0,0 +1,30 @@
+"""``cranberrywheel-node``: runs one process on the users' platform."""
+
+import sys
+
+from absl import flags, logging
+
+from cranberrywheel.errors import SettingsError
+from cranberrywheel.logs import write_to_stdout
+from cranberrywheel.node.node import Node
+from cranberrywheel.platform.settings import load_settings
+from cranberrywheel.programs.exit_codes import OK, USAGE
+
+
+def main() -> int:
+    """Run the program; the platform's settings file says how."""
+    flags.FLAGS(["cranberrywheel-node"])
+    logging.set_verbosity(logging.INFO)
+    stop_logs = write_to_stdout()
+    try:
+        Node(load_settings()).run()
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return USAGE
+    finally:
+        stop_logs()
+    return OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/cranberrywheel/submission/actions.py
@@ -0,0 +1,42 @@
+"""What the scheduler wants done; its driver carries it out."""
+
+import dataclasses
+
+from cranberrywheel.submission.live import Run
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartRun:
+    """Start a run on its executor."""
+
+    run: Run
+    ticket: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRun:
+    """Stop a run by its task's name; it may be unknown to the scheduler."""
+
+    executor_id: str
+    task: str
+    number: int
+    run: Run | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PaceRun:
+    """Let a run work at a share of its speed."""
+
+    run: Run
+    percent: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskAdvice:
+    """Ask which of these executors may run a step."""
+
+    step: str
+    executor_ids: tuple[str, ...]
+
+
+Action = StartRun | StopRun | PaceRun | AskAdvice
--- /dev/null
+++ b/src/cranberrywheel/submission/executor.py
@@ -0,0 +1,140 @@
+"""State of one executor as the leader knows it."""
+
+import collections
+import dataclasses
+
+from cranberrywheel.submission.live import LiveSubmission, Run
+from cranberrywheel.submission.model import NOTHING, Resources
+from cranberrywheel.submission.orders import ExecutorEntry
+
+#: An executor's clock may be 2% slow, so a lease may last that much longer.
+CLOCK_DRIFT = 1.02
+#: Covers the time of a call and rounding when a lease is counted out.
+LAPSE_SLACK_MS = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingEnd:
+    """An end that may be acknowledged once its submission's record is stored."""
+
+    sequence: int
+    live: LiveSubmission | None
+    version: int
+
+    @property
+    def is_stored(self) -> bool:
+        """Whether nothing is lost if the executor forgets the end."""
+        live = self.live
+        return live is None or live.final_stored or live.stored_version >= self.version
+
+
+class Executor:
+    """One executor: what runs on it, its lease and its reachability.
+
+    :ivar fenced: it has seen this leader's fence in its present boot.
+    :ivar lapse_ms: when every lease that any order may have granted has ended.
+    :ivar reachable: the last look was answered.
+    :ivar cordoned: takes no new work, for planned work on its machine.
+    :ivar trouble: recent failures of runs, decaying; see :mod:`.suspicion`.
+    """
+
+    def __init__(self, entry: ExecutorEntry, registered: bool, lapse_ms: int) -> None:
+        self.entry = entry
+        self.registered = registered
+        self.boot = 0
+        self.fenced = False
+        self.reachable = True
+        self.lapse_ms = lapse_ms
+        self.runs: dict[tuple[str, int], Run] = {}
+        self.used: Resources = NOTHING
+        self.cordoned = False
+        self.clock_offset_ms: int | None = None
+        self.clock_read_ms = 0
+        self.seen_sequence = 0
+        self.acknowledged = 0
+        self.pending_ends: collections.deque[PendingEnd] = collections.deque()
+        self.gone_ms = 0
+        self.trouble = 0.0
+        self.trouble_ms = 0
+        self.suspect_until_ms = 0
+        self.filling = 0
+        self.serving = 0
+
+    @property
+    def id(self) -> str:
+        """Id of the executor."""
+        return self.entry.id
+
+    @property
+    def free(self) -> Resources:
+        """Capacity that no run claims."""
+        return self.entry.capacity - self.used
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether new runs may start here."""
+        return (
+            self.registered
+            and self.fenced
+            and self.reachable
+            and not self.entry.draining
+            and not self.cordoned
+        )
+
+    def add_run(self, run: Run) -> None:
+        """Count a run that may be there."""
+        step = run.task.step_run.step
+        self.runs[run.key] = run
+        self.used = self.used + step.claim
+        self.filling += step.fills
+        self.serving += step.target_ms > 0
+
+    def remove_run(self, run: Run) -> None:
+        """Count a run that is certainly not there any more."""
+        step = run.task.step_run.step
+        if self.runs.pop(run.key, None) is not None:
+            self.used = self.used - step.claim
+            self.filling -= step.fills
+            self.serving -= step.target_ms > 0
+
+    def note_clock(self, clock_ms: int, now_ms: int) -> None:
+        """Learn the executor's clock from an answer."""
+        if clock_ms:
+            self.clock_offset_ms = clock_ms - now_ms
+            self.clock_read_ms = now_ms
+
+    def deadline(self, lease_ms: int, now_ms: int) -> int:
+        """Return a deadline on the executor's clock and count the lease.
+
+        :returns: the deadline, or 0 while the clock is not known.
+        """
+        if self.clock_offset_ms is None:
+            return 0
+        lapse_ms = now_ms + int(lease_ms * CLOCK_DRIFT) + LAPSE_SLACK_MS
+        self.lapse_ms = max(self.lapse_ms, lapse_ms)
+        # A slow clock has moved less than ours since it was read.
+        drift_ms = int((now_ms - self.clock_read_ms) * (CLOCK_DRIFT - 1))
+        return now_ms + self.clock_offset_ms - drift_ms + lease_ms
+
+    def restart(self, boot: int) -> None:
+        """Forget what an earlier boot has said."""
+        self.boot = boot
+        self.fenced = False
+        self.clock_offset_ms = None
+        self.seen_sequence = 0
+        self.acknowledged = 0
+        self.pending_ends.clear()
+
+    def advance_acknowledged(self) -> bool:
+        """Move the cursor over ends that are stored; true if it moved."""
+        before = self.acknowledged
+        while self.pending_ends and self.pending_ends[0].is_stored:
+            self.acknowledged = self.pending_ends.popleft().sequence
+        return self.acknowledged != before
+
+    @property
+    def wants_look(self) -> bool:
+        """Whether there is anything to learn or to renew."""
+        if self.runs or not self.fenced:
+            return True
+        return bool(self.pending_ends) or self.acknowledged < self.seen_sequence
--- /dev/null
+++ b/src/cranberrywheel/submission/placement.py
@@ -0,0 +1,129 @@
+"""Which executor a task goes to.
+
+Load pattern: a pool in its turn is asked for more than it holds, while lasting tasks
+stay on it all day and planned work takes machines out of it.
+"""
+
+import typing as t
+
+from cranberrywheel.submission.executor import Executor
+from cranberrywheel.submission.live import StepRun, Task
+from cranberrywheel.submission.model import Resources
+
+#: Weight of a near data rack against free capacity (0 to 1).
+NEAR_BONUS = 2.0
+#: Weight against mixing tasks that serve with tasks that fill on one executor.
+MIX_PENALTY = 4.0
+#: Weight against an executor that failed or stalled runs lately.
+SUSPECT_PENALTY = 10.0
+#: Weight against a machine whose upkeep is still due, for tasks that last.
+UPKEEP_PENALTY = 3.0
+
+
+def can_take(executor: Executor, task: Task, now_ms: int, free: Resources) -> bool:
+    """Tell whether a task may start on an executor.
+
+    :param free: capacity left after what was decided in the same pass.
+    """
+    step = task.step_run.step
+    if not executor.is_usable or not step.claim.fits(free):
+        return False
+    if step.required_label and step.required_label not in executor.entry.labels:
+        return False
+    if any(run.executor_id == executor.id for run in task.runs):
+        return False
+    if task.avoid_until_ms_by_executor.get(executor.id, 0) > now_ms:
+        return False
+    return not step.anti_affinity or (
+        count_on(executor, task.step_run) < step.anti_affinity
+    )
+
+
+def count_on(executor: Executor, step_run: StepRun) -> int:
+    """Count the runs of a step on an executor."""
+    return sum(run.task.step_run is step_run for run in executor.runs.values())
+
+
+def score(
+    executor: Executor, task: Task, now_ms: int, upkeep_due: t.Container[str]
+) -> float:
+    """Rate an executor for a task; higher is better."""
+    step = task.step_run.step
+    capacity = executor.entry.capacity
+    free = executor.free
+    value = free.cpu / max(1, capacity.cpu)
+    if step.long_running:
+        value = free.memory_mb / max(1, capacity.memory_mb) - executor.serving * 0.3
+        if executor.entry.machine in upkeep_due:
+            value -= UPKEEP_PENALTY
+    if step.data_rack and step.data_rack == executor.entry.rack:
+        value += NEAR_BONUS
+    if step.colocate:
+        racks = {run.executor_id for other in task.step_run.tasks for run in other.runs}
+        if racks and executor.id in racks:
+            value += NEAR_BONUS
+    if step.fills:
+        value -= MIX_PENALTY * executor.serving
+    elif step.target_ms:
+        value -= MIX_PENALTY * executor.filling
+    if executor.suspect_until_ms > now_ms:
+        value -= SUSPECT_PENALTY
+    return value
+
+
+def choose(
+    executors: t.Iterable[Executor],
+    task: Task,
+    now_ms: int,
+    upkeep_due: t.Container[str],
+) -> Executor | None:
+    """Return the best executor for a task, or ``None``."""
+    best: Executor | None = None
+    best_score = 0.0
+    for executor in executors:
+        if can_take(executor, task, now_ms, executor.free):
+            value = score(executor, task, now_ms, upkeep_due)
+            if best is None or value > best_score:
+                best, best_score = executor, value
+    return best
+
+
+def choose_gang(
+    executors: t.Sequence[Executor], step_run: StepRun, now_ms: int
+) -> list[Executor] | None:
+    """Return an executor for each member of a gang, or ``None`` if not all fit.
+
+    Members that must be near each other go to the first rack that holds all.
+    """
+    groups: list[list[Executor]] = [list(executors)]
+    if step_run.step.colocate:
+        racks: dict[str, list[Executor]] = {}
+        for executor in executors:
+            racks.setdefault(executor.entry.rack, []).append(executor)
+        groups = [*racks.values(), list(executors)]
+    for group in groups:
+        chosen = _fill(group, step_run, now_ms)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _fill(
+    executors: list[Executor], step_run: StepRun, now_ms: int
+) -> list[Executor] | None:
+    step = step_run.step
+    free = {executor.id: executor.free for executor in executors}
+    count = {executor.id: count_on(executor, step_run) for executor in executors}
+    chosen: list[Executor] = []
+    for task in step_run.tasks:
+        for executor in executors:
+            if step.anti_affinity and count[executor.id] >= step.anti_affinity:
+                continue
+            if can_take(executor, task, now_ms, free[executor.id]):
+                free[executor.id] = free[executor.id] - step.claim
+                count[executor.id] += 1
+                chosen.append(executor)
+                break
+        else:
+            return None
+    return chosen
--- /dev/null
+++ b/src/cranberrywheel/submission/suspicion.py
@@ -0,0 +1,39 @@
+"""Executors that fail or stall what they start, while their health looks good."""
+
+from cranberrywheel.submission.durations import Durations
+from cranberrywheel.submission.executor import Executor
+from cranberrywheel.submission.live import Run
+
+#: Time in which an executor's count of troubles halves.
+TROUBLE_HALF_LIFE_MS = 3_000
+#: Troubles from which other executors are preferred.
+SUSPECT_TROUBLES = 2.5
+#: How long an executor stays out of favour; disturbances last five to eight seconds.
+SUSPECT_MS = 5_000
+#: A run without progress for this long stands still. Progress is seen at each look,
+#: at least every 1.5 s.
+STALL_MS = 4_000
+#: A run may also take this multiple of its expected duration without any sign.
+STALL_FACTOR = 2.0
+
+
+def note_trouble(executor: Executor, now_ms: int) -> None:
+    """Count a failed, refused or stalled run against its executor."""
+    decay = 0.5 ** ((now_ms - executor.trouble_ms) / TROUBLE_HALF_LIFE_MS)
+    executor.trouble = executor.trouble * decay + 1
+    executor.trouble_ms = now_ms
+    if executor.trouble >= SUSPECT_TROUBLES:
+        executor.suspect_until_ms = now_ms + SUSPECT_MS
+
+
+def is_stalled(run: Run, executor: Executor, durations: Durations, now_ms: int) -> bool:
+    """Tell whether a run stands still."""
+    if not executor.reachable or run.paced < 100:
+        return False
+    step = run.task.step_run.step
+    if step.long_running or step.gang:
+        return False
+    expected_ms = step.estimated_ms * durations.factor(run.task.step_run.live)
+    # Slow executors report each percent; silence is counted in percents.
+    patience_ms = max(STALL_MS, STALL_FACTOR * expected_ms)
+    return now_ms - run.changed_ms > patience_ms
--- /dev/null
+++ b/src/cranberrywheel/submission/upkeep.py
@@ -0,0 +1,142 @@
+"""Order of upkeep: machines of a wave leave one after the other, emptied first.
+
+Load pattern: a wave takes up to half of the machines of a pool while its queue has
+its turn and lasting tasks may miss only one of their number.
+"""
+
+import dataclasses
+import math
+import typing as t
+
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.submission.executor import Executor
+from cranberrywheel.submission.live import Run, RunState, StepRun
+from cranberrywheel.submission.machines import Machine, Wave
+from cranberrywheel.submission.placement import can_take
+
+#: Expected time from the choice of a machine to its return, besides its upkeep.
+EMPTYING_MS = 3_000
+#: Runs still there after this long are cut by the upkeep; longer than most tasks.
+MAX_EMPTYING_MS = 6_000
+#: Part of the wave's time that the plan uses, so that delays do not make it late.
+PLANNED_SHARE = 0.8
+
+_log = PartLogger("upkeep")
+
+
+@dataclasses.dataclass
+class WaveState:
+    """Progress of a wave.
+
+    :ivar done: machines whose upkeep has begun.
+    :ivar emptying_since_ms: machines that take no new work, and since when.
+    :ivar ordered: machines whose order is under way.
+    """
+
+    wave: Wave
+    received_ms: int
+    done: set[str] = dataclasses.field(default_factory=set)
+    emptying_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    ordered: set[str] = dataclasses.field(default_factory=set)
+    completed: bool = False
+
+    def left(self) -> list[str]:
+        """Machines whose upkeep has not begun."""
+        return [machine for machine in self.wave.machines if machine not in self.done]
+
+
+def _per_pool(state: WaveState, pool_count: int, upkeep_ms: int, now_ms: int) -> int:
+    """Return how many machines of one pool are away at once."""
+    end_ms = state.received_ms + state.wave.duration_ms * PLANNED_SHARE
+    rounds = max(1, int((end_ms - now_ms) / (upkeep_ms + EMPTYING_MS)))
+    return max(1, math.ceil(pool_count / rounds))
+
+
+def choose_machines(
+    state: WaveState,
+    machines_by_id: t.Mapping[str, Machine],
+    executors_by_machine: t.Mapping[str, Executor],
+    upkeep_ms: int,
+    now_ms: int,
+) -> list[str]:
+    """Return machines that should be emptied next."""
+    down = sum(
+        machine in machines_by_id and not machines_by_id[machine].up
+        for machine in state.done
+    )
+    room = state.wave.at_once - down - len(state.emptying_since_ms)
+    left_by_pool: dict[str, list[str]] = {}
+    for machine_id in state.left():
+        machine = machines_by_id.get(machine_id)
+        if machine is None or not machine.up or machine_id in state.emptying_since_ms:
+            continue
+        left_by_pool.setdefault(machine.pool, []).append(machine_id)
+    chosen: list[str] = []
+    for pool, left in left_by_pool.items():
+        busy = sum(
+            machines_by_id[m].pool == pool
+            for m in state.emptying_since_ms
+            if m in machines_by_id
+        ) + sum(
+            m in machines_by_id
+            and not machines_by_id[m].up
+            and machines_by_id[m].pool == pool
+            for m in state.done
+        )
+        limit = _per_pool(state, len(left) + busy, upkeep_ms, now_ms)
+
+        def load(machine_id: str) -> int:
+            executor = executors_by_machine.get(machine_id)
+            return executor.used.cpu if executor else 0
+
+        for machine_id in sorted(left, key=load)[: max(0, limit - busy)]:
+            if len(chosen) < room:
+                chosen.append(machine_id)
+    return chosen
+
+
+def may_stop(run: Run) -> bool:
+    """Tell whether planned work may end a lasting task's run now."""
+    step_run = run.task.step_run
+    if run.state is not RunState.RUNNING or run.task.work_since_ms == 0:
+        return False
+    return count_away(step_run, run) < max(1, step_run.step.may_miss)
+
+
+def count_away(step_run: StepRun, besides: Run) -> int:
+    """Count the other tasks of a lasting step that are not at work."""
+    return sum(
+        task.work_since_ms == 0 for task in step_run.tasks if task is not besides.task
+    )
+
+
+def runs_to_move(
+    executor: Executor, pool: t.Sequence[Executor], now_ms: int
+) -> list[Run]:
+    """Return lasting runs that may leave an executor now and have a place to go."""
+    chosen: list[Run] = []
+    steps: set[int] = set()
+    for run in executor.runs.values():
+        step_run = run.task.step_run
+        if not step_run.step.long_running or id(step_run) in steps:
+            continue
+        if not may_stop(run):
+            continue
+        if any(
+            other is not executor and can_take(other, run.task, now_ms, other.free)
+            for other in pool
+        ):
+            steps.add(id(step_run))
+            chosen.append(run)
+    return chosen
+
+
+def is_empty_enough(executor: Executor | None, since_ms: int, now_ms: int) -> bool:
+    """Tell whether an upkeep may begin."""
+    if executor is None or not executor.runs:
+        return True
+    if now_ms - since_ms < MAX_EMPTYING_MS:
+        return False
+    return all(
+        not run.task.step_run.step.long_running for run in executor.runs.values()
+    )
