--- a/src/cranberrywheel/node/leader.py
+++ b/src/cranberrywheel/node/leader.py
@@ -387,7 +387,9 @@
         self._looking.add(executor.id)
         now_ms = self._loop.clock.now_ms()
         deadline_ms = 0
-        if executor.runs and (self._is_valid() or self._may_continue()):
+        # The lease of a lost executor runs out, so that its tasks can go elsewhere.
+        renews = bool(executor.runs) and executor.reachable
+        if renews and (self._is_valid() or self._may_continue()):
             deadline_ms = executor.deadline(RUN_LEASE_MS, now_ms)
         waits = bool(executor.runs) and executor.fenced and executor.reachable
 
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -229,6 +229,8 @@
                     runs=len(executor.runs),
                 )
             executor.reachable = False
+            for run in executor.runs.values():
+                run.task.work_since_ms = 0
             return True
         if look.boot and executor.boot and look.boot != executor.boot:
             if look.boot < executor.boot:
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -176,3 +176,35 @@
             stopped += 1
         executor.cordoned = False
     assert stopped == 1
+
+
+def test_lost_executors_tasks_start_elsewhere_when_its_lease_has_ended(monkeypatch):
+    """Looks that tried to reach a dark executor renewed its lease, so that its
+    tasks waited until it was back (kayis-ortak scale-1)."""
+    world = LeaderWorld(monkeypatch)
+    world.fleet.add("a", "pool")
+    world.lead()
+    world.submit(make_submission("s1", make_step(1)), 2_000)
+    world.run_for(500)
+    world.fleet.add("b", "pool")
+    world.fleet.by_id["a"].cut = True
+    world.run_for(4_500 + 2_100)
+    assert world.scheduler.state_of("s1") is State.COMPLETED
+
+
+def test_task_on_a_lost_executor_counts_as_away(monkeypatch):
+    """Upkeep took a second task of a lasting step while one was on an executor that
+    had been dark for seconds (AVAIL on kayis-ortak scale-1)."""
+    world = LeaderWorld(monkeypatch)
+    for name in "abcdef":
+        world.fleet.add(name, "pool")
+    world.lead()
+    step = make_step(4, long_running=True, may_miss=1, anti_affinity=1)
+    world.submit(make_submission("s1", step), lasting=True)
+    world.run_for(2_000)
+    executors = [x for x in world.scheduler.executors_by_id.values() if x.runs]
+    world.fleet.by_id[executors[0].id].cut = True
+    world.run_for(3_000)
+    executors[1].cordoned = True
+    pool = list(world.scheduler.executors_by_id.values())
+    assert runs_to_move(executors[1], pool, world.loop.clock.now_ms()) == []
