Reach the store through a peer; upkeep takes pools at rest first

Change: a process that gets no answer from the store asks its peers and sends its calls through one that does; one without any way says 503 at once and leaves the balancer while others reach the store. The leader goes on through an outage while every peer confirms it. Upkeep chooses machines of pools with little short work, and of busy ones only when time runs out.

--- a/src/cranberrywheel/node/duties.py
+++ b/src/cranberrywheel/node/duties.py
@@ -128,6 +128,7 @@
             state,
             self._machines_by_id,
             executors,
+            self._scheduler.pressure_by_service(),
             self._scheduler.bounds.upkeep_ms,
             now_ms,
         ):
--- a/src/cranberrywheel/node/intake.py
+++ b/src/cranberrywheel/node/intake.py
@@ -42,11 +42,20 @@
 
 
 class Intake:
-    """Stores submissions; all methods run on the loop's thread."""
+    """Stores submissions; all methods run on the loop's thread.
 
-    def __init__(self, loop: HttpLoop, store: Store) -> None:
+    :param can_write: whether a call has a way to the store at this moment.
+    """
+
+    def __init__(
+        self,
+        loop: HttpLoop,
+        store: Store,
+        can_write: t.Callable[[], bool] = lambda: True,
+    ) -> None:
         self._loop = loop
         self._store = store
+        self._can_write = can_write
         self._waiting: collections.deque[_Entry] = collections.deque()
         self._writes = 0
 
@@ -60,8 +69,12 @@
 
         :param give_up_ms: steady time at which the caller gets its answer.
         """
-        self._waiting.append(_Entry(submission, done, give_up_ms))
-        self._pump()
+        entry = _Entry(submission, done, give_up_ms)
+        if self._can_write():
+            self._waiting.append(entry)
+            self._pump()
+        else:
+            self._give_up(entry)
 
     def _pump(self) -> None:
         while self._waiting and self._writes < MAX_WRITES:
@@ -106,7 +119,10 @@
                 self._try_again(entry)
 
     def _try_again(self, entry: _Entry) -> None:
-        if self._loop.clock.now_ms() + RETRY_MS < entry.give_up_ms:
+        in_time = self._loop.clock.now_ms() + RETRY_MS < entry.give_up_ms
+        # An attempt whose end is not known is worth the wait: its repetition finds
+        # out. Otherwise the caller is told at once to try elsewhere.
+        if in_time and (entry.attempted or self._can_write()):
 
             def retry() -> None:
                 self._waiting.append(entry)
@@ -114,6 +130,9 @@
 
             self._loop.after(RETRY_MS, retry)
             return
+        self._give_up(entry)
+
+    def _give_up(self, entry: _Entry) -> None:
         verdict = Acceptance.UNKNOWN if entry.attempted else Acceptance.NOT_STORED
         _log.warning(
             "submission not stored",
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -26,6 +26,12 @@
 from cranberrywheel.node.leader import Leader
 from cranberrywheel.node.leadership import Leadership
 from cranberrywheel.node.metrics import Metrics
+from cranberrywheel.node.store_contact import (
+    PEER_TIMEOUT_MS,
+    RELAY_PREFIX,
+    STATUS_PATH,
+    StoreContact,
+)
 from cranberrywheel.node.watch import PrefixWatch
 from cranberrywheel.platform.callers import READY_PATH
 from cranberrywheel.platform.configuration import (
@@ -51,17 +57,13 @@
 MEMBER_LEASE_MS = 5_000
 MEMBER_RENEW_MS = 1_500
 RETRY_MS = 250
-#: Longest wait for a peer: zones are about a millisecond apart.
-PEER_TIMEOUT_MS = 400
-#: Time between two questions to peers while the store is away.
-EVIDENCE_INTERVAL_MS = 300
-#: The store counts as away for a node that got no answer for this long.
-STORE_AWAY_MS = 600
-#: Peers' word that the store is away holds for this long.
-EVIDENCE_MS = 900
 #: Time between SIGTERM and the exit: the balancer takes two seconds to notice.
 DRAIN_MS = 3_000
 METRICS_PORT = 9464
+#: Longest call that is passed on for a peer: above a waiting watch.
+RELAY_TIMEOUT_MS = 1_600
+#: Peers' connections; each waiting watch of a cut-off peer holds one.
+PEER_THREADS = 48
 SIGNAL_POLL_S = 0.2
 
 _log = PartLogger("node")
@@ -83,16 +85,22 @@
         self._loop = HttpLoop(self._clock)
         self._process = f"{settings.node}-{uuid.uuid4().hex[:8]}"
         self._peer_address = f"{settings.ip}:{settings.peer_port}"
-        self._contact_ms = 0
-        self._store = Store(self._loop, settings.store, self._note_contact)
-        self._intake = Intake(self._loop, self._store)
+        self._store = Store(
+            self._loop,
+            settings.store,
+            lambda answered: self._contact.note(answered),
+            self._way_to_store,
+        )
+        self._contact = StoreContact(
+            self._loop, self._peer_addresses, self._store.probe
+        )
+        self._intake = Intake(self._loop, self._store, lambda: self._contact.can_write)
         self._executors = ExecutorClient(self._loop)
         self._leader: Leader | None = None
         self._registered = False
         self._member_lease = 0
         self._raw_configuration = b""
         self._address_by_member: dict[str, str] = {}
-        self._evidence_ms = 0
         self._leadership = Leadership(
             self._loop,
             self._store,
@@ -137,7 +145,7 @@
             settings.ip,
             settings.peer_port,
             self._peer_app,
-            SIDE_THREADS,
+            PEER_THREADS,
             MAX_BODY_BYTES,
         )
         self._metrics_server = HttpServer(
@@ -164,6 +172,7 @@
         self._config_watch.start()
         self._member_watch.start()
         self._leadership.start()
+        self._contact.start()
         self._register()
 
     def _stop(self) -> None:
@@ -175,15 +184,9 @@
         self._front.stop()
         _log.event("stopped", process=self._process)
 
-    def _note_contact(self, answered: bool) -> None:
-        if answered:
-            now_ms = self._clock.now_ms()
-            if now_ms - self._contact_ms > STORE_AWAY_MS * 3:
-                _log.event("store reached", away_ms=now_ms - self._contact_ms)
-            self._contact_ms = now_ms
-
-    def _store_is_away(self) -> bool:
-        return self._clock.now_ms() - self._contact_ms > STORE_AWAY_MS
+    def _way_to_store(self) -> tuple[str, str] | None:
+        helper = self._contact.helper()
+        return (helper, RELAY_PREFIX) if helper else None
 
     # Configuration
 
@@ -293,38 +296,8 @@
             self._leader = None
 
     def _may_continue(self) -> bool:
-        """Whether all peers say that the store is away for them too."""
-        now_ms = self._clock.now_ms()
-        if not self._store_is_away():
-            return False
-        self._collect_evidence(now_ms)
-        return now_ms - self._evidence_ms < EVIDENCE_MS
-
-    _asked_ms = 0
-
-    def _collect_evidence(self, now_ms: int) -> None:
-        if now_ms - self._asked_ms < EVIDENCE_INTERVAL_MS:
-            return
-        self._asked_ms = now_ms
-        addresses = self._peer_addresses()
-        left = set(addresses)
-        fence = self._leadership.fence
-
-        def on_reply(address: str, reply: HttpReply) -> None:
-            try:
-                body = json.loads(reply.body) if reply.status == 200 else {}
-            except ValueError:
-                body = {}
-            if body.get("store_away") and body.get("fence", 0) <= fence:
-                left.discard(address)
-            if not left and self._leadership.fence == fence:
-                self._evidence_ms = max(self._evidence_ms, now_ms)
-
-        for address in addresses:
-            request = HttpRequest(
-                "GET", address, "/peer/status", timeout_ms=PEER_TIMEOUT_MS
-            )
-            self._loop.call(request, lambda reply, a=address: on_reply(a, reply))
+        """Whether nobody can have taken over, since the store is away for all."""
+        return self._contact.all_away(self._leadership.fence)
 
     # What the front asks for
 
@@ -464,7 +437,11 @@
 
     def _ready_app(self, environ: t.Any, start_response: t.Any) -> t.Any:
         request = Request(environ)
-        ready = self.configuration is not None and not self.stopping
+        ready = (
+            self.configuration is not None
+            and not self.stopping
+            and not self._contact.is_isolated(self._leadership.fence)
+        )
         status = 200 if request.path == READY_PATH and ready else 503
         return Response(b"", status=status)(environ, start_response)
 
@@ -474,6 +451,8 @@
 
     def _peer_app(self, environ: t.Any, start_response: t.Any) -> t.Any:
         request = Request(environ)
+        if request.path.startswith(RELAY_PREFIX + "/"):
+            return self._relay(request)(environ, start_response)
         answer: Future[dict[str, t.Any]] = Future()
         self._loop.post(lambda: answer.set_result(self._answer_peer(request)))
         try:
@@ -487,12 +466,30 @@
         )
         return response(environ, start_response)
 
+    def _relay(self, request: Request) -> Response:
+        """Pass a peer's call on to the store."""
+        path = request.full_path.rstrip("?")[len(RELAY_PREFIX) :]
+        body = request.get_data() if request.method == "POST" else None
+        answer: Future[HttpReply] = Future()
+        self._loop.post(
+            lambda: self._store.pass_on(
+                request.method, path, body, RELAY_TIMEOUT_MS, answer.set_result
+            )
+        )
+        try:
+            reply = answer.result(RELAY_TIMEOUT_MS / 1000 + 1)
+        except TimeoutError:
+            reply = HttpReply(0)
+        # 503 says that nothing was done, 504 that it may have been.
+        status = reply.status or (504 if reply.sent else 503)
+        return Response(reply.body, status=status, content_type="application/json")
+
     def _answer_peer(self, request: Request) -> dict[str, t.Any]:
         leader = self._leader
-        if request.path == "/peer/status":
+        if request.path == STATUS_PATH:
             holder = self._leadership.holder
             return {
-                "store_away": self._store_is_away(),
+                "store_away": self._contact.is_away,
                 "fence": holder.fence if holder else 0,
                 "version": self.configuration.version if self.configuration else 0,
             }
--- a/src/cranberrywheel/platform/store.py
+++ b/src/cranberrywheel/platform/store.py
@@ -12,7 +12,7 @@
 from cranberrywheel.logs import PartLogger
 
 #: The service answers in 4 ms, and in 240 ms while it is slow.
-CALL_TIMEOUT_MS = 1_000
+CALL_TIMEOUT_MS = 800
 #: Longer than a call's, so that a waiting watch is not taken for a lost one.
 WATCH_MARGIN_MS = 700
 #: Entries that one write may hold.
@@ -130,15 +130,42 @@
     """Calls the key-value service; ``done`` runs on the loop's thread.
 
     :param address: ``host:port``.
-    :param on_contact: told after each call whether the service answered.
+    :param on_contact: told after each direct call whether the service answered.
+    :param way: returns address and path prefix of a peer that passes calls on, or
+        ``None`` for direct calls.
     """
 
     def __init__(
-        self, loop: HttpLoop, address: str, on_contact: t.Callable[[bool], None]
+        self,
+        loop: HttpLoop,
+        address: str,
+        on_contact: t.Callable[[bool], None],
+        way: t.Callable[[], tuple[str, str] | None] = lambda: None,
     ) -> None:
         self._loop = loop
         self._address = address
         self._on_contact = on_contact
+        self._way = way
+
+    def probe(self) -> None:
+        """Make one direct call, only to learn whether it is answered."""
+        path = "/api/kv-key?key=probe&staleOk=1"
+        request = HttpRequest("GET", self._address, path, timeout_ms=CALL_TIMEOUT_MS)
+        self._loop.call(
+            request, lambda reply: self._on_contact(_decode(reply).outcome.is_answer)
+        )
+
+    def pass_on(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout_ms: int,
+        done: t.Callable[[HttpReply], None],
+    ) -> None:
+        """Make a call for a peer that cannot reach the service."""
+        request = HttpRequest(method, self._address, path, body, timeout_ms=timeout_ms)
+        self._loop.call(request, done)
 
     def _call(
         self,
@@ -148,13 +175,19 @@
         body: t.Any = None,
         timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> None:
+        way = self._way()
+
         def decode(reply: HttpReply) -> None:
             result = _decode(reply)
-            self._on_contact(result.outcome.is_answer)
+            if way is None:
+                self._on_contact(result.outcome.is_answer)
             done(result)
 
+        address, prefix = way or (self._address, "")
         data = None if body is None else json.dumps(body).encode()
-        request = HttpRequest(method, self._address, path, data, timeout_ms=timeout_ms)
+        request = HttpRequest(
+            method, address, prefix + path, data, timeout_ms=timeout_ms
+        )
         self._loop.call(request, decode)
 
     def read(self, key: str, done: Done) -> None:
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -745,6 +745,31 @@
             return live.state()
         return self.final_by_id.get(submission_id)
 
+    def pressure_by_service(self) -> dict[str, float]:
+        """Return cpu that short work uses and waits for, as a share of each pool."""
+        capacity: dict[str, int] = {}
+        wanted: dict[str, int] = {}
+        for executor in self.executors_by_id.values():
+            service = executor.entry.service
+            if executor.is_usable:
+                capacity[service] = (
+                    capacity.get(service, 0) + executor.entry.capacity.cpu
+                )
+            for run in executor.runs.values():
+                step = run.task.step_run.step
+                if not step.long_running:
+                    wanted[service] = wanted.get(service, 0) + step.claim.cpu
+        for live in self.live_by_id.values():
+            service = live.queue.service
+            for step_run in live.step_runs.values():
+                if step_run.waiting and not step_run.step.long_running:
+                    claim = step_run.step.claim.cpu * len(step_run.waiting)
+                    wanted[service] = wanted.get(service, 0) + claim
+        return {
+            service: wanted.get(service, 0) / max(1, capacity.get(service, 0))
+            for service in capacity.keys() | wanted.keys()
+        }
+
     def queue_length(self, queue: str) -> int:
         """Count a queue's submissions of which no task has started."""
         return sum(
--- a/src/cranberrywheel/submission/upkeep.py
+++ b/src/cranberrywheel/submission/upkeep.py
@@ -8,7 +8,6 @@
 import math
 import typing as t
 
-from cranberrywheel.logs import PartLogger
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.live import Run, RunState, StepRun
 from cranberrywheel.submission.machines import Machine, Wave
@@ -21,7 +20,12 @@
 #: Part of the wave's time that the plan uses, so that delays do not make it late.
 PLANNED_SHARE = 0.8
 
-_log = PartLogger("upkeep")
+#: Pressure from which a pool counts as busy with its queue's turn.
+BUSY_PRESSURE = 0.35
+#: Machines that a pool at rest gives at once; a quarter to a third of today's pools.
+REST_AT_ONCE = 2
+#: A busy pool gives machines if fewer rounds than this share of its machines is left.
+URGENT_ROUNDS = 0.6
 
 
 @dataclasses.dataclass
@@ -45,51 +49,64 @@
         return [machine for machine in self.wave.machines if machine not in self.done]
 
 
-def _per_pool(state: WaveState, pool_count: int, upkeep_ms: int, now_ms: int) -> int:
-    """Return how many machines of one pool are away at once."""
+def _limit(
+    state: WaveState, pool_count: int, upkeep_ms: int, pressure: float, now_ms: int
+) -> int:
+    """Return how many machines of one pool may be away at once.
+
+    A pool at rest gives more machines than the even pace, so that it has few left to
+    give when its queue has its turn; a busy one gives them only when time runs out.
+    """
     end_ms = state.received_ms + state.wave.duration_ms * PLANNED_SHARE
-    rounds = max(1, int((end_ms - now_ms) / (upkeep_ms + EMPTYING_MS)))
-    return max(1, math.ceil(pool_count / rounds))
+    rounds = max(0.0, (end_ms - now_ms) / (upkeep_ms + EMPTYING_MS))
+    even = math.ceil(pool_count / max(1.0, rounds))
+    if pressure < BUSY_PRESSURE:
+        return max(REST_AT_ONCE, even)
+    if rounds < pool_count * URGENT_ROUNDS:
+        return even
+    return 0
 
 
 def choose_machines(
     state: WaveState,
     machines_by_id: t.Mapping[str, Machine],
     executors_by_machine: t.Mapping[str, Executor],
+    pressure_by_pool: t.Mapping[str, float],
     upkeep_ms: int,
     now_ms: int,
 ) -> list[str]:
-    """Return machines that should be emptied next."""
+    """Return machines that should be emptied next.
+
+    :param pressure_by_pool: cpu that short work uses and waits for, as a share of
+        the pool's capacity.
+    """
     down = sum(
         machine in machines_by_id and not machines_by_id[machine].up
         for machine in state.done
     )
     room = state.wave.at_once - down - len(state.emptying_since_ms)
     left_by_pool: dict[str, list[str]] = {}
-    for machine_id in state.left():
+    away_by_pool: dict[str, int] = {}
+    for machine_id in state.wave.machines:
         machine = machines_by_id.get(machine_id)
-        if machine is None or not machine.up or machine_id in state.emptying_since_ms:
+        if machine is None:
             continue
-        left_by_pool.setdefault(machine.pool, []).append(machine_id)
+        if machine_id in state.emptying_since_ms or not machine.up:
+            away_by_pool[machine.pool] = away_by_pool.get(machine.pool, 0) + 1
+        elif machine_id not in state.done:
+            left_by_pool.setdefault(machine.pool, []).append(machine_id)
     chosen: list[str] = []
-    for pool, left in left_by_pool.items():
-        busy = sum(
-            machines_by_id[m].pool == pool
-            for m in state.emptying_since_ms
-            if m in machines_by_id
-        ) + sum(
-            m in machines_by_id
-            and not machines_by_id[m].up
-            and machines_by_id[m].pool == pool
-            for m in state.done
-        )
-        limit = _per_pool(state, len(left) + busy, upkeep_ms, now_ms)
-
-        def load(machine_id: str) -> int:
-            executor = executors_by_machine.get(machine_id)
-            return executor.used.cpu if executor else 0
-
-        for machine_id in sorted(left, key=load)[: max(0, limit - busy)]:
+
+    def load(machine_id: str) -> int:
+        executor = executors_by_machine.get(machine_id)
+        return executor.used.cpu if executor else 0
+
+    for pool in sorted(left_by_pool, key=lambda p: pressure_by_pool.get(p, 0.0)):
+        left = left_by_pool[pool]
+        away = away_by_pool.get(pool, 0)
+        pressure = pressure_by_pool.get(pool, 0.0)
+        limit = _limit(state, len(left) + away, upkeep_ms, pressure, now_ms)
+        for machine_id in sorted(left, key=load)[: max(0, limit - away)]:
             if len(chosen) < room:
                 chosen.append(machine_id)
     return chosen
