Lend standby machines to the pool whose queue has its turn

Change: pool_sizes decides moves from waiting and used cpu; machines go back once their pool is calm and they are empty, or straight to the next turn; a wave keeps its machines. The pool of each machine is kept in the store.

--- a/src/cranberrywheel/node/duties.py
+++ b/src/cranberrywheel/node/duties.py
@@ -6,6 +6,7 @@
 from cranberrywheel.connection.http_loop import HttpLoop
 from cranberrywheel.logs import PartLogger
 from cranberrywheel.node.keys import LEADER_KEY, WAVE_PREFIX
+from cranberrywheel.node.pool_moves import PoolMoves
 from cranberrywheel.node.watch import PrefixWatch
 from cranberrywheel.platform import machines as wire
 from cranberrywheel.platform.store import Item, Store, Write
@@ -54,6 +55,7 @@
         self._first_order_ms = (
             loop.clock.now_ms() + scheduler.bounds.duty_lease_ms + RETRY_MS
         )
+        self._pools = PoolMoves(loop, store, client, scheduler)
         self._watch = PrefixWatch(loop, store, wire.WAVE_PREFIX, self._on_wave)
 
     def start(self) -> None:
@@ -69,6 +71,7 @@
                 key = wire.WAVE_PREFIX + item.key[len(WAVE_PREFIX) :]
                 self._recorded[key] = set(json.loads(item.value or b"[]"))
             self._watch.start()
+            self._pools.start()
             self._loop.after(INTERVAL_MS, self._step)
 
         self._store.read_all(WAVE_PREFIX, on_recorded)
@@ -101,13 +104,20 @@
         if self._stopped:
             return
         self._loop.after(INTERVAL_MS, self._step)
-        if any(not state.completed for state in self._states_by_key.values()):
-            self._client.read_all(self._on_machines)
+        self._client.read_all(self._on_machines)
 
     def _on_machines(self, machines: list[Machine] | None) -> None:
         if machines is None or self._stopped:
             return
         self._machines_by_id = {machine.id: machine for machine in machines}
+        now_ms = self._loop.clock.now_ms()
+        if now_ms >= self._first_order_ms and self._is_valid():
+            reserved = {
+                machine
+                for state in self._states_by_key.values()
+                for machine in state.left()
+            }
+            self._pools.advance(machines, self._executors_by_machine(), reserved)
         for key, state in self._states_by_key.items():
             if not state.completed:
                 self._advance(key, state)
--- a/src/cranberrywheel/node/keys.py
+++ b/src/cranberrywheel/node/keys.py
@@ -16,6 +16,9 @@
 #: Progress of waves, so that a new leader knows which machines are done.
 WAVE_PREFIX = "cw/w/"
 
+#: Pool to which each machine belongs when no queue has its turn.
+HOMES_KEY = "cw/homes"
+
 
 def submission_key(submission_id: str) -> str:
     """Return the key of a submission's record."""
--- /dev/null
+++ b/src/cranberrywheel/node/pool_moves.py
@@ -0,0 +1,153 @@
+"""Carries out moves of machines between pools while this process leads."""
+
+import json
+import typing as t
+
+from cranberrywheel.connection.http_loop import HttpLoop
+from cranberrywheel.logs import PartLogger
+from cranberrywheel.node.keys import HOMES_KEY, LEADER_KEY
+from cranberrywheel.platform.machines import MachineClient
+from cranberrywheel.platform.store import Outcome, Store, StoreReply, Write
+from cranberrywheel.submission.executor import Executor
+from cranberrywheel.submission.machines import DutyVerdict, Machine
+from cranberrywheel.submission.pool_sizes import (
+    PoolState,
+    decide_moves,
+    is_lent,
+)
+from cranberrywheel.submission.scheduler import Scheduler
+from cranberrywheel.submission.upkeep import runs_to_move
+
+#: Time after which a move that never shows in the list is forgotten.
+MOVE_TIMEOUT_MS = 6_000
+RETRY_MS = 700
+
+_log = PartLogger("pools")
+
+
+class PoolMoves:
+    """Lends machines to the pools whose queues have their turn."""
+
+    def __init__(
+        self,
+        loop: HttpLoop,
+        store: Store,
+        client: MachineClient,
+        scheduler: Scheduler,
+    ) -> None:
+        self._loop = loop
+        self._store = store
+        self._client = client
+        self._scheduler = scheduler
+        self._state = PoolState()
+        self._loaded = False
+        self._stored_homes = 0
+        self._sent_ms: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Read which pool each machine belongs to."""
+
+        def on_reply(reply: StoreReply) -> None:
+            if not reply.outcome.is_answer:
+                self._loop.after(RETRY_MS, self.start)
+                return
+            if reply.outcome is Outcome.OK:
+                homes = json.loads(reply.items[0].value or b"{}")
+                self._state.home_by_machine.update(homes)
+                self._stored_homes = len(homes)
+            self._loaded = True
+
+        self._store.read(HOMES_KEY, on_reply)
+
+    def advance(
+        self,
+        machines: t.Sequence[Machine],
+        executors_by_machine: t.Mapping[str, Executor],
+        reserved: t.Container[str],
+    ) -> None:
+        """Decide and order moves.
+
+        :param reserved: machines that a wave needs where they are.
+        """
+        configuration = self._scheduler.configuration
+        if not self._loaded or configuration is None:
+            return
+        now_ms = self._loop.clock.now_ms()
+        state = self._state
+        for machine_id, sent_ms in list(self._sent_ms.items()):
+            if now_ms - sent_ms > MOVE_TIMEOUT_MS:
+                state.moving.pop(machine_id, None)
+                del self._sent_ms[machine_id]
+        standby = {s.name for s in configuration.services_by_name.values() if s.standby}
+
+        def is_empty(machine: Machine) -> bool:
+            executor = executors_by_machine.get(machine.id)
+            return executor is None or not executor.runs
+
+        decision = decide_moves(
+            state,
+            machines,
+            standby,
+            self._scheduler.demand_by_service(),
+            reserved,
+            is_empty,
+            now_ms,
+        )
+        self._store_homes()
+        lent = {machine.id for machine in machines if is_lent(state, machine)}
+        self._scheduler.lent_machines = lent | set(state.moving)
+        for machine_id in decision.empty:
+            self._empty(executors_by_machine.get(machine_id), now_ms)
+        for machine_id, pool in decision.moves:
+            self._order(machine_id, pool, executors_by_machine.get(machine_id))
+
+    def _empty(self, executor: Executor | None, now_ms: int) -> None:
+        if executor is None:
+            return
+        executor.cordoned = True
+        pool = [
+            other
+            for other in self._scheduler.executors_by_id.values()
+            if other.entry.service == executor.entry.service
+        ]
+        for run in runs_to_move(executor, pool, now_ms):
+            self._scheduler.stop_run(run, now_ms, "its machine moves")
+
+    def _order(self, machine_id: str, pool: str, executor: Executor | None) -> None:
+        self._sent_ms[machine_id] = self._loop.clock.now_ms()
+        if executor is not None:
+            executor.cordoned = True
+
+        def on_reply(verdict: DutyVerdict) -> None:
+            _log.event(
+                "machine moved",
+                machine=machine_id,
+                pool=pool,
+                outcome=verdict.value,
+                fence=self._scheduler.fence,
+            )
+            if verdict is DutyVerdict.OK:
+                if executor is not None:
+                    self._scheduler.mark_dead(executor.id, self._loop.clock.now_ms())
+            elif verdict is not DutyVerdict.UNKNOWN:
+                self._state.moving.pop(machine_id, None)
+                if executor is not None:
+                    executor.cordoned = False
+
+        self._client.move(machine_id, pool, self._scheduler.fence, on_reply)
+
+    def _store_homes(self) -> None:
+        homes = self._state.home_by_machine
+        if len(homes) == self._stored_homes:
+            return
+        self._stored_homes = len(homes)
+        write = Write(
+            ((LEADER_KEY, self._scheduler.fence),),
+            ((HOMES_KEY, json.dumps(homes).encode(), 0),),
+        )
+
+        def on_reply(reply: StoreReply) -> None:
+            if reply.outcome is not Outcome.OK:
+                self._stored_homes = 0  # written again at the next step
+
+        self._store.write(write, on_reply)
--- a/src/cranberrywheel/submission/placement.py
+++ b/src/cranberrywheel/submission/placement.py
@@ -16,8 +16,9 @@
 MIX_PENALTY = 4.0
 #: Weight against an executor that failed or stalled runs lately.
 SUSPECT_PENALTY = 10.0
-#: Weight against a machine whose upkeep is still due, for tasks that last.
-UPKEEP_PENALTY = 3.0
+#: Weight against a machine that has its upkeep or a move before it, for tasks that
+#: last.
+LEAVING_PENALTY = 3.0
 
 
 def can_take(executor: Executor, task: Task, now_ms: int, free: Resources) -> bool:
@@ -45,7 +46,7 @@
 
 
 def score(
-    executor: Executor, task: Task, now_ms: int, upkeep_due: t.Container[str]
+    executor: Executor, task: Task, now_ms: int, leaving: t.Container[str]
 ) -> float:
     """Rate an executor for a task; higher is better."""
     step = task.step_run.step
@@ -54,8 +55,8 @@
     value = free.cpu / max(1, capacity.cpu)
     if step.long_running:
         value = free.memory_mb / max(1, capacity.memory_mb) - executor.serving * 0.3
-        if executor.entry.machine in upkeep_due:
-            value -= UPKEEP_PENALTY
+        if executor.entry.machine in leaving:
+            value -= LEAVING_PENALTY
     if step.data_rack and step.data_rack == executor.entry.rack:
         value += NEAR_BONUS
     if step.colocate:
@@ -75,14 +76,14 @@
     executors: t.Iterable[Executor],
     task: Task,
     now_ms: int,
-    upkeep_due: t.Container[str],
+    leaving: t.Container[str],
 ) -> Executor | None:
     """Return the best executor for a task, or ``None``."""
     best: Executor | None = None
     best_score = 0.0
     for executor in executors:
         if can_take(executor, task, now_ms, executor.free):
-            value = score(executor, task, now_ms, upkeep_due)
+            value = score(executor, task, now_ms, leaving)
             if best is None or value > best_score:
                 best, best_score = executor, value
     return best
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -39,6 +39,7 @@
     Verdict,
 )
 from cranberrywheel.submission.placement import choose, choose_gang
+from cranberrywheel.submission.pool_sizes import PoolDemand
 from cranberrywheel.submission.record import Progress
 from cranberrywheel.submission.sharing import decide_pace
 from cranberrywheel.submission.suspicion import is_stalled, note_trouble
@@ -88,6 +89,8 @@
         self.final_by_id: dict[str, State] = {}
         self.changed: dict[str, LiveSubmission] = {}
         self.upkeep_due: set[str] = set()
+        #: Machines that will go back to another pool.
+        self.lent_machines: set[str] = set()
         self.durations = Durations()
         #: Orders are held back while this is false.
         self.may_start = True
@@ -642,10 +645,11 @@
         if step_run.step.gang:
             self._start_gang(step_run, pool, tickets, now_ms)
             return
+        leaving = self.upkeep_due | self.lent_machines
         for task in list(step_run.waiting.values()):
             if not self._within_cap(live, step_run.step.size):
                 return
-            executor = choose(pool, task, now_ms, self.upkeep_due)
+            executor = choose(pool, task, now_ms, leaving)
             if executor is None:
                 if not task.avoid_until_ms_by_executor:
                     return  # the other tasks of the step are of the same size
@@ -745,29 +749,47 @@
             return live.state()
         return self.final_by_id.get(submission_id)
 
-    def pressure_by_service(self) -> dict[str, float]:
-        """Return cpu that short work uses and waits for, as a share of each pool."""
+    def demand_by_service(self) -> dict[str, PoolDemand]:
+        """Return the demand of each pool for short work."""
         capacity: dict[str, int] = {}
-        wanted: dict[str, int] = {}
+        machine_cpu: dict[str, int] = {}
+        used: dict[str, int] = {}
+        waiting: dict[str, int] = {}
         for executor in self.executors_by_id.values():
             service = executor.entry.service
             if executor.is_usable:
-                capacity[service] = (
-                    capacity.get(service, 0) + executor.entry.capacity.cpu
-                )
+                cpu = executor.entry.capacity.cpu
+                capacity[service] = capacity.get(service, 0) + cpu
+                machine_cpu[service] = max(machine_cpu.get(service, 0), cpu)
             for run in executor.runs.values():
                 step = run.task.step_run.step
                 if not step.long_running:
-                    wanted[service] = wanted.get(service, 0) + step.claim.cpu
+                    used[service] = used.get(service, 0) + step.claim.cpu
         for live in self.live_by_id.values():
             service = live.queue.service
             for step_run in live.step_runs.values():
-                if step_run.waiting and not step_run.step.long_running:
+                if (
+                    step_run.waiting
+                    and not step_run.step.long_running
+                    and live.is_ready(step_run)
+                ):
                     claim = step_run.step.claim.cpu * len(step_run.waiting)
-                    wanted[service] = wanted.get(service, 0) + claim
+                    waiting[service] = waiting.get(service, 0) + claim
+        return {
+            service: PoolDemand(
+                used.get(service, 0),
+                waiting.get(service, 0),
+                capacity.get(service, 0),
+                machine_cpu.get(service, 0),
+            )
+            for service in capacity.keys() | used.keys() | waiting.keys()
+        }
+
+    def pressure_by_service(self) -> dict[str, float]:
+        """Return used and waiting cpu of short work as a share of each pool."""
         return {
-            service: wanted.get(service, 0) / max(1, capacity.get(service, 0))
-            for service in capacity.keys() | wanted.keys()
+            service: demand.pressure
+            for service, demand in self.demand_by_service().items()
         }
 
     def queue_length(self, queue: str) -> int:
