Mark steps before their first start; hand over unstored ends

Change: the progress record names a step before its first start; a new leader that had the store all the time believes it. The account carries progress that was not stored. A machine missing from the list for 4 s has left. Younger processes lead first, since a rolling restart has passed them.

--- a/src/cranberrywheel/node/duties.py
+++ b/src/cranberrywheel/node/duties.py
@@ -159,10 +159,24 @@
                 executor, since_ms, now_ms
             ):
                 self._order(key, state, machine_id)
-        if not state.left() and not state.completed:
+        self._log_waiting(state)
+        state.note_present(self._machines_by_id, now_ms)
+        if state.is_finished(now_ms) and not state.completed:
             state.completed = True
         self._report(key, state)
 
+    def _log_waiting(self, state: WaveState) -> None:
+        """Say which machines the wave waits for, when that changes."""
+        waiting = {
+            machine_id: machine.state.value if machine else "gone"
+            for machine_id in state.left()
+            if not (machine := self._machines_by_id.get(machine_id)) or not machine.up
+        }
+        if waiting != state.logged_waiting:
+            state.logged_waiting = waiting
+            text = ",".join(f"{key}:{value}" for key, value in waiting.items())
+            _log.event("wave waits", wave=state.wave.number, machines=text)
+
     def _order(self, key: str, state: WaveState, machine_id: str) -> None:
         state.ordered.add(machine_id)
         executor = self._executors_by_machine().get(machine_id)
@@ -204,8 +218,8 @@
     def _report(self, key: str, state: WaveState) -> None:
         name = key[len(wire.WAVE_PREFIX) :]
         value = wire.encode_wave_status(state.completed)
-        if getattr(state, "reported", None) != value:
-            state.reported = value  # type: ignore[attr-defined]
+        if state.reported != value:
+            state.reported = value
             self._write(wire.STATUS_PREFIX + name, value)
 
     def _write(self, key: str, value: bytes) -> None:
--- a/src/cranberrywheel/node/leader.py
+++ b/src/cranberrywheel/node/leader.py
@@ -90,7 +90,7 @@
         self._loop = loop
         self._store = store
         self._previous_fence = previous_fence
-        self._handed_runs: list[HandedRun] = []
+        self._account = Account(0, [], {})
         self._client = client
         self._advisor = advisor
         self._is_valid = is_valid
@@ -131,9 +131,9 @@
             return
         if reply.outcome is Outcome.OK:
             account = decode_account(reply.items[0].value or b"")
-            if account is not None and account[0] == self._previous_fence:
+            if account is not None and account.fence == self._previous_fence:
                 self.scheduler.handed_over = True
-                self._handed_runs = account[1]
+                self._account = account
         self._read_executors()
 
     def _read_executors(self) -> None:
@@ -141,8 +141,11 @@
 
     def account(self) -> bytes:
         """Return the record of all runs for the next leader."""
-        now_ms = self._loop.clock.now_ms()
-        return encode_account(self.scheduler.fence, self.scheduler.export_runs(now_ms))
+        scheduler = self.scheduler
+        runs = scheduler.export_runs(self._loop.clock.now_ms())
+        return encode_account(
+            Account(scheduler.fence, runs, scheduler.export_progress())
+        )
 
     def stop(self) -> None:
         """Decide nothing any more."""
@@ -188,10 +191,11 @@
             live=len(scheduler.live_by_id),
             fence=scheduler.fence,
             handed_over=scheduler.handed_over,
-            runs=len(self._handed_runs),
+            runs=len(self._account.runs),
         )
-        scheduler.import_runs(self._handed_runs, self._loop.clock.now_ms())
-        self._handed_runs.clear()
+        scheduler.import_progress(self._account.progress_by_id)
+        scheduler.import_runs(self._account.runs, self._loop.clock.now_ms())
+        self._account = Account(0, [], {})
         for submission_id in self._early_cancels:
             scheduler.cancel(submission_id, self._loop.clock.now_ms())
         self._early_cancels.clear()
@@ -282,8 +286,7 @@
         if self._stopped:
             return
         self._loop.after(TICK_MS, self._tick)
-        allowed = self._is_valid() or self._may_continue()
-        self.scheduler.may_start = allowed and self._executors_ready
+        self._update_rights()
         self.scheduler.tick(self._loop.clock.now_ms(), unix_ms())
         self._pump()
 
@@ -292,8 +295,7 @@
         if self._stopped:
             return
         now_ms = self._loop.clock.now_ms()
-        allowed = self._is_valid() or self._may_continue()
-        self.scheduler.may_start = allowed and self._executors_ready
+        self._update_rights()
         if self._submissions_ready:
             self.scheduler.schedule(now_ms, unix_ms())
             for action in self.scheduler.take_actions():
@@ -304,6 +306,12 @@
                 if executor.wants_look:
                     self._look(executor)
 
+    def _update_rights(self) -> None:
+        away = self._may_continue()
+        self.scheduler.store_away = away
+        allowed = self._is_valid() or away
+        self.scheduler.may_start = allowed and self._executors_ready
+
     def _carry_out(self, action: a.Action) -> None:
         if isinstance(action, a.StartRun):
             executor_id = action.run.executor_id
@@ -540,17 +548,42 @@
         self.wake()
 
 
-def encode_account(fence: int, runs: list[HandedRun]) -> bytes:
-    """Encode the account that a leader leaves to the next one."""
-    rows = [dataclasses.astuple(run) for run in runs]
-    return json.dumps({"fence": fence, "runs": rows}).encode()
+@dataclasses.dataclass(frozen=True)
+class Account:
+    """What a leader leaves to the next one.
+
+    :param fence: fence of the leader that wrote it.
+    :param progress_by_id: progress that was not stored yet.
+    """
+
+    fence: int
+    runs: list[HandedRun]
+    progress_by_id: dict[str, Progress]
 
 
-def decode_account(value: bytes) -> tuple[int, list[HandedRun]] | None:
-    """Decode an account: fence of its leader, and runs; ``None`` if it is none."""
+def encode_account(account: Account) -> bytes:
+    """Encode an account."""
+    return json.dumps(
+        {
+            "fence": account.fence,
+            "runs": [dataclasses.astuple(run) for run in account.runs],
+            "progress": {
+                submission_id: dataclasses.asdict(progress)
+                for submission_id, progress in account.progress_by_id.items()
+            },
+        }
+    ).encode()
+
+
+def decode_account(value: bytes) -> Account | None:
+    """Decode an account; ``None`` if it is none."""
     try:
         row = json.loads(value)
-        return int(row["fence"]), [HandedRun(*run) for run in row["runs"]]
-    except (KeyError, TypeError, ValueError) as error:
+        return Account(
+            int(row["fence"]),
+            [HandedRun(*run) for run in row["runs"]],
+            {key: Progress(**progress) for key, progress in row["progress"].items()},
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
         _log.warning("unreadable account", error=repr(error))
         return None
--- a/src/cranberrywheel/node/leadership.py
+++ b/src/cranberrywheel/node/leadership.py
@@ -17,6 +17,8 @@
 RENEW_MS = 300
 #: The holder stops this long before its lease may end in the store.
 SAFETY_MS = 150
+#: Longest pause before a process competes, a millisecond for each second of its age.
+MAX_SENIORITY_MS = 100
 #: Pause before the next try to take the leadership.
 RETRY_MS = 200
 
@@ -72,6 +74,7 @@
         self._attempting = False
         self._known = False
         self._generation = 0
+        self._started_ms = loop.clock.now_ms()
         self._watch = PrefixWatch(
             loop, store, LEADER_KEY, self._on_item, self._on_first_read
         )
@@ -129,13 +132,18 @@
             return
         if item.value is None:
             self.holder = None
-            self._try_to_lead()
+            self._loop.after(self._seniority_ms(), self._try_to_lead)
             return
         holder = _decode_holder(item)
         self.holder = holder
         if self.fence and holder and holder.fence > self.fence:
             self._lose("another process leads")
 
+    def _seniority_ms(self) -> int:
+        """Let younger processes go first: a rolling restart has passed them."""
+        up_ms = self._loop.clock.now_ms() - self._started_ms
+        return min(MAX_SENIORITY_MS, up_ms // 1_000)
+
     def _try_to_lead(self) -> None:
         if (
             self.fence
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -282,6 +282,7 @@
 
     def _on_gain(self, fence: int, term: int, previous_fence: int) -> None:
         scheduler = Scheduler(fence, term, self._settings.bounds, self._clock.now_ms())
+        scheduler.trusts_records = not self._contact.was_away_lately()
         if self.configuration:
             scheduler.set_configuration(self.configuration)
         settings = self._settings
--- a/src/cranberrywheel/node/store_contact.py
+++ b/src/cranberrywheel/node/store_contact.py
@@ -22,6 +22,8 @@
 WORD_MS = 1_000
 #: Time alone after which the balancer should send callers elsewhere.
 ISOLATED_MS = 700
+#: Longer than all leases that a leader without the store may have granted.
+MEMORY_MS = 8_000
 
 _log = PartLogger("store-contact")
 
@@ -56,6 +58,8 @@
         self._word_by_address: dict[str, _Word] = {}
         self._helper: str | None = None
         self._away_since_ms = 0
+        # A process that has just started does not know what was before.
+        self._last_away_ms = loop.clock.now_ms()
 
     def start(self) -> None:
         """Begin to watch."""
@@ -110,6 +114,12 @@
             and not self.all_away(fence)
         )
 
+    def was_away_lately(self) -> bool:
+        """Whether a leader may have gone on without the store a moment ago."""
+        if self.is_away:
+            return True
+        return self._loop.clock.now_ms() - self._last_away_ms < MEMORY_MS
+
     def _update(self) -> None:
         now_ms = self._loop.clock.now_ms()
         away = self._failures >= MAX_FAILURES or (
@@ -122,6 +132,7 @@
         elif not away and self._away_since_ms:
             _log.event("store regained", after_ms=now_ms - self._away_since_ms)
             self._away_since_ms = 0
+            self._last_away_ms = now_ms
             self._helper = None
             self._word_by_address.clear()
 
--- a/src/cranberrywheel/platform/machines.py
+++ b/src/cranberrywheel/platform/machines.py
@@ -7,7 +7,12 @@
 
 from cranberrywheel.connection.http_loop import HttpLoop, HttpReply, HttpRequest
 from cranberrywheel.logs import PartLogger
-from cranberrywheel.submission.machines import DutyVerdict, Machine, Wave
+from cranberrywheel.submission.machines import (
+    DutyVerdict,
+    Machine,
+    MachineState,
+    Wave,
+)
 
 WAVE_PREFIX = "op/wave/"
 STATUS_PREFIX = "status/wave/"
@@ -62,6 +67,12 @@
     return json.dumps({"state": "completed" if completed else "running"}).encode()
 
 
+_STATE_BY_WORD = {
+    "up": MachineState.UP,
+    "moving": MachineState.MOVING,
+    "upkeep": MachineState.UPKEEP,
+    "down": MachineState.DOWN,
+}
 _VERDICT_BY_REASON = {
     "fence": DutyVerdict.FENCED,
     "busy": DutyVerdict.BUSY,
@@ -109,8 +120,7 @@
                 Machine(
                     row.machine,
                     row.pool,
-                    row.state == "up",
-                    row.state == "upkeep",
+                    _STATE_BY_WORD.get(row.state, MachineState.OTHER),
                     row.zone,
                     row.id,
                 )
--- a/src/cranberrywheel/submission/live.py
+++ b/src/cranberrywheel/submission/live.py
@@ -103,9 +103,14 @@
     """A step of one occurrence of a submission.
 
     :ivar waiting: tasks without a run that are not done, by index.
+    :ivar begin_version: version of the record that says that the step begins; 0
+        before.
+    :ivar begun_before: an earlier leader may have started tasks of it.
     """
 
     __slots__ = (
+        "begin_version",
+        "begun_before",
         "done_count",
         "live",
         "number",
@@ -123,6 +128,8 @@
         self.tasks = [Task(self, index) for index in range(self.step.count)]
         self.waiting = {task.index: task for task in self.tasks}
         self.done_count = 0
+        self.begin_version = 0
+        self.begun_before = False
 
     @property
     def name(self) -> str:
@@ -233,8 +240,10 @@
 
     def progress(self) -> Progress:
         """Return what the store has to keep."""
-        progress = Progress(started=self.started)
+        progress = Progress()
         for (occurrence, number), step_run in self.step_runs.items():
+            if step_run.begin_version or step_run.begun_before:
+                progress.begun_steps.append(f"{occurrence}.{number}")
             if step_run.done_count:
                 progress.done_by_step[f"{occurrence}.{number}"] = [
                     task.index for task in step_run.tasks if task.done
@@ -252,7 +261,12 @@
 
     def restore(self, progress: Progress) -> None:
         """Apply a stored progress record."""
-        self.started = progress.started
+        self.started = bool(progress.begun_steps)
+        for key in progress.begun_steps:
+            occurrence, number = map(int, key.split("."))
+            task = self.find_task(occurrence, number, 0)
+            if task is not None:
+                task.step_run.begun_before = True
         for key, indices in progress.done_by_step.items():
             occurrence, number = map(int, key.split("."))
             for index in indices:
--- a/src/cranberrywheel/submission/machines.py
+++ b/src/cranberrywheel/submission/machines.py
@@ -14,20 +14,31 @@
     at_once: int
 
 
+class MachineState(enum.Enum):
+    """State of a machine; ``OTHER`` stands for one that is not known here."""
+
+    UP = "up"
+    MOVING = "moving"
+    UPKEEP = "upkeep"
+    DOWN = "down"
+    OTHER = "other"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Machine:
-    """One machine; ``executor_id`` is empty while none runs on it.
-
-    :param up: neither moving, nor in upkeep, nor down.
-    """
+    """One machine; ``executor_id`` is empty while none runs on it."""
 
     id: str
     pool: str
-    up: bool
-    in_upkeep: bool
+    state: MachineState
     zone: str
     executor_id: str
 
+    @property
+    def up(self) -> bool:
+        """Whether the machine can take an order."""
+        return self.state is MachineState.UP
+
 
 class DutyVerdict(enum.Enum):
     """How the platform answered a duty order."""
--- a/src/cranberrywheel/submission/record.py
+++ b/src/cranberrywheel/submission/record.py
@@ -73,13 +73,14 @@
     :param done_by_step: finished task numbers by ``OCCURRENCE.STEP``.
     :param failed_runs_by_task: numbers of failed runs by ``OCCURRENCE.STEP.INDEX``.
     :param checkpoint_by_task: last saved progress by ``OCCURRENCE.STEP.INDEX``.
-    :param started: whether a task has ever started.
+    :param begun_steps: ``OCCURRENCE.STEP`` of which a task may have started; written
+        before the first start, so that a new leader knows what cannot run unseen.
     """
 
     done_by_step: dict[str, list[int]] = dataclasses.field(default_factory=dict)
     failed_runs_by_task: dict[str, list[int]] = dataclasses.field(default_factory=dict)
     checkpoint_by_task: dict[str, str] = dataclasses.field(default_factory=dict)
-    started: bool = False
+    begun_steps: list[str] = dataclasses.field(default_factory=list)
 
 
 def encode_progress(progress: Progress) -> bytes:
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -95,6 +95,10 @@
     def __init__(self, fence: int, term: int, bounds: Bounds, now_ms: int) -> None:
         #: Whether the predecessor left an account of all that may run.
         self.handed_over = False
+        #: Whether stored records name every step that the predecessor began.
+        self.trusts_records = False
+        #: Whether steps may begin before their record is stored.
+        self.store_away = False
         self.fence = fence
         self.term = term
         self.bounds = bounds
@@ -189,8 +193,17 @@
             return
         live.restore(progress)
         live.progress_revision = revision
+        self._check_end(live)
+
+    def _check_end(self, live: LiveSubmission) -> None:
+        """Finish a submission whose records say that it has ended."""
         if live.is_complete:
             self._finish(live, State.COMPLETED)
+        elif any(
+            len(task.failed_runs) >= live.queue.attempts and not task.done
+            for task in live.tasks()
+        ):
+            self._finish(live, State.FAILED)
 
     def cancel(self, submission_id: str, now_ms: int) -> None:
         """Stop everything of a submission; nothing of it starts again."""
@@ -469,6 +482,23 @@
             for run in executor.runs.values()
         ]
 
+    def export_progress(self) -> dict[str, Progress]:
+        """Return the progress of submissions whose records are not stored yet."""
+        return {
+            live.submission.id: live.progress()
+            for live in self.live_by_id.values()
+            if live.stored_version < live.version and not live.cancelled
+        }
+
+    def import_progress(self, progress_by_id: t.Mapping[str, Progress]) -> None:
+        """Take over progress that the predecessor could not store."""
+        for submission_id, progress in progress_by_id.items():
+            live = self.live_by_id.get(submission_id)
+            if live is not None and not live.final:
+                live.restore(progress)
+                self._touch(live)
+                self._check_end(live)
+
     def import_runs(self, rows: t.Iterable[HandedRun], now_ms: int) -> None:
         """Take over the account of the predecessor; looks bring it up to date."""
         for row in rows:
@@ -498,9 +528,7 @@
         task.step_run.waiting.pop(task.index, None)
         executor.add_run(run)
         live.run_count += 1
-        if not live.started:
-            live.started = True
-            self._touch(live)
+        live.started = True
         owner = live.submission.organisation
         used = self._used_by_organisation.get(owner, NOTHING)
         self._used_by_organisation[owner] = used + task.step_run.step.size
@@ -652,18 +680,23 @@
         self._unix_ms = unix_ms
         by_service: dict[str, list[Executor]] = {}
         unsettled: set[str] = set()
+        unseen: set[str] = set()
         for executor in self.executors_by_id.values():
             by_service.setdefault(executor.entry.service, []).append(executor)
             if not executor.fenced and now_ms <= executor.lapse_ms:
                 unsettled.add(executor.entry.service)
+                if executor.reachable:
+                    unseen.add(executor.entry.service)  # its first look is under way
         waiting: list[tuple[tuple[int, int, float], StepRun]] = []
         for live in self.live_by_id.values():
-            if live.final or (live.recovered and live.queue.service in unsettled):
+            if live.final or (live.recovered and live.queue.service in unseen):
                 continue
+            held_back = live.recovered and live.queue.service in unsettled
             ready = [
                 step_run
                 for step_run in live.step_runs.values()
                 if step_run.waiting
+                and not (held_back and self._may_run_unseen(step_run))
                 and live.is_ready(step_run)
                 and live.due_ms(step_run.occurrence) <= unix_ms
             ]
@@ -671,12 +704,27 @@
                 continue
             remaining = remaining_work(live, self.durations.factor(live))
             key = order_key(live, remaining, unix_ms)
-            waiting.extend((key, step_run) for step_run in ready)
+            waiting.extend(
+                (key, step_run) for step_run in ready if self._may_begin(step_run)
+            )
         waiting.sort(key=lambda row: row[0])
         for _, step_run in waiting:
             pool = by_service.get(step_run.live.queue.service, ())
             self._start_step(step_run, pool, now_ms)
 
+    def _may_run_unseen(self, step_run: StepRun) -> bool:
+        return step_run.begun_before or not self.trusts_records
+
+    def _may_begin(self, step_run: StepRun) -> bool:
+        """Whether a first start of a step would be known to a successor."""
+        live = step_run.live
+        if step_run.begun_before or self.store_away:
+            return True
+        if not step_run.begin_version:
+            self._touch(live)
+            step_run.begin_version = live.version
+        return live.stored_version >= step_run.begin_version
+
     def _start_step(
         self, step_run: StepRun, pool: t.Sequence[Executor], now_ms: int
     ) -> None:
--- a/src/cranberrywheel/submission/upkeep.py
+++ b/src/cranberrywheel/submission/upkeep.py
@@ -17,6 +17,9 @@
 EMPTYING_MS = 3_000
 #: Runs still there after this long are cut by the upkeep; longer than most tasks.
 MAX_EMPTYING_MS = 6_000
+#: A machine that is missing from the list for this long has left for good; one that
+#: moves or is down stays in it.
+GONE_MS = 4_000
 #: Part of the wave's time that the plan uses, so that delays do not make it late.
 PLANNED_SHARE = 0.8
 
@@ -35,6 +38,9 @@
     :ivar done: machines whose upkeep has begun.
     :ivar emptying_since_ms: machines that take no new work, and since when.
     :ivar ordered: machines whose order is under way.
+    :ivar missing_since_ms: machines that are not in the list, and since when.
+    :ivar reported: status that the operators were told last.
+    :ivar logged_waiting: machines named in the last log line, with their state.
     """
 
     wave: Wave
@@ -42,7 +48,25 @@
     done: set[str] = dataclasses.field(default_factory=set)
     emptying_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     ordered: set[str] = dataclasses.field(default_factory=set)
+    missing_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     completed: bool = False
+    reported: bytes = b""
+    logged_waiting: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    def note_present(self, machines: t.Container[str], now_ms: int) -> None:
+        """Note which machines are in the list; one that has left needs no upkeep."""
+        for machine in self.wave.machines:
+            if machine in machines:
+                self.missing_since_ms.pop(machine, None)
+            else:
+                self.missing_since_ms.setdefault(machine, now_ms)
+
+    def is_finished(self, now_ms: int) -> bool:
+        """Whether the upkeep of every machine that stays has begun."""
+        return all(
+            now_ms - self.missing_since_ms.get(machine, now_ms) >= GONE_MS
+            for machine in self.left()
+        )
 
     def left(self) -> list[str]:
         """Machines whose upkeep has not begun."""
--- a/tests/leader_world.py
+++ b/tests/leader_world.py
@@ -117,6 +117,7 @@
         scheduler = Scheduler(
             self.store.revision, self._term, Bounds(), self.loop.clock.now_ms()
         )
+        scheduler.trusts_records = True
         scheduler.set_configuration(self.configuration)
         self.leader = Leader(
             t.cast(t.Any, self.loop),
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -248,3 +248,65 @@
     world.run_for(8_000)
     assert world.fleet.violations == []
     assert world.scheduler.state_of("s1") is State.COMPLETED
+
+
+def test_steps_that_never_began_do_not_wait_for_lost_executors(monkeypatch):
+    """After the leader's own zone was cut off, work that nobody had started waited
+    for the leases of the zone's executors (kayis-ortak, recorded day inc-1bb5)."""
+    world = LeaderWorld(monkeypatch)
+    world.fleet.add("a", "pool", cpu=1_000)
+    world.fleet.add("b", "pool", cpu=1_000)
+    world.lead()
+    world.submit(make_submission("s1", make_step(2)), 1_000)
+    world.submit(make_submission("s2", make_step(1)), 200)
+    world.run_for(300)
+    world.fleet.by_id["b"].cut = True
+    world.lead()
+    world.run_for(1_500)
+    assert world.scheduler.state_of("s2") is State.COMPLETED
+    world.run_for(6_000)
+    assert world.scheduler.state_of("s1") is State.COMPLETED
+    assert world.fleet.violations == []
+
+
+def test_records_are_not_trusted_after_an_outage_of_the_store(monkeypatch):
+    """While the store was away for all, steps began without a record; a new leader
+    that believed the records would start them a second time."""
+    world = LeaderWorld(monkeypatch)
+    world.fleet.add("a", "pool")
+    world.lead()
+    world.run_for(200)
+    world.leader._may_continue = lambda: True
+    world.submit(make_submission("s1", make_step(2)), 2_500)
+    world.run_for(20)
+    world.store.away = True
+    world.run_for(300)
+    assert world.fleet.starts == 2
+    world.store.away = False
+    world.fleet.by_id["a"].cut = True
+    world.fleet.add("b", "pool")
+    world.lead().scheduler.trusts_records = False
+    world.run_for(9_000)
+    assert world.fleet.violations == []
+    assert world.scheduler.state_of("s1") is State.COMPLETED
+
+
+def test_ends_that_are_not_stored_yet_are_handed_over(monkeypatch):
+    """A leader that stopped between an end and its record let the next one start the
+    task again (TWICE on kayis-ortak trouble-2, once in two plays)."""
+    world = LeaderWorld(monkeypatch)
+    world.fleet.add("a", "pool")
+    world.lead()
+    world.submit(make_submission("s1", make_step(2)), 300)
+    world.run_for(100)
+    world.leader._flush = lambda: None
+    world.run_for(400)
+    assert len(world.fleet.done_ms_by_task) == 2
+    world.fleet.by_id["a"].cut = True
+    world.fleet.add("b", "pool")
+    world.hand_over()
+    world.run_for(3_000)
+    world.fleet.by_id["a"].cut = False
+    world.run_for(3_000)
+    assert world.fleet.starts == 2
+    assert world.scheduler.state_of("s1") is State.COMPLETED
--- a/tests/test_pool_sizes.py
+++ b/tests/test_pool_sizes.py
@@ -1,6 +1,6 @@
 """Moves of machines when queues have their turns, decided without input or output."""
 
-from cranberrywheel.submission.machines import Machine
+from cranberrywheel.submission.machines import Machine, MachineState
 from cranberrywheel.submission.pool_sizes import (
     RETURN_AFTER_MS,
     PoolDemand,
@@ -11,8 +11,9 @@
 STANDBY = {"spare"}
 
 
-def make_machine(name: str, pool: str, up: bool = True) -> Machine:
-    return Machine(name, pool, up, False, "z", f"i-{name}" if pool != "spare" else "")
+def make_machine(name: str, pool: str) -> Machine:
+    executor_id = f"i-{name}" if pool != "spare" else ""
+    return Machine(name, pool, MachineState.UP, "z", executor_id)
 
 
 def decide(state, machines, demand, now_ms, reserved=(), empty=True):
