Speak the platform's protocol in the stand-in; add a fault soak

Change: PlatformServer serves store, executors and machines over HTTP on the state that the virtual store and fleet use. Tests drive real node processes against it: bad input, repeats, cancellation, a killed leader. The soak plays seeds with kills, pauses, stops, proxies that delay, silence, reset and cut answers, and a store that is away; it checks states, ends and runs.

--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -76,9 +76,12 @@
     """One process: front, leadership, configuration and, at times, the leader.
 
     :param settings: what the platform tells the process.
+    :param metrics_port: port of the metrics; several nodes may share an address.
     """
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(
+        self, settings: NodeSettings, metrics_port: int = METRICS_PORT
+    ) -> None:
         self._settings = settings
         self.configuration: Configuration | None = None
         self.stopping = False
@@ -151,7 +154,7 @@
             MAX_BODY_BYTES,
         )
         self._metrics_server = HttpServer(
-            settings.ip, METRICS_PORT, self._metrics_app, 2, MAX_BODY_BYTES
+            settings.ip, metrics_port, self._metrics_app, 2, MAX_BODY_BYTES
         )
 
     # Life
--- a/src/cranberrywheel/programs/node.py
+++ b/src/cranberrywheel/programs/node.py
@@ -7,10 +7,13 @@
 
 from cranberrywheel.errors import SettingsError
 from cranberrywheel.logs import write_to_stdout
-from cranberrywheel.node.node import Node
+from cranberrywheel.node.node import METRICS_PORT, Node
 from cranberrywheel.platform.settings import load_settings
 from cranberrywheel.programs.exit_codes import OK, USAGE
 
+#: Overrides the port of the metrics, for several nodes on one address.
+METRICS_PORT_VARIABLE = "CRANBERRYWHEEL_METRICS_PORT"
+
 
 def main() -> int:
     """Run the program; the platform's settings file says how."""
@@ -18,7 +21,8 @@
     logging.set_verbosity(logging.INFO)
     stop_logs = write_to_stdout()
     try:
-        Node(load_settings()).run()
+        port = int(os.environ.get(METRICS_PORT_VARIABLE, METRICS_PORT))
+        Node(load_settings(), port).run()
     except SettingsError as error:
         print(error, file=sys.stderr)
         return USAGE
--- /dev/null
+++ b/src/cranberrywheel_load/fault_proxy.py
@@ -0,0 +1,138 @@
+"""A loopback TCP proxy that delays, resets, cuts one way or silences connections."""
+
+import enum
+import selectors
+import socket
+import struct
+import threading
+import time
+
+CHUNK_BYTES = 65_536
+POLL_S = 0.05
+#: Linger of zero seconds: closing such a socket resets its connection.
+RESET_LINGER = struct.pack("ii", 1, 0)
+
+
+class Fault(enum.Enum):
+    """What happens to the bytes; ``CUT_ANSWERS`` lets only requests pass."""
+
+    NONE = "none"
+    DELAY = "delay"
+    SILENCE = "silence"
+    CUT_ANSWERS = "cut-answers"
+    REFUSE = "refuse"
+
+
+class FaultProxy:
+    """Passes connections on to a target, under the fault that is set.
+
+    Bytes that are held back by a fault are lost with their connection, as when one
+    end gives up behind a partition.
+
+    :param listen: address of the proxy.
+    :param target: address that it stands for.
+    """
+
+    def __init__(self, listen: tuple[str, int], target: tuple[str, int]) -> None:
+        self._target = target
+        self._listener = socket.create_server(listen, backlog=256)
+        self._listener.settimeout(POLL_S)
+        self.fault = Fault.NONE
+        self.delay_s = 0.0
+        self._stopped = False
+        self._lock = threading.Lock()
+        self._sockets: set[socket.socket] = set()
+        self._thread = threading.Thread(target=self._accept, daemon=True)
+
+    def start(self) -> None:
+        """Start to accept."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close everything."""
+        self._stopped = True
+        self._listener.close()
+        self.reset()
+
+    def set(self, fault: Fault, delay_s: float = 0.0) -> None:
+        """Set the fault for all connections, old and new."""
+        self.delay_s = delay_s
+        self.fault = fault
+        if fault is Fault.REFUSE:
+            self.reset()
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        with self._lock:
+            sockets, self._sockets = self._sockets, set()
+        for sock in sockets:
+            try:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+                sock.close()
+            except OSError:
+                pass  # it was closed by its pump
+
+    def _accept(self) -> None:
+        while not self._stopped:
+            try:
+                client, _ = self._listener.accept()
+            except TimeoutError:
+                continue
+            except OSError:
+                return  # the proxy stops
+            threading.Thread(target=self._serve, args=(client,), daemon=True).start()
+
+    def _serve(self, client: socket.socket) -> None:
+        try:
+            if self.fault is Fault.REFUSE:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+                client.close()
+                return
+            server = socket.create_connection(self._target, timeout=1)
+        except OSError:
+            client.close()
+            return
+        with self._lock:
+            self._sockets |= {client, server}
+        try:
+            self._pump(client, server)
+        except (OSError, ValueError):
+            pass  # reset by a fault or by one end
+        finally:
+            with self._lock:
+                self._sockets -= {client, server}
+            client.close()
+            server.close()
+
+    def _pump(self, client: socket.socket, server: socket.socket) -> None:
+        selector = selectors.DefaultSelector()
+        selector.register(client, selectors.EVENT_READ, server)
+        selector.register(server, selectors.EVENT_READ, client)
+        with selector:
+            while not self._stopped:
+                for key, _ in selector.select(POLL_S):
+                    source = key.fileobj
+                    assert isinstance(source, socket.socket)
+                    data = source.recv(CHUNK_BYTES)
+                    if not data:
+                        return
+                    fault = self.fault
+                    if fault is Fault.DELAY:
+                        time.sleep(self.delay_s)
+                    if fault is Fault.SILENCE or (
+                        fault is Fault.CUT_ANSWERS and source is server
+                    ):
+                        self._swallow(client, server)
+                        return
+                    key.data.sendall(data)
+
+    def _swallow(self, client: socket.socket, server: socket.socket) -> None:
+        """Keep a connection open without passing anything on, for good."""
+        while not self._stopped and client.fileno() >= 0 and server.fileno() >= 0:
+            time.sleep(POLL_S)
+            try:
+                client.setblocking(False)
+                if not client.recv(CHUNK_BYTES):
+                    return
+            except BlockingIOError:
+                continue
--- a/src/cranberrywheel_load/main.py
+++ b/src/cranberrywheel_load/main.py
@@ -16,6 +16,7 @@
 from cranberrywheel_load.faults import ROWS
 from cranberrywheel_load.pattern import LoadPlan, plan_arrivals
 from cranberrywheel_load.report import queue_table, summarize, write_json
+from cranberrywheel_load.soak import SoakPlan, run_soak
 from cranberrywheel_standin.history import HistoryWriter
 
 #: time after the last arrival in which answers are waited for.
@@ -136,11 +137,46 @@
         return 1 if any(f.violations for f in figures.values()) else 0
 
 
+class SoakCommand(Command):
+    """Plays random faults against real processes and checks the promises."""
+
+    name = "soak"
+    description = "Run node processes under random faults; exit 1 if a promise breaks."
+    help = "Example: cranberrywheel-load soak --seed 1 --seeds 10 --seconds 12"
+    options = [
+        _value("seed", "First seed.", "1"),
+        _value("seeds", "How many seeds, one after the other.", "1"),
+        _value("seconds", "Length of the faults of each seed.", "12"),
+        _value("submissions", "Submissions of each seed.", "40"),
+        _value("folder", "Folder for settings and logs.", "soak"),
+    ]
+
+    def handle(self) -> int:
+        broken = 0
+        first = int(self.option("seed"))
+        for seed in range(first, first + int(self.option("seeds"))):
+            folder = pathlib.Path(self.option("folder")) / f"seed-{seed}"
+            plan = SoakPlan(
+                seed,
+                float(self.option("seconds")),
+                int(self.option("submissions")),
+                folder,
+            )
+            faults: list[str] = []
+            violations = run_soak(plan, faults.append)
+            self.line(f"seed={seed} faults={len(faults)} broken={len(violations)}")
+            for line in (*faults, *violations) if violations else ():
+                self.line(f"  {line}")
+            broken += bool(violations)
+        return 1 if broken else 0
+
+
 def main() -> None:
     """Run the command line."""
     application = Application("cranberrywheel-load")
     application.add(RunCommand())
     application.add(ExperimentCommand())
+    application.add(SoakCommand())
     application.run()
 
 
--- a/src/cranberrywheel_load/processes.py
+++ b/src/cranberrywheel_load/processes.py
@@ -79,12 +79,18 @@
     :param name: name in messages and of the log file.
     :param arguments: module and its arguments.
     :param folder: where the log goes.
+    :param environment: further variables.
     """
 
     def __init__(
-        self, name: str, arguments: t.Sequence[str], folder: pathlib.Path
+        self,
+        name: str,
+        arguments: t.Sequence[str],
+        folder: pathlib.Path,
+        environment: t.Mapping[str, str] | None = None,
     ) -> None:
         self.name = name
+        self._environment = dict(environment or {})
         self.log = folder / f"{name}.log"
         self._arguments = [sys.executable, "-m", *arguments]
         self._process: subprocess.Popen[bytes] | None = None
@@ -105,7 +111,11 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
-                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+                env={
+                    **os.environ,
+                    "PYTHONPATH": os.pathsep.join(sys.path),
+                    **self._environment,
+                },
             )
 
     def is_running(self) -> bool:
--- a/src/cranberrywheel_standin/virtual_fleet.py
+++ b/src/cranberrywheel_standin/virtual_fleet.py
@@ -10,7 +10,8 @@
 import random
 import typing as t
 
-from cranberrywheel.clock import ManualClock
+from cranberrywheel.clock import Clock, ManualClock
+from cranberrywheel.platform.executors import EXECUTOR_PREFIX, encode_executor
 from cranberrywheel.platform.store import (
     Item,
     Outcome,
@@ -64,43 +65,28 @@
         self.clock.advance(end_ms - self.clock.now_ms())
 
 
-class VirtualStore:
-    """Key-value service with conditions, leases and watches.
+class StoreState:
+    """Content of the key-value service: conditions, leases and history.
 
-    :ivar away: answers nothing while true.
-    :ivar delay_ms_by_prefix: further time that reading a prefix takes.
+    :param clock: source of the leases' times.
     """
 
-    def __init__(self, loop: VirtualLoop) -> None:
-        self._loop = loop
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self.revision = 0
         self.item_by_key: dict[str, Item] = {}
-        self.away = False
-        self.delay_ms_by_prefix: dict[str, int] = {}
+        self.lease_by_key: dict[str, int] = {}
         self.writes = 0
-        self._lease_by_key: dict[str, int] = {}
-        self._lease_end_by_id: dict[int, int] = {}
+        self._lease_ends: dict[int, tuple[int, int]] = {}
         self._history: list[Item] = []
         self._lease_ids = itertools.count(1)
 
-    def _answer(
-        self, done: t.Callable[[StoreReply], None], work: t.Callable[[], StoreReply]
-    ) -> None:
-        def arrive() -> None:
-            if self.away:
-                self._loop.after(1_000, lambda: done(StoreReply(Outcome.UNKNOWN)))
-                return
-            reply = work()
-            self._loop.after(DELAY_MS, lambda: done(reply))
-
-        self._loop.after(DELAY_MS, arrive)
-
     def _set(self, key: str, value: bytes | None) -> None:
         item = Item(key, value, self.revision)
         self._history.append(item)
         if value is None:
             self.item_by_key.pop(key, None)
-            self._lease_by_key.pop(key, None)
+            self.lease_by_key.pop(key, None)
         else:
             self.item_by_key[key] = item
 
@@ -115,41 +101,133 @@
         self._set(key, None)
 
     def _expire(self) -> None:
-        now_ms = self._loop.clock.now_ms()
-        for lease in [i for i, end in self._lease_end_by_id.items() if end <= now_ms]:
-            self._drop_lease(lease)
-
-    def _drop_lease(self, lease: int) -> None:
-        self._lease_end_by_id.pop(lease, None)
-        for key in [k for k, i in self._lease_by_key.items() if i == lease]:
+        now_ms = self._clock.now_ms()
+        for lease in [i for i, (end, _) in self._lease_ends.items() if end <= now_ms]:
+            self.end_lease(lease)
+
+    def read(self, key: str) -> StoreReply:
+        """Read one key."""
+        self._expire()
+        item = self.item_by_key.get(key)
+        if item is None:
+            return StoreReply(Outcome.ABSENT, revision=self.revision)
+        return StoreReply(Outcome.OK, (item,), self.revision)
+
+    def read_all(self, prefix: str) -> StoreReply:
+        """Read everything under a prefix."""
+        self._expire()
+        items = [
+            item
+            for key, item in sorted(self.item_by_key.items())
+            if key.startswith(prefix)
+        ]
+        return StoreReply(Outcome.OK, tuple(items), self.revision)
+
+    def events(self, prefix: str, after: int) -> StoreReply:
+        """Return the changes under a prefix after a revision."""
+        self._expire()
+        events = [
+            item
+            for item in reversed(self._history)
+            if item.revision > after and item.key.startswith(prefix)
+        ]
+        return StoreReply(Outcome.OK, tuple(reversed(events)), self.revision)
+
+    def write(self, write: Write) -> StoreReply:
+        """Write all or nothing."""
+        self._expire()
+        self.writes += 1
+        current = [
+            self.item_by_key.get(key, Item(key, None, 0)) for key, _ in write.conditions
+        ]
+        for (_, revision), item in zip(write.conditions, current, strict=True):
+            if item.revision != revision:
+                return StoreReply(
+                    Outcome.CONFLICT, tuple(i for i in current if i.revision)
+                )
+        if any(lease and lease not in self._lease_ends for _, _, lease in write.puts):
+            return StoreReply(Outcome.ABSENT)
+        self.revision += 1
+        for key, value, lease in write.puts:
+            self._set(key, value)
+            if lease:
+                self.lease_by_key[key] = lease
+        for key in write.deletes:
+            if key in self.item_by_key:
+                self._set(key, None)
+        return StoreReply(Outcome.OK, revision=self.revision)
+
+    def grant_lease(self, ttl_ms: int) -> StoreReply:
+        """Create a lease."""
+        lease = next(self._lease_ids)
+        self._lease_ends[lease] = (self._clock.now_ms() + ttl_ms, ttl_ms)
+        return StoreReply(Outcome.OK, lease=lease, ttl_ms=ttl_ms)
+
+    def renew_lease(self, lease: int) -> StoreReply:
+        """Renew a lease."""
+        self._expire()
+        if lease not in self._lease_ends:
+            return StoreReply(Outcome.ABSENT)
+        ttl_ms = self._lease_ends[lease][1]
+        self._lease_ends[lease] = (self._clock.now_ms() + ttl_ms, ttl_ms)
+        return StoreReply(Outcome.OK, ttl_ms=ttl_ms)
+
+    def end_lease(self, lease: int) -> StoreReply:
+        """End a lease and delete its keys."""
+        self._lease_ends.pop(lease, None)
+        for key in [k for k, i in self.lease_by_key.items() if i == lease]:
             self.delete(key)
+        return StoreReply(Outcome.OK)
 
-    def read(self, key: str, done: t.Callable[[StoreReply], None]) -> None:
-        """See :meth:`Store.read`."""
 
-        def work() -> StoreReply:
-            self._expire()
-            item = self.item_by_key.get(key)
-            if item is None:
-                return StoreReply(Outcome.ABSENT, revision=self.revision)
-            return StoreReply(Outcome.OK, (item,), self.revision)
+class VirtualStore(StoreState):
+    """The service behind a network with delays; stands in for ``Store``.
 
-        self._answer(done, work)
+    :ivar away: answers nothing while true.
+    :ivar delay_ms_by_prefix: further time that reading a prefix takes.
+    """
 
-    def read_all(self, prefix: str, done: t.Callable[[StoreReply], None]) -> None:
-        """See :meth:`Store.read_all`."""
+    def __init__(self, loop: VirtualLoop) -> None:
+        super().__init__(loop.clock)
+        self._loop = loop
+        self.away = False
+        self.delay_ms_by_prefix: dict[str, int] = {}
+
+    def as_store(self) -> Store:
+        """Return a client with the methods of the real one."""
+        return t.cast(Store, VirtualStoreClient(self._loop, self))
 
-        def work() -> StoreReply:
-            self._expire()
-            items = [
-                item
-                for key, item in sorted(self.item_by_key.items())
-                if key.startswith(prefix)
-            ]
-            return StoreReply(Outcome.OK, tuple(items), self.revision)
 
-        delay_ms = self.delay_ms_by_prefix.get(prefix, 0)
-        self._loop.after(delay_ms, lambda: self._answer(done, work))
+class VirtualStoreClient:
+    """Calls a virtual store; has the methods of ``Store``."""
+
+    def __init__(self, loop: VirtualLoop, store: VirtualStore) -> None:
+        self._loop = loop
+        self._store = store
+
+    def _answer(
+        self,
+        done: t.Callable[[StoreReply], None],
+        work: t.Callable[[], StoreReply],
+        delay_ms: int = DELAY_MS,
+    ) -> None:
+        def arrive() -> None:
+            if self._store.away:
+                self._loop.after(800, lambda: done(StoreReply(Outcome.UNKNOWN)))
+                return
+            reply = work()
+            self._loop.after(DELAY_MS, lambda: done(reply))
+
+        self._loop.after(delay_ms, arrive)
+
+    def read(self, key: str, done: t.Callable[[StoreReply], None]) -> None:
+        """See ``Store.read``."""
+        self._answer(done, lambda: self._store.read(key))
+
+    def read_all(self, prefix: str, done: t.Callable[[StoreReply], None]) -> None:
+        """See ``Store.read_all``."""
+        delay_ms = DELAY_MS + self._store.delay_ms_by_prefix.get(prefix, 0)
+        self._answer(done, lambda: self._store.read_all(prefix), delay_ms)
 
     def watch(
         self,
@@ -158,21 +236,15 @@
         wait_ms: int,
         done: t.Callable[[StoreReply], None],
     ) -> None:
-        """See :meth:`Store.watch`."""
+        """See ``Store.watch``."""
         give_up_ms = self._loop.clock.now_ms() + wait_ms
 
         def poll() -> None:
-            self._expire()
-            events = tuple(
-                item
-                for item in self._history
-                if item.revision > after and item.key.startswith(prefix)
-            )
             late = self._loop.clock.now_ms() >= give_up_ms
-            if self.away and late:
+            reply = self._store.events(prefix, after)
+            if self._store.away and late:
                 done(StoreReply(Outcome.UNKNOWN))
-            elif not self.away and (events or late):
-                reply = StoreReply(Outcome.OK, events, self.revision)
+            elif not self._store.away and (reply.items or late):
                 self._loop.after(DELAY_MS, lambda: done(reply))
             else:
                 self._loop.after(STEP_MS, poll)
@@ -180,70 +252,8 @@
         self._loop.after(DELAY_MS, poll)
 
     def write(self, write: Write, done: t.Callable[[StoreReply], None]) -> None:
-        """See :meth:`Store.write`."""
-
-        def work() -> StoreReply:
-            self._expire()
-            self.writes += 1
-            current = [
-                self.item_by_key.get(key, Item(key, None, 0))
-                for key, _ in write.conditions
-            ]
-            for (_, revision), item in zip(write.conditions, current, strict=True):
-                if item.revision != revision:
-                    present = tuple(i for i in current if i.revision)
-                    return StoreReply(Outcome.CONFLICT, present)
-            if any(
-                lease and lease not in self._lease_end_by_id
-                for _, _, lease in write.puts
-            ):
-                return StoreReply(Outcome.ABSENT)
-            self.revision += 1
-            for key, value, lease in write.puts:
-                self._set(key, value)
-                if lease:
-                    self._lease_by_key[key] = lease
-            for key in write.deletes:
-                if key in self.item_by_key:
-                    self._set(key, None)
-            return StoreReply(Outcome.OK, revision=self.revision)
-
-        self._answer(done, work)
-
-    def grant_lease(self, ttl_ms: int, done: t.Callable[[StoreReply], None]) -> None:
-        """See :meth:`Store.grant_lease`."""
-
-        def work() -> StoreReply:
-            lease = next(self._lease_ids)
-            self._lease_end_by_id[lease] = self._loop.clock.now_ms() + ttl_ms
-            return StoreReply(Outcome.OK, lease=lease, ttl_ms=ttl_ms)
-
-        self._answer(done, work)
-
-    def renew_lease(self, lease: int, done: t.Callable[[StoreReply], None]) -> None:
-        """See :meth:`Store.renew_lease`."""
-
-        def work() -> StoreReply:
-            self._expire()
-            if lease not in self._lease_end_by_id:
-                return StoreReply(Outcome.ABSENT)
-            self._lease_end_by_id[lease] = self._loop.clock.now_ms() + 1_500
-            return StoreReply(Outcome.OK, ttl_ms=1_500)
-
-        self._answer(done, work)
-
-    def end_lease(self, lease: int, done: t.Callable[[StoreReply], None]) -> None:
-        """See :meth:`Store.end_lease`."""
-
-        def work() -> StoreReply:
-            self._drop_lease(lease)
-            return StoreReply(Outcome.OK)
-
-        self._answer(done, work)
-
-    def as_store(self) -> Store:
-        """Return this object under the type of the client that it stands in for."""
-        return t.cast(Store, self)
+        """See ``Store.write``."""
+        self._answer(done, lambda: self._store.write(write))
 
 
 @dataclasses.dataclass
@@ -265,9 +275,9 @@
     """
 
     def __init__(
-        self, loop: VirtualLoop, entry: ExecutorEntry, fleet: "VirtualFleet"
+        self, clock: Clock, entry: ExecutorEntry, fleet: "VirtualFleet"
     ) -> None:
-        self._loop = loop
+        self._clock = clock
         self.entry = entry
         self._fleet = fleet
         self.cut = False
@@ -284,7 +294,7 @@
 
     def clock_ms(self) -> int:
         """The executor's own clock."""
-        return self._loop.clock.now_ms() - self.boot
+        return self._clock.now_ms() - self.boot
 
     def used(self) -> int:
         """Cpu in use."""
@@ -292,7 +302,7 @@
 
     def settle(self) -> None:
         """Bring the runs up to the present moment."""
-        now_ms = self._loop.clock.now_ms()
+        now_ms = self._clock.now_ms()
         for run in sorted(self.runs.values(), key=lambda r: r.end_ms):
             lapse_ms = self.deadline_ms + self.boot
             if run.end_ms <= min(now_ms, lapse_ms):
@@ -316,7 +326,7 @@
     def restart(self) -> None:
         """Lose everything and begin a new boot."""
         self._fleet.note_loss(self)
-        self.boot = self._loop.clock.now_ms()
+        self.boot = self._clock.now_ms()
         self.runs.clear()
         self.ends.clear()
         self.sequence = self.fence = self.deadline_ms = 0
@@ -338,7 +348,7 @@
         if self.used() + self._fleet.cpu_of(order.task) > self.entry.capacity.cpu:
             self._fleet.rejections += 1
             return OrderReply(Verdict.NO_ROOM, self.clock_ms())
-        now_ms = self._loop.clock.now_ms()
+        now_ms = self._clock.now_ms()
         run = VirtualRun(
             order.task,
             order.number,
@@ -360,7 +370,7 @@
             self.highest_ended[task] = max(number, self.highest_ended.get(task, 0))
         else:
             run.stopping = True
-            run.end_ms = min(run.end_ms, self._loop.clock.now_ms() + STOP_MS)
+            run.end_ms = min(run.end_ms, self._clock.now_ms() + STOP_MS)
         return OrderReply(Verdict.OK, self.clock_ms())
 
     def hold(self, fence: int, acknowledged: int, deadline_ms: int) -> Verdict:
@@ -378,7 +388,7 @@
 
     def look(self, verdict: Verdict) -> Look:
         """Return the lists."""
-        now_ms = self._loop.clock.now_ms()
+        now_ms = self._clock.now_ms()
         rows = []
         for run in self.runs.values():
             length = max(1, run.end_ms - run.begin_ms)
@@ -414,6 +424,7 @@
         self._acknowledged: set[str] = set()
         self._running: dict[str, list[tuple[str, int]]] = {}
         self.done_ms_by_task: dict[str, int] = {}
+        self.started_tasks: set[str] = set()
 
     def add(
         self,
@@ -436,9 +447,9 @@
             machine=machine or f"m-{executor_id}",
             boot=self._loop.clock.now_ms(),
         )
-        executor = VirtualExecutor(self._loop, entry, self)
+        executor = VirtualExecutor(self._loop.clock, entry, self)
         self.by_id[executor_id] = executor
-        self._store.put(f"servers/{executor_id}", encode_entry(entry))
+        self._store.put(EXECUTOR_PREFIX + executor_id, encode_executor(entry))
         return executor
 
     def describe(
@@ -468,6 +479,7 @@
     def note_start(self, executor: VirtualExecutor, run: VirtualRun) -> None:
         """Check the promises at a start."""
         self.starts += 1
+        self.started_tasks.add(run.task)
         for other in self.by_id.values():
             other.settle()
         running = self._running.setdefault(run.task, [])
@@ -589,11 +601,3 @@
                 self._loop.after(STEP_MS, poll)
 
         self._loop.after(DELAY_MS, arrive)
-
-
-def encode_entry(entry: ExecutorEntry) -> bytes:
-    """Encode an entry as an executor writes it."""
-    # The adapter's own model knows the names of the wire.
-    from cranberrywheel.platform.executors import encode_executor
-
-    return encode_executor(entry)
--- /dev/null
+++ b/tests/test_node_process.py
@@ -0,0 +1,151 @@
+"""Real node processes against the stand-in of the users' platform, over sockets."""
+
+import json
+import random
+import time
+
+import pytest
+
+from cranberrywheel_load.soak import (
+    PREFIX,
+    Callers,
+    Deployment,
+    SoakPlan,
+    call,
+    run_soak,
+)
+
+SUBMISSION = {"spec": "work", "steps": [{"count": 2, "cpu": 1_000, "memMb": 10}]}
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory):
+    deployment = Deployment(tmp_path_factory.mktemp("nodes"))
+    deployment.start()
+    callers = Callers(deployment, random.Random(1))
+    end = time.monotonic() + 15
+    while time.monotonic() < end:
+        callers.submit()
+        if callers.clients[-1].accepted:
+            break
+        time.sleep(0.2)
+    yield deployment
+    deployment.stop()
+
+
+def submit(deployment, submission_id, body):
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return call("POST", deployment.fronts[0], PREFIX + submission_id, data)
+
+
+def wait_for_state(deployment, submission_id, wanted, seconds=10):
+    end = time.monotonic() + seconds
+    state = ""
+    while state != wanted and time.monotonic() < end:
+        front = random.choice(deployment.fronts)
+        state = call("GET", front, PREFIX + submission_id)[1].get("state", "")
+        time.sleep(0.1)
+    return state
+
+
+def test_accepted_submission_is_shown_as_completed_by_every_node(deployment):
+    """A submission that only the node which took it in knows."""
+    assert submit(deployment, "00000000000000a1", SUBMISSION)[0] == 200
+    assert wait_for_state(deployment, "00000000000000a1", "completed") == "completed"
+    for front in deployment.fronts:
+        answer = call("GET", front, PREFIX + "00000000000000a1")
+        assert answer == (200, {"state": "completed"})
+
+
+def test_repeated_submission_remains_one(deployment):
+    """A caller that got no answer hands the same id in again."""
+    before = deployment.platform.fleet.starts
+    for _ in range(3):
+        assert submit(deployment, "00000000000000a2", SUBMISSION)[0] == 200
+    assert wait_for_state(deployment, "00000000000000a2", "completed") == "completed"
+    assert submit(deployment, "00000000000000a2", SUBMISSION)[0] == 200
+    time.sleep(0.3)
+    assert deployment.platform.fleet.starts == before + 2
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"{broken",
+        b"[]",
+        {"spec": "x"},
+        {"spec": "x", "steps": []},
+        {"spec": "x", "steps": [{"count": 0, "cpu": 1}]},
+        {"spec": "x", "steps": [{"count": 10_000_000, "cpu": 1}]},
+        {"spec": "x", "steps": [{"count": 1, "after": [0]}]},
+        {"spec": "x", "steps": [{"count": 1, "after": [1]}, {"count": 1}]},
+        {"spec": "x" * 5_000, "steps": [{"count": 1}]},
+        {"spec": "x", "steps": [{"count": 1, "cpu": -5}]},
+    ],
+)
+def test_bad_submission_is_refused_and_not_stored(deployment, body):
+    """Bad input that is stored, ends a process or is answered with a traceback."""
+    status, answer = submit(deployment, "00000000000000b1", body)
+    assert status == 400
+    assert answer["outcome"] == "not-run" and answer["detail"]
+    assert call("GET", deployment.fronts[1], PREFIX + "00000000000000b1")[0] == 410
+
+
+def test_body_over_the_limit_is_refused(deployment):
+    """A body that fills an entry's memory."""
+    assert submit(deployment, "00000000000000b2", b"x" * 280_000)[0] == 413
+
+
+def test_unknown_queue_and_submission(deployment):
+    """A path of another queue, and ids that nobody handed in."""
+    assert call("GET", deployment.fronts[0], "/other/00000000000000b3")[0] == 404
+    assert call("GET", deployment.fronts[0], PREFIX + "nonsense")[0] == 404
+    assert call("DELETE", deployment.fronts[0], PREFIX + "00000000000000b3")[0] == 410
+
+
+def test_queue_length_is_the_same_at_every_node(deployment):
+    """A node that does not lead and answers from nothing."""
+    for front in deployment.fronts:
+        assert call("GET", front, PREFIX) == (200, {"queuedJobs": 0})
+
+
+def test_cancelled_submission_stops(deployment):
+    """Tasks that run on after the cancellation."""
+    platform = deployment.platform
+    platform.fleet.describe("00000000000000c1", 1_000, 60_000)
+    assert submit(deployment, "00000000000000c1", SUBMISSION)[0] == 200
+    time.sleep(0.5)
+    assert call("DELETE", deployment.fronts[2], PREFIX + "00000000000000c1")[0] == 200
+    end = time.monotonic() + 5
+    while time.monotonic() < end:
+        with platform.lock:
+            for executor in platform.fleet.by_id.values():
+                executor.settle()
+            left = [k for x in platform.fleet.by_id.values() for k in x.runs]
+        if not left:
+            break
+        time.sleep(0.1)
+    assert left == []
+    assert wait_for_state(deployment, "00000000000000c1", "cancelled") == "cancelled"
+
+
+def test_killed_leader_is_replaced(deployment):
+    """Work that nobody goes on with after the leader was killed."""
+    platform = deployment.platform
+    platform.fleet.describe("00000000000000d1", 1_000, 1_500)
+    assert submit(deployment, "00000000000000d1", SUBMISSION)[0] == 200
+    for node in deployment.nodes[:2]:
+        node.kill()
+    state = wait_for_state(deployment, "00000000000000d1", "completed", 15)
+    assert state == "completed"
+    assert platform.fleet.violations == []
+
+
+#: Seeds that failed once stay here, each with its cause.
+SOAK_SEEDS = [1]
+
+
+@pytest.mark.parametrize("seed", SOAK_SEEDS)
+def test_promises_hold_under_random_faults(seed, tmp_path):
+    """A short soak; see cranberrywheel_load.soak for the faults and the promises."""
+    assert run_soak(SoakPlan(seed, 6.0, 15, tmp_path), print) == []
