Switch a quarter of a pool's machines off at rest

Change: a pool that has been calm keeps three quarters of its machines on, and has its own back from pressure 0.3, or 2.5 s before the turn that the learned rhythm expects; machines in upkeep count as present.

--- a/src/cranberrywheel/submission/pool_sizes.py
+++ b/src/cranberrywheel/submission/pool_sizes.py
@@ -2,13 +2,15 @@
 
 Load pattern: each queue in turn asks for more than its pool holds, for a few seconds,
 and for a twentieth in between. Machines of the standby pool join the pool whose queue
-has its turn, and go back when it is over.
+has its turn, and go back when it is over. A pool at rest keeps what a lost rack or
+zone and an upkeep may take, and switches the rest off until its next turn.
 """
 
 import dataclasses
+import math
 import typing as t
 
-from cranberrywheel.submission.machines import Machine
+from cranberrywheel.submission.machines import Machine, MachineState
 
 #: Waiting cpu, as a share of a pool's capacity, from which machines are lent.
 LEND_FROM = 0.25
@@ -16,6 +18,19 @@
 RETURN_BELOW = 0.45
 #: How long the pressure has to stay low; a turn has short gaps.
 RETURN_AFTER_MS = 800
+#: Pressure under which a pool is at rest, and how long it has to stay there.
+REST_BELOW = 0.25
+REST_AFTER_MS = 1_500
+#: Share of its machines that a pool at rest keeps on.
+KEEP_SHARE = 0.75
+#: Pressure from which a pool has its own machines back.
+WAKE_FROM = 0.3
+#: Pressure from which a queue has its turn, for the rhythm.
+TURN_FROM = 0.6
+#: A pool gets its machines back this long before its next expected turn, and waits
+#: for it this long.
+EXPECT_BEFORE_MS = 2_500
+EXPECT_AFTER_MS = 1_500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,12 +62,14 @@
     :ivar calm_since_ms: since when a pool's pressure is low.
     :ivar returning: lent machines that take no new work.
     :ivar moving: machines on their way, with their new pool.
+    :ivar turns_ms: when the last turns of each pool's queue began.
     """
 
     home_by_machine: dict[str, str] = dataclasses.field(default_factory=dict)
     calm_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     returning: set[str] = dataclasses.field(default_factory=set)
     moving: dict[str, str] = dataclasses.field(default_factory=dict)
+    turns_ms: dict[str, list[int]] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,11 +104,10 @@
         if state.moving.get(machine.id) == machine.pool and machine.up:
             state.moving.pop(machine.id)
     for pool, demand in demand_by_pool.items():
-        if demand.pressure >= RETURN_BELOW:
-            state.calm_since_ms.pop(pool, None)
-        else:
-            state.calm_since_ms.setdefault(pool, now_ms)
-    needs = _needs(state, demand_by_pool, standby_pools)
+        _note_pressure(state, pool, demand.pressure, now_ms)
+    needs = _needs(state, machines, demand_by_pool, standby_pools, now_ms)
+    surplus = _surplus(state, machines, demand_by_pool, standby_pools, needs, now_ms)
+    standby = next((m.pool for m in machines if m.pool in standby_pools), None)
     moves: list[tuple[str, str]] = []
 
     def send(machine: Machine, pool: str) -> None:
@@ -111,8 +127,15 @@
             continue
         target = neediest()
         if machine.pool in standby_pools:
+            home = state.home_by_machine[machine.id]
+            target = home if home in needs else target
             if target is not None:
                 send(machine, target)
+        elif not is_lent(state, machine):
+            if surplus.get(machine.pool, 0) > 0 and machine.up and is_empty(machine):
+                if target is not None or standby is not None:
+                    surplus[machine.pool] -= 1
+                    send(machine, target or t.cast(str, standby))
         elif is_lent(state, machine) and machine.up:
             calm_ms = now_ms - state.calm_since_ms.get(machine.pool, now_ms)
             if machine.id not in state.returning and calm_ms >= RETURN_AFTER_MS:
@@ -122,20 +145,85 @@
     return PoolDecision(tuple(moves), tuple(sorted(state.returning)))
 
 
+def _note_pressure(state: PoolState, pool: str, pressure: float, now_ms: int) -> None:
+    calm_ms = now_ms - state.calm_since_ms.get(pool, now_ms)
+    if pressure >= TURN_FROM and calm_ms >= RETURN_AFTER_MS:
+        state.turns_ms[pool] = [*state.turns_ms.get(pool, [])[-1:], now_ms]
+    if pressure >= RETURN_BELOW:
+        state.calm_since_ms.pop(pool, None)
+    else:
+        state.calm_since_ms.setdefault(pool, now_ms)
+
+
+def expects_turn(state: PoolState, pool: str, now_ms: int) -> bool:
+    """Whether a pool's queue is about to have its turn, after the learned rhythm."""
+    turns = state.turns_ms.get(pool, [])
+    if len(turns) < 2:
+        return False
+    next_ms = turns[-1] + (turns[-1] - turns[-2])
+    return next_ms - EXPECT_BEFORE_MS <= now_ms <= next_ms + EXPECT_AFTER_MS
+
+
+def _present(state: PoolState, machines: t.Sequence[Machine], pool: str) -> int:
+    """Count the machines of a pool that are on, or back within seconds."""
+    return sum(
+        target == pool
+        if (target := state.moving.get(machine.id))
+        else machine.pool == pool and machine.state is not MachineState.DOWN
+        for machine in machines
+    )
+
+
+def _home_count(state: PoolState, pool: str) -> int:
+    return sum(home == pool for home in state.home_by_machine.values())
+
+
 def _needs(
     state: PoolState,
+    machines: t.Sequence[Machine],
     demand_by_pool: t.Mapping[str, PoolDemand],
     standby_pools: t.Container[str],
+    now_ms: int,
 ) -> dict[str, int]:
     """Return how many machines each pool lacks."""
     needs: dict[str, int] = {}
     for pool, demand in demand_by_pool.items():
         if pool in standby_pools or not demand.machine_cpu:
             continue
-        if demand.waiting < LEND_FROM * demand.capacity:
-            continue
-        coming = sum(target == pool for target in state.moving.values())
-        lacking = -(-demand.waiting // demand.machine_cpu) - coming
+        present = _present(state, machines, pool)
+        home = _home_count(state, pool)
+        lacking = math.ceil(KEEP_SHARE * home) - present
+        if demand.pressure >= WAKE_FROM or expects_turn(state, pool, now_ms):
+            lacking = home - present
+        if demand.waiting >= LEND_FROM * demand.capacity:
+            coming = sum(target == pool for target in state.moving.values())
+            wanted = -(-demand.waiting // demand.machine_cpu) - coming
+            lacking = max(lacking, wanted)
         if lacking > 0:
             needs[pool] = lacking
     return needs
+
+
+def _surplus(
+    state: PoolState,
+    machines: t.Sequence[Machine],
+    demand_by_pool: t.Mapping[str, PoolDemand],
+    standby_pools: t.Container[str],
+    needs: t.Mapping[str, int],
+    now_ms: int,
+) -> dict[str, int]:
+    """Return how many machines each pool at rest can switch off."""
+    surplus: dict[str, int] = {}
+    for pool, demand in demand_by_pool.items():
+        calm_ms = now_ms - state.calm_since_ms.get(pool, now_ms)
+        if (
+            pool in standby_pools
+            or pool in needs
+            or demand.pressure >= REST_BELOW
+            or calm_ms < REST_AFTER_MS
+            or expects_turn(state, pool, now_ms)
+        ):
+            continue
+        keep = math.ceil(KEEP_SHARE * _home_count(state, pool))
+        surplus[pool] = _present(state, machines, pool) - keep
+    return surplus
--- a/src/cranberrywheel_load/soak.py
+++ b/src/cranberrywheel_load/soak.py
@@ -282,8 +282,20 @@
         self._deployment = deployment
         self._rng = rng
         self.clients: list[Client] = []
+        self._calls: list[threading.Thread] = []
         self.violations: list[str] = []
 
+    def begin(self, function: t.Callable[[], None]) -> None:
+        """Make calls on a thread of their own."""
+        thread = threading.Thread(target=function, daemon=True)
+        self._calls.append(thread)
+        thread.start()
+
+    def wait(self) -> None:
+        """Wait until every call has its answer or has timed out."""
+        for thread in self._calls:
+            thread.join()
+
     def submit(self) -> None:
         """Hand in one submission, with retries at any node."""
         count = self._rng.randint(1, 4)
@@ -371,23 +383,20 @@
             events.append((at, bring))
         for _ in range(plan.submissions):
             at = rng.uniform(0, plan.seconds)
-            events.append((at, lambda: _in_thread(callers.submit)))
+            events.append((at, lambda: callers.begin(callers.submit)))
             if rng.random() < 0.2:
-                events.append((at + 0.5, lambda: _in_thread(callers.cancel)))
+                events.append((at + 0.5, lambda: callers.begin(callers.cancel)))
         for at, event in sorted(events, key=lambda row: row[0]):
             time.sleep(max(0.0, begin + at - time.monotonic()))
             event()
         deployment.heal()
+        callers.wait()
         return _settle(deployment, callers)
     finally:
         deployment.heal()
         deployment.stop()
 
 
-def _in_thread(function: t.Callable[[], None]) -> None:
-    threading.Thread(target=function, daemon=True).start()
-
-
 def _wait_for_start(callers: Callers) -> None:
     end = time.monotonic() + START_S
     while time.monotonic() < end:
--- a/tests/test_pool_sizes.py
+++ b/tests/test_pool_sizes.py
@@ -2,6 +2,8 @@
 
 from cranberrywheel.submission.machines import Machine, MachineState
 from cranberrywheel.submission.pool_sizes import (
+    EXPECT_BEFORE_MS,
+    REST_AFTER_MS,
     RETURN_AFTER_MS,
     PoolDemand,
     PoolState,
@@ -33,7 +35,8 @@
 
 def test_machines_on_their_way_are_counted():
     """Each look at the machines ordered as many again."""
-    machines = [make_machine(f"s{i}", "spare") for i in range(4)]
+    machines = [make_machine(f"a{i}", "a") for i in range(4)]
+    machines += [make_machine(f"s{i}", "spare") for i in range(4)]
     demand = {"a": PoolDemand(4_000, 2_500, 4_000, 1_000)}
     state = PoolState()
     decide(state, machines, demand, 0)
@@ -79,3 +82,51 @@
     decide(state, machines, calm, 0)
     decide(state, machines, {"a": PoolDemand(4_000, 0, 4_000, 1_000)}, 400)
     assert decide(state, machines, calm, RETURN_AFTER_MS + 100).empty == ()
+
+
+CALM = PoolDemand(100, 0, 8_000, 1_000)
+
+
+def make_rest(count=8):
+    return [make_machine(f"a{i}", "a") for i in range(count)] + [
+        make_machine("s0", "spare")
+    ]
+
+
+def test_pool_at_rest_switches_machines_off_but_keeps_a_reserve():
+    """Idle machines that are paid for between two turns; or a pool at rest that a
+    lost rack leaves without machines."""
+    state = PoolState()
+    machines = make_rest()
+    assert decide(state, machines, {"a": CALM}, 0).moves == ()
+    moves = decide(state, machines, {"a": CALM}, REST_AFTER_MS).moves
+    assert [pool for _, pool in moves] == ["spare", "spare"]
+
+
+def test_machine_with_work_is_not_switched_off():
+    """A lasting task that ends because its machine was switched off."""
+    state = PoolState()
+    decide(state, make_rest(), {"a": CALM}, 0)
+    decision = decide(state, make_rest(), {"a": CALM}, REST_AFTER_MS, empty=False)
+    assert decision.moves == ()
+
+
+def test_pool_gets_its_machines_back_before_the_expected_turn():
+    """Machines that come 1.5 s after a turn that repeats has begun."""
+    state = PoolState(turns_ms={"a": [0, 18_000]})
+    home = dict.fromkeys(("a0", "a1", "a2", "a3"), "a")
+    state.home_by_machine.update(home)
+    machines = [make_machine(f"a{i}", "a") for i in range(3)]
+    machines.append(make_machine("a3", "spare"))
+    assert decide(state, machines, {"a": CALM}, 30_000).moves == ()
+    expected_ms = 36_000 - EXPECT_BEFORE_MS
+    assert decide(state, machines, {"a": CALM}, expected_ms).moves == (("a3", "a"),)
+
+
+def test_pool_that_lost_machines_gets_others():
+    """A pool at rest whose rack went dark stays at a quarter of its size."""
+    state = PoolState(home_by_machine={f"a{i}": "a" for i in range(8)})
+    machines = [make_machine(f"a{i}", "a") for i in range(4)]
+    machines += [make_machine(f"s{i}", "spare") for i in range(3)]
+    moves = decide(state, machines, {"a": CALM}, 0).moves
+    assert [pool for _, pool in moves] == ["a", "a"]
