Copies at once on lost executors; saved work leaves slow executors

Cause: tasks on a lost executor wait for its lease also where copies may run; tasks stay for seconds on executors that run at a sixth of their speed.

Two tests fail before and pass now.

--- a/src/cranberrywheel/submission/live.py
+++ b/src/cranberrywheel/submission/live.py
@@ -23,6 +23,7 @@
     """One start of a task on one executor.
 
     :ivar changed_ms: when ``percent`` last changed.
+    :ivar slow: its progress has been counted against its executor.
     :ivar paced: share of its speed that it may work at.
     :ivar stop_confirmed_ms: when the executor confirmed the stop; 0 if not yet.
     """
@@ -36,6 +37,7 @@
         "paced",
         "paced_ms",
         "percent",
+        "slow",
         "started_ms",
         "state",
         "stop_confirmed_ms",
@@ -59,6 +61,7 @@
         self.stop_sent_ms = 0
         self.stop_confirmed_ms = 0
         self.why_stopped = ""
+        self.slow = False
 
     @property
     def key(self) -> tuple[str, int]:
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -42,13 +42,15 @@
 from cranberrywheel.submission.pool_sizes import PoolDemand
 from cranberrywheel.submission.record import Progress
 from cranberrywheel.submission.sharing import decide_pace
-from cranberrywheel.submission.suspicion import is_stalled, note_trouble
+from cranberrywheel.submission.suspicion import is_slow, is_stalled, note_trouble
 
 #: Numbers of runs that one leader may use for a task. Each leader begins above its
 #: predecessors', so that a number is never used twice.
 NUMBERS_PER_TERM = 1_000
 #: A task that failed or stalled somewhere tries other executors for this long.
 AVOID_MS = 4_000
+#: Runs of one task side by side, where copies may run.
+MAX_COPIES = 2
 #: Pause before a stop is sent again.
 STOP_RETRY_MS = 500
 #: Lease that runs are granted: longer than a take-over, short enough that the tasks
@@ -262,6 +264,7 @@
             executor.reachable = False
             for run in executor.runs.values():
                 run.task.work_since_ms = 0
+                self._allow_copy(run.task)
             return True
         if look.boot and executor.boot and look.boot != executor.boot:
             if look.boot < executor.boot:
@@ -382,6 +385,17 @@
             task.work_since_ms = 0
         return live
 
+    def _allow_copy(self, task: Task) -> None:
+        """Let a task whose run may be lost start a copy, where copies may run."""
+        step_run = task.step_run
+        if (
+            step_run.step.speculative
+            and not task.done
+            and not step_run.live.final
+            and len(task.runs) < MAX_COPIES
+        ):
+            step_run.waiting[task.index] = task
+
     def _mark_done(self, task: Task, now_ms: int) -> None:
         step_run = task.step_run
         live = step_run.live
@@ -414,6 +428,7 @@
             run.changed_ms = now_ms
         run.load = row.load
         task = run.task
+        self._watch_speed(run, executor, now_ms)
         if row.checkpoint:
             task.checkpoint = row.checkpoint
         if task.step_run.step.long_running:
@@ -423,6 +438,23 @@
             elif not at_work:
                 task.work_since_ms = 0
 
+    def _watch_speed(self, run: Run, executor: Executor, now_ms: int) -> None:
+        """Move work away from an executor that has turned slow."""
+        if run.state is not RunState.RUNNING or not is_slow(
+            run, self.durations, now_ms
+        ):
+            return
+        if not run.slow:
+            run.slow = True
+            note_trouble(executor, now_ms)
+        if executor.suspect_until_ms <= now_ms:
+            return
+        if run.task.step_run.step.checkpointing:
+            run.task.avoid_until_ms_by_executor[executor.id] = now_ms + AVOID_MS
+            self._stop(run, now_ms, "its executor is slow")
+        else:
+            self._allow_copy(run.task)
+
     def _adopt(self, executor: Executor, row: RunningRow, now_ms: int) -> Run | None:
         """Count a run that an earlier leader started, or stop it."""
         task = self._find_task(row.task)
--- a/src/cranberrywheel/submission/suspicion.py
+++ b/src/cranberrywheel/submission/suspicion.py
@@ -15,6 +15,26 @@
 STALL_MS = 4_000
 #: A run may also take this multiple of its expected duration without any sign.
 STALL_FACTOR = 2.0
+#: A run with less than this share of the expected progress counts as slow. Declared
+#: times are off by up to nine tenths, so one slow run says little; several at one
+#: executor do.
+SLOW_SHARE = 0.35
+#: Progress is judged from this share of the expected duration on.
+JUDGED_FROM = 0.6
+#: Progress is not judged before this time; a start takes its share of it.
+JUDGED_AFTER_MS = 700
+
+
+def is_slow(run: Run, durations: Durations, now_ms: int) -> bool:
+    """Tell whether a run makes much less progress than expected."""
+    step = run.task.step_run.step
+    if step.long_running or step.gang or run.paced < 100 or not step.estimated_ms:
+        return False
+    expected_ms = step.estimated_ms * durations.factor(run.task.step_run.live)
+    elapsed_ms = now_ms - run.started_ms
+    if elapsed_ms < max(JUDGED_AFTER_MS, JUDGED_FROM * expected_ms):
+        return False
+    return run.percent < 100 * SLOW_SHARE * min(1.0, elapsed_ms / expected_ms)
 
 
 def note_trouble(executor: Executor, now_ms: int) -> None:
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -310,3 +310,32 @@
     world.run_for(3_000)
     assert world.fleet.starts == 2
     assert world.scheduler.state_of("s1") is State.COMPLETED
+
+
+def test_copy_starts_at_once_where_copies_may_run(monkeypatch):
+    """A task on a lost executor waits for its lease although a copy is allowed."""
+    world = LeaderWorld(monkeypatch)
+    world.fleet.add("a", "pool")
+    world.lead()
+    world.fleet.copies_allowed.add("s1")
+    world.submit(make_submission("s1", make_step(2, speculative=True)), 600)
+    world.run_for(200)
+    world.fleet.by_id["a"].cut = True
+    world.fleet.add("b", "pool")
+    world.run_for(3_000)
+    assert world.scheduler.state_of("s1") is State.COMPLETED
+
+
+def test_work_that_saves_its_progress_leaves_a_slow_executor(monkeypatch):
+    """Tasks that stay for seconds on an executor that runs at a sixth of its speed."""
+    world = LeaderWorld(monkeypatch)
+    world.fleet.add("slow", "pool", cpu=8_000).slowness = 8
+    world.lead()
+    for index in range(3):
+        step = make_step(2, checkpointing=True)
+        world.submit(make_submission(f"s{index}", step), 1_000)
+    world.run_for(500)
+    world.fleet.add("b", "pool", cpu=8_000)
+    world.run_for(4_000)
+    assert all(world.scheduler.state_of(f"s{i}") is State.COMPLETED for i in range(3))
+    assert world.fleet.violations == []
