Let larger machines lead; hold back only where something is unseen

On the grown sites the leader may be a machine of 0.52 cores.

Change: a machine waits 400 ms for each core that it lacks to one before it competes. An account holds work back only in pools with an unseen executor.

--- a/src/cranberrywheel/node/leader.py
+++ b/src/cranberrywheel/node/leader.py
@@ -181,7 +181,7 @@
                 scheduler.export_runs(now_ms),
                 scheduler.export_progress(),
                 scheduler.export_unseen(now_ms),
-                scheduler.export_held_back(),
+                scheduler.export_held_back(now_ms),
                 scheduler.trusts_records,
             )
         )
--- a/src/cranberrywheel/node/leadership.py
+++ b/src/cranberrywheel/node/leadership.py
@@ -22,6 +22,11 @@
 RETRY_RENEW_MS = 5
 #: The holder stops this long before its lease may end in the store.
 SAFETY_MS = 150
+#: A machine with that many cores carries the scheduler of the largest known
+#: deployment (0.15 of a core at 180 executors, with room for its callers).
+ENOUGH_CORES = 1.0
+#: Pause of a machine for each core that it lacks.
+HANDICAP_MS = 400
 #: Longest pause before a process competes, a millisecond for each second of its age.
 MAX_SENIORITY_MS = 100
 #: Pause before the next try to take the leadership.
@@ -50,6 +55,7 @@
 
     :param process: name of this incarnation.
     :param address: ``host:port`` of its peer service.
+    :param cores: processor of this machine; smaller ones let larger ones lead.
     :param may_compete: whether this process can lead at all.
     :param on_gain: called with fence, term and the fence of the leadership before.
     :param on_loss: called when this process must stop deciding.
@@ -61,6 +67,7 @@
         store: Store,
         process: str,
         address: str,
+        cores: float,
         may_compete: t.Callable[[], bool],
         on_gain: t.Callable[[int, int, int], None],
         on_loss: t.Callable[[], None],
@@ -69,6 +76,7 @@
         self._store = store
         self._process = process
         self._address = address
+        self._handicap_ms = round(max(0.0, ENOUGH_CORES - cores) * HANDICAP_MS)
         self._may_compete = may_compete
         self._on_gain = on_gain
         self._on_loss = on_loss
@@ -80,6 +88,7 @@
         self._known = False
         self._generation = 0
         self._started_ms = loop.clock.now_ms()
+        self._free_since_ms = loop.clock.now_ms()
         self._watch = PrefixWatch(
             loop, store, LEADER_KEY, self._on_item, self._on_first_read
         )
@@ -137,17 +146,22 @@
             return
         if item.value is None:
             self.holder = None
-            self._loop.after(self._seniority_ms(), self._try_to_lead)
+            self._free_since_ms = self._loop.clock.now_ms()
+            self._loop.after(self._patience_ms(), self._try_to_lead)
             return
         holder = _decode_holder(item)
         self.holder = holder
         if self.fence and holder and holder.fence > self.fence:
             self._lose("another process leads")
 
-    def _seniority_ms(self) -> int:
-        """Let younger processes go first: a rolling restart has passed them."""
+    def _patience_ms(self) -> int:
+        """Return how long a free leadership is left to others.
+
+        Larger machines go first, and younger processes, since a rolling restart has
+        passed them.
+        """
         up_ms = self._loop.clock.now_ms() - self._started_ms
-        return min(MAX_SENIORITY_MS, up_ms // 1_000)
+        return self._handicap_ms + min(MAX_SENIORITY_MS, up_ms // 1_000)
 
     def _try_to_lead(self) -> None:
         if (
@@ -155,6 +169,7 @@
             or self.holder
             or self._attempting
             or not self._known
+            or self._loop.clock.now_ms() - self._free_since_ms < self._patience_ms()
             or not self._may_compete()
         ):
             return
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -111,6 +111,7 @@
             self._store,
             self._process,
             self._peer_address,
+            settings.cores,
             self._may_compete,
             self._on_gain,
             self._on_loss,
--- a/src/cranberrywheel/platform/settings.py
+++ b/src/cranberrywheel/platform/settings.py
@@ -45,6 +45,12 @@
     duty_per_s: float = pydantic.Field(64, alias="dutyPerS")
 
 
+class _Limits(_Wire):
+    cpu_share: float = pydantic.Field(1.0, alias="cpuShare")
+    # Speed of the processor in cores of the reference machine, not their number.
+    cpu_speed: float = pydantic.Field(1.0, alias="cpuCores")
+
+
 class _Settings(_Wire):
     node: str = pydantic.Field(alias="nodeName")
     ip: str
@@ -53,6 +59,7 @@
     ports: list[int] = pydantic.Field(alias="internalPorts")
     heartbeat_ms: int = pydantic.Field(1500, alias="heartbeatIntervalMs")
     bounds: _Bounds = pydantic.Field(default_factory=_Bounds)
+    limits: _Limits = pydantic.Field(default_factory=_Limits)
     advisor: str | None = None
     store: _Store = pydantic.Field(alias="platform")
     cloud: _Cloud | None = pydantic.Field(None, alias="cloudApi")
@@ -67,6 +74,7 @@
     :param peer_port: port for the other entry instances.
     :param store: ``host:port`` of the key-value service.
     :param machines: ``host:port`` of the machines' interface, or ``""``.
+    :param cores: processor of the machine, in cores.
     :param advisor: ``host:port`` of the service that allows executors, or ``""``.
     """
 
@@ -80,6 +88,7 @@
     machines: str
     advisor: str
     heartbeat_ms: int
+    cores: float
     bounds: Bounds
 
 
@@ -121,6 +130,7 @@
         machines=wire.cloud.address if wire.cloud else "",
         advisor=wire.advisor or "",
         heartbeat_ms=wire.heartbeat_ms,
+        cores=wire.limits.cpu_share * wire.limits.cpu_speed,
         bounds=Bounds(
             grace_ms=int(bounds.grace_s * 1000),
             lease_max_ms=bounds.lease_max_ms,
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -530,10 +530,16 @@
             if not executor.fenced and executor.lapse_ms > now_ms
         }
 
-    def export_held_back(self) -> list[str]:
+    def export_held_back(self, now_ms: int) -> list[str]:
         """Return the submissions whose tasks may run at unseen executors."""
+        unseen = {
+            self.executors_by_id[executor_id].entry.service
+            for executor_id in self.export_unseen(now_ms)
+        }
         return [
-            live.submission.id for live in self.live_by_id.values() if live.recovered
+            live.submission.id
+            for live in self.live_by_id.values()
+            if live.recovered and live.queue.service in unseen
         ]
 
     def export_progress(self) -> dict[str, Progress]:
