--- a/src/cranberrywheel/node/front.py
+++ b/src/cranberrywheel/node/front.py
@@ -71,10 +71,8 @@
     def __call__(self, environ: t.Any, start_response: t.Any) -> t.Any:
         started = time.monotonic()
         request = Request(environ)
-        queue_name = ""
         try:
             queue, rest, organisation = self._authorise(request)
-            queue_name = queue.name
             response = self._handle(request, queue, rest, organisation)
         except _Refusal as refusal:
             response = _refuse(refusal)
@@ -101,7 +99,6 @@
         self._metrics.note_answer(
             request.method, response.status_code, time.monotonic() - started
         )
-        del queue_name
         return response(environ, start_response)
 
     def _version(self) -> int:
@@ -189,7 +186,7 @@
 
 
 def _wait_ms(request: Request, queue: Queue) -> int:
-    text = request.headers.get("Cranberrywheel-Deadline-Remaining", "")
+    text = request.headers.get(wire.WAIT_HEADER, "")
     limit_ms = int(text) if text.isdecimal() else DEFAULT_WAIT_MS
     if queue.timeout_ms:
         limit_ms = min(limit_ms, queue.timeout_ms)
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -3,7 +3,6 @@
 import json
 import signal
 import threading
-import time
 import typing as t
 import uuid
 from concurrent.futures import Future
@@ -535,15 +534,3 @@
         return State.CANCELLED
     started = key + PROGRESS_SUFFIX in value_by_key
     return State.RUNNING if started else State.PENDING
-
-
-def wait_for_settings(load: t.Callable[[], T], seconds: float) -> T:
-    """Load the settings; their file may come a moment after the process."""
-    give_up = time.monotonic() + seconds
-    while True:
-        try:
-            return load()
-        except OSError:
-            if time.monotonic() > give_up:
-                raise
-            time.sleep(0.05)
--- a/src/cranberrywheel/platform/callers.py
+++ b/src/cranberrywheel/platform/callers.py
@@ -15,6 +15,8 @@
 )
 
 READY_PATH = "/api/ready"
+#: Header that tells how long the caller waits for this answer, in milliseconds.
+WAIT_HEADER = "Cranberrywheel-Deadline-Remaining"
 #: Bounds on one submission: far above what callers send, low enough that one body
 #: cannot exhaust the memory of an entry.
 MAX_PAYLOAD_BYTES = 4_000
--- a/src/cranberrywheel/platform/settings.py
+++ b/src/cranberrywheel/platform/settings.py
@@ -17,18 +17,8 @@
 
 class _Bounds(_Wire):
     grace_s: float = pydantic.Field(6, alias="gracePeriodS")
-    lease_max_ms: int = pydantic.Field(6000, alias="holdMaxMs")
-    stop_ms: int = pydantic.Field(1000, alias="stopTimeoutMs")
-    gang_ms: int = pydantic.Field(3000, alias="gangTimeoutMs")
-    early_ms: int = pydantic.Field(250, alias="early_ms")
-    remote_factor: float = pydantic.Field(2, alias="remoteFactor")
-    restore_ms: int = pydantic.Field(500, alias="restoreMs")
-    notice_ms: int = pydantic.Field(4500, alias="noticeMs")
     duty_lease_ms: int = pydantic.Field(3000, alias="leaseDurationMs")
-    harm_ms: int = pydantic.Field(4000, alias="harmMs")
     upkeep_s: float = pydantic.Field(2, alias="maintenanceS")
-    move_s: float = pydantic.Field(1.5, alias="migrationS")
-    drain_ms: int = pydantic.Field(2000, alias="drainTimeoutMs")
 
 
 class _Listen(_Wire):
@@ -133,17 +123,7 @@
         cores=wire.limits.cpu_share * wire.limits.cpu_speed,
         bounds=Bounds(
             grace_ms=int(bounds.grace_s * 1000),
-            lease_max_ms=bounds.lease_max_ms,
-            stop_ms=bounds.stop_ms,
-            gang_ms=bounds.gang_ms,
-            early_ms=bounds.early_ms,
-            remote_factor=bounds.remote_factor,
-            restore_ms=bounds.restore_ms,
-            notice_ms=bounds.notice_ms,
             duty_lease_ms=bounds.duty_lease_ms,
-            harm_ms=bounds.harm_ms,
             upkeep_ms=int(bounds.upkeep_s * 1000),
-            move_ms=int(bounds.move_s * 1000),
-            drain_ms=bounds.drain_ms,
         ),
     )
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -684,9 +684,7 @@
         for executor in list(self.executors_by_id.values()):
             self._watch_executor(executor, now_ms)
         if self.may_start:
-            self._actions.extend(
-                decide_pace(self.executors_by_id.values(), self.bounds, now_ms)
-            )
+            self._actions.extend(decide_pace(self.executors_by_id.values(), now_ms))
         for live in self.live_by_id.values():
             while (
                 not live.final
--- a/src/cranberrywheel/submission/sharing.py
+++ b/src/cranberrywheel/submission/sharing.py
@@ -7,7 +7,6 @@
 import typing as t
 
 from cranberrywheel.submission import actions as a
-from cranberrywheel.submission.bounds import Bounds
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.live import Run, RunState
 
@@ -16,15 +15,15 @@
 PATIENCE_MS = 400
 #: Time between two changes of pace of one run, so that the effect is seen first.
 SETTLE_MS = 1_200
+#: Pace after the first lowering, in percent; the second one pauses the task.
+FIRST_PACE = 40
 #: Share of the target under which the pace is raised again.
 RAISE_BELOW = 0.7
 #: Pace after one raise, as a sum.
 RAISE_STEP = 25
 
 
-def decide_pace(
-    executors: t.Iterable[Executor], bounds: Bounds, now_ms: int
-) -> list[a.Action]:
+def decide_pace(executors: t.Iterable[Executor], now_ms: int) -> list[a.Action]:
     """Return the changes of pace that are due."""
     actions: list[a.Action] = []
     for executor in executors:
@@ -71,7 +70,8 @@
 def _lower(executor: Executor, now_ms: int) -> list[a.Action]:
     actions: list[a.Action] = []
     for run in _filling_runs(executor):
-        actions.extend(_change(run, 40 if run.paced > 40 else 0, now_ms))
+        percent = FIRST_PACE if run.paced > FIRST_PACE else 0
+        actions.extend(_change(run, percent, now_ms))
     return actions
 
 
--- a/src/cranberrywheel_load/soak.py
+++ b/src/cranberrywheel_load/soak.py
@@ -15,6 +15,7 @@
 import pycurl
 
 from cranberrywheel.platform.configuration import CONFIGURATION_KEY
+from cranberrywheel.platform.settings import SETTINGS_VARIABLE
 from cranberrywheel_load.fault_proxy import Fault, FaultProxy
 from cranberrywheel_load.processes import ManagedProcess, free_ports, stop_all
 from cranberrywheel_standin.platform_server import PlatformServer
@@ -129,7 +130,7 @@
             path = folder / f"n{number}.json"
             path.write_text(json.dumps(settings))
             environment = {
-                "CRANBERRYWHEEL_BOOT": str(path),
+                SETTINGS_VARIABLE: str(path),
                 "CRANBERRYWHEEL_METRICS_PORT": str(metrics),
             }
             self.nodes.append(
