Wait for every node in the tests of processes

Cause: beside six busy processes the fixture went on when one node had taken a submission; the others were still starting (4 tests of test_node_process, status 0 and 503 in place of 200 and 400).

Change: the fixture asks each node until it answers.

--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -8,7 +8,7 @@
 
 from cranberrywheel_load.soak import (
     PREFIX,
-    Callers,
+    START_S,
     Deployment,
     SoakPlan,
     call,
@@ -22,13 +22,13 @@
 def deployment(tmp_path_factory):
     deployment = Deployment(tmp_path_factory.mktemp("nodes"))
     deployment.start()
-    callers = Callers(deployment, random.Random(1))
-    end = time.monotonic() + 15
-    while time.monotonic() < end:
-        callers.submit()
-        if callers.clients[-1].accepted:
-            break
-        time.sleep(0.2)
+    # Each process is asked, since they start at different times on a busy machine.
+    end = time.monotonic() + START_S
+    waiting = list(deployment.fronts)
+    while waiting and time.monotonic() < end:
+        waiting = [f for f in waiting if call("GET", f, PREFIX)[0] != 200]
+        time.sleep(0.1)
+    assert waiting == []
     yield deployment
     deployment.stop()
 
