Decide only where something changed; leave the lead to larger machines

A pass over the waiting work looked at every executor for every waiting step: 48 ms a pass with 115 waiting steps on 76 executors (profile on the virtual fleet), so that a leader in a queue's turn fell behind and never recovered.

Change: a pass handles the services of which something changed, skips steps that are larger than the largest free room, keeps ready steps and remaining work with the submission, and runs at most each 3 ms. The scheduler is split into state, starting, reports, handover and demand. Machines register their capacity; a smaller one defers a free lead and hands over when a larger one can lead.

--- a/src/cranberrywheel/node/duties.py
+++ b/src/cranberrywheel/node/duties.py
@@ -10,6 +10,7 @@
 from cranberrywheel.node.watch import PrefixWatch
 from cranberrywheel.platform import machines as wire
 from cranberrywheel.platform.store import Item, Store, Write
+from cranberrywheel.submission.demand import pressure_by_service
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.machines import DutyVerdict, Machine
 from cranberrywheel.submission.scheduler import Scheduler
@@ -138,7 +139,7 @@
             state,
             self._machines_by_id,
             executors,
-            self._scheduler.pressure_by_service(),
+            pressure_by_service(self._scheduler),
             self._scheduler.bounds.upkeep_ms,
             now_ms,
         ):
--- a/src/cranberrywheel/node/leader.py
+++ b/src/cranberrywheel/node/leader.py
@@ -1,8 +1,6 @@
 """Drives the scheduler while this process leads: calls, records, time."""
 
 import collections
-import dataclasses
-import json
 import time
 import typing as t
 
@@ -26,18 +24,26 @@
 from cranberrywheel.platform.store import Item, Outcome, Store, StoreReply, Write
 from cranberrywheel.submission import actions as a
 from cranberrywheel.submission.executor import Executor
+from cranberrywheel.submission.handover import (
+    EMPTY_ACCOUNT,
+    begin_from,
+    decode_account,
+    encode_account,
+    take_over,
+    write_account,
+)
 from cranberrywheel.submission.live import LiveSubmission, RunState
 from cranberrywheel.submission.model import Configuration
 from cranberrywheel.submission.orders import Look, StartOrder, Verdict
 from cranberrywheel.submission.record import (
-    Progress,
     decode_final_state,
     decode_progress,
     decode_submission,
     encode_final_state,
     encode_progress,
 )
-from cranberrywheel.submission.scheduler import RUN_LEASE_MS, HandedRun, Scheduler
+from cranberrywheel.submission.scheduler import Scheduler
+from cranberrywheel.submission.state import RUN_LEASE_MS
 
 #: Longest wait of a look; with the margin of its call a lost look is noticed and made
 #: good well within the lease.
@@ -47,6 +53,9 @@
 #: Pause after a look that got no answer.
 LOOK_RETRY_MS = 300
 TICK_MS = 100
+#: Shortest time between two passes over the waiting work, so that ends which come
+#: together are followed by one pass.
+PASS_GAP_MS = 3
 #: Submissions in one write: each takes a condition and a put, or a condition, a put
 #: and three deletions, of 32 entries with the leader's condition.
 PROGRESS_BATCH = 6
@@ -54,8 +63,6 @@
 MAX_WRITES = 3
 #: Starts under way at one executor; each needs a connection of its own.
 MAX_STARTS = 2
-#: Fence of an account that no leader may use.
-NO_FENCE = 0
 
 _log = PartLogger("leader")
 
@@ -65,26 +72,6 @@
     return time.time_ns() // 1_000_000
 
 
-@dataclasses.dataclass(frozen=True)
-class Account:
-    """What a leader leaves to the next one.
-
-    :param fence: fence of the leader that wrote it.
-    :param progress_by_id: progress that was not stored yet.
-    :param unseen_ms: time for which an executor that the leader never reached may run
-        something of its predecessors.
-    :param held_back: submissions whose tasks may run there.
-    :param trusts_records: whether stored records name every step that began.
-    """
-
-    fence: int
-    runs: list[HandedRun]
-    progress_by_id: dict[str, Progress]
-    unseen_ms: dict[str, int] = dataclasses.field(default_factory=dict)
-    held_back: list[str] = dataclasses.field(default_factory=list)
-    trusts_records: bool = True
-
-
 class Leader:
     """One leadership of this process. All methods run on the loop's thread.
 
@@ -110,7 +97,7 @@
         self._loop = loop
         self._store = store
         self._previous_fence = previous_fence
-        self._account = Account(0, [], {})
+        self._account = EMPTY_ACCOUNT
         self._client = client
         self._advisor = advisor
         self._is_valid = is_valid
@@ -119,13 +106,13 @@
         self.scheduler = scheduler
         self._stopped = False
         self._pumping = False
+        self._last_pass_ms = 0
         self._looking: set[str] = set()
         self._starts: dict[str, int] = {}
         self._start_queues: dict[str, collections.deque[a.StartRun]] = {}
         self._writes = 0
         self._writing: set[str] = set()
         self._recorded_executors: set[str] = set()
-        self._progress_by_id: dict[str, tuple[Progress, int]] = {}
         self._executors_ready = False
         self._submissions_ready = False
         self._early_cancels: set[str] = set()
@@ -153,38 +140,17 @@
             account = decode_account(reply.items[0].value or b"")
             if account is not None and account.fence == self._previous_fence:
                 self._account = account
-                self._take_account_over(account)
+                begin_from(self.scheduler, account, self._loop.clock.now_ms())
         self._read_executors()
 
-    def _take_account_over(self, account: Account) -> None:
-        scheduler = self.scheduler
-        now_ms = self._loop.clock.now_ms()
-        scheduler.handed_over = True
-        scheduler.held_back_ids = set(account.held_back)
-        scheduler.trusts_records = scheduler.trusts_records and account.trusts_records
-        scheduler.unseen_until_ms = {
-            executor_id: now_ms + rest_ms
-            for executor_id, rest_ms in account.unseen_ms.items()
-        }
-
     def _read_executors(self) -> None:
         self._store.read_all(EXECUTOR_PREFIX, self._on_recorded_executors)
 
     def account(self) -> bytes:
         """Return the record of all runs for the next leader."""
-        scheduler = self.scheduler
-        now_ms = self._loop.clock.now_ms()
         is_complete = self._submissions_ready and self._executors_ready
-        return encode_account(
-            Account(
-                scheduler.fence if is_complete else NO_FENCE,
-                scheduler.export_runs(now_ms),
-                scheduler.export_progress(),
-                scheduler.export_unseen(now_ms),
-                scheduler.export_held_back(now_ms),
-                scheduler.trusts_records,
-            )
-        )
+        now_ms = self._loop.clock.now_ms()
+        return encode_account(write_account(self.scheduler, is_complete, now_ms))
 
     def stop(self) -> None:
         """Decide nothing any more."""
@@ -232,15 +198,15 @@
             handed_over=scheduler.handed_over,
             runs=len(self._account.runs),
         )
-        scheduler.import_progress(self._account.progress_by_id)
-        scheduler.import_runs(self._account.runs, self._loop.clock.now_ms())
-        self._account = Account(0, [], {})
+        take_over(scheduler, self._account, self._loop.clock.now_ms())
+        self._account = EMPTY_ACCOUNT
         for submission_id in self._early_cancels:
             scheduler.cancel(submission_id, self._loop.clock.now_ms())
         self._early_cancels.clear()
-        self._progress_by_id.clear()
         if self.duties:
             self.duties.start()
+        for executor in list(scheduler.executors_by_id.values()):
+            self._look_if_wanted(executor)
         self.wake()
 
     def set_configuration(self, configuration: Configuration) -> None:
@@ -258,6 +224,7 @@
         if entry is None:
             return
         self.scheduler.put_executor(entry, now_ms)
+        self._look_if_wanted(self.scheduler.executors_by_id[executor_id])
         if executor_id not in self._recorded_executors:
             self._recorded_executors.add(executor_id)
             self._record_executor(item, executor_id)
@@ -316,10 +283,11 @@
     # Time and orders
 
     def wake(self) -> None:
-        """Decide soon; calls in one turn of the loop are decided together."""
+        """Decide soon; what happens within a few milliseconds is decided together."""
         if not self._pumping and not self._stopped:
             self._pumping = True
-            self._loop.after(0, self._pump)
+            rest_ms = self._last_pass_ms + PASS_GAP_MS - self._loop.clock.now_ms()
+            self._loop.after(max(0, rest_ms), self._pump)
 
     def _tick(self) -> None:
         if self._stopped:
@@ -328,22 +296,22 @@
         self._update_rights()
         self.scheduler.tick(self._loop.clock.now_ms(), unix_ms())
         self._pump()
+        if self._submissions_ready:
+            for executor in list(self.scheduler.executors_by_id.values()):
+                self._look_if_wanted(executor)
 
     def _pump(self) -> None:
         self._pumping = False
         if self._stopped:
             return
         now_ms = self._loop.clock.now_ms()
+        self._last_pass_ms = now_ms
         self._update_rights()
         if self._submissions_ready:
             self.scheduler.schedule(now_ms, unix_ms())
             for action in self.scheduler.take_actions():
                 self._carry_out(action)
             self._flush()
-            # Before that, a run or an end of a stored submission would be unknown.
-            for executor in list(self.scheduler.executors_by_id.values()):
-                if executor.wants_look:
-                    self._look(executor)
 
     def _update_rights(self) -> None:
         away = self._may_continue()
@@ -357,6 +325,9 @@
             queue = self._start_queues.setdefault(executor_id, collections.deque())
             queue.append(action)
             self._send_starts(executor_id)
+            executor = self.scheduler.executors_by_id.get(executor_id)
+            if executor is not None:
+                self._look_if_wanted(executor)
         elif isinstance(action, a.StopRun):
             self._send_stop(action)
         elif isinstance(action, a.PaceRun):
@@ -375,7 +346,7 @@
             if executor is None or run.key not in executor.runs:
                 continue
             if run.state is not RunState.STARTING or not executor.reachable:
-                self.scheduler.drop_unsent(run, self._loop.clock.now_ms())
+                self.scheduler.drop_run(run)
                 continue
             self._send_start(executor, action)
 
@@ -462,6 +433,11 @@
 
     # Looks
 
+    def _look_if_wanted(self, executor: Executor) -> None:
+        # Before the load, a run or an end of a stored submission would be unknown.
+        if self._submissions_ready and executor.wants_look:
+            self._look(executor)
+
     def _look(self, executor: Executor) -> None:
         if executor.id in self._looking or self._stopped:
             return
@@ -585,37 +561,3 @@
             key = submission_key(live.submission.id) + PROGRESS_SUFFIX
             live.progress_revision = revision_by_key.get(key, 0)
         self.wake()
-
-
-def encode_account(account: Account) -> bytes:
-    """Encode an account."""
-    return json.dumps(
-        {
-            "fence": account.fence,
-            "runs": [dataclasses.astuple(run) for run in account.runs],
-            "progress": {
-                submission_id: dataclasses.asdict(progress)
-                for submission_id, progress in account.progress_by_id.items()
-            },
-            "unseen_ms": account.unseen_ms,
-            "held_back": account.held_back,
-            "trusts_records": account.trusts_records,
-        }
-    ).encode()
-
-
-def decode_account(value: bytes) -> Account | None:
-    """Decode an account; ``None`` if it is none."""
-    try:
-        row = json.loads(value)
-        return Account(
-            int(row["fence"]),
-            [HandedRun(*run) for run in row["runs"]],
-            {key: Progress(**progress) for key, progress in row["progress"].items()},
-            {key: int(value) for key, value in row["unseen_ms"].items()},
-            list(row["held_back"]),
-            bool(row["trusts_records"]),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        _log.warning("unreadable account", error=repr(error))
-        return None
--- a/src/cranberrywheel/node/leadership.py
+++ b/src/cranberrywheel/node/leadership.py
@@ -22,11 +22,21 @@
 RETRY_RENEW_MS = 5
 #: The holder stops this long before its lease may end in the store.
 SAFETY_MS = 150
-#: A machine with that many cores carries the scheduler of the largest known
-#: deployment (0.15 of a core at 180 executors, with room for its callers).
+#: Processor and link of a machine that carries the scheduler of the largest known
+#: deployment: 180 executors take up to half a core and 10 Mbit/s in a queue's turn.
 ENOUGH_CORES = 1.0
-#: Pause of a machine for each core that it lacks.
-HANDICAP_MS = 400
+ENOUGH_LINK_MBPS = 50.0
+#: Pause of a machine that has nothing of that; others pause for their lack only.
+HANDICAP_MS = 1_000
+#: A machine leaves the lead to one that has this multiple of its capacity.
+CLEARLY_LARGER = 1.25
+#: How long a free lead is left to a larger machine that is registered.
+DEFER_MS = 1_000
+#: How long a smaller machine leads before it hands over: above the lease of a
+#: member's record, so that a larger one that is cut off is registered no more.
+YIELD_AFTER_MS = 6_000
+#: Factor by which that time grows each time that no larger machine took the lead.
+YIELD_BACKOFF = 4
 #: Longest pause before a process competes, a millisecond for each second of its age.
 MAX_SENIORITY_MS = 100
 #: Pause before the next try to take the leadership.
@@ -35,6 +45,25 @@
 _log = PartLogger("leadership")
 
 
+def lead_capacity(cores: float, link_mbps: float) -> float:
+    """Return how well a machine carries the scheduler, from 0 to 1."""
+    return min(1.0, cores / ENOUGH_CORES, link_mbps / ENOUGH_LINK_MBPS)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """This process as a candidate for the leadership.
+
+    :param process: name of this incarnation.
+    :param address: ``host:port`` of its peer service.
+    :param capacity: of its machine, from :func:`lead_capacity`.
+    """
+
+    process: str
+    address: str
+    capacity: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Holder:
     """The process that holds the leadership.
@@ -53,9 +82,9 @@
 
     All methods run on the loop's thread.
 
-    :param process: name of this incarnation.
-    :param address: ``host:port`` of its peer service.
-    :param cores: processor of this machine; smaller ones let larger ones lead.
+    :param candidate: this process.
+    :param largest_rival: returns the largest capacity among the other registered
+        processes.
     :param may_compete: whether this process can lead at all.
     :param on_gain: called with fence, term and the fence of the leadership before.
     :param on_loss: called when this process must stop deciding.
@@ -65,18 +94,16 @@
         self,
         loop: HttpLoop,
         store: Store,
-        process: str,
-        address: str,
-        cores: float,
+        candidate: Candidate,
+        largest_rival: t.Callable[[], float],
         may_compete: t.Callable[[], bool],
         on_gain: t.Callable[[int, int, int], None],
         on_loss: t.Callable[[], None],
     ) -> None:
         self._loop = loop
         self._store = store
-        self._process = process
-        self._address = address
-        self._handicap_ms = round(max(0.0, ENOUGH_CORES - cores) * HANDICAP_MS)
+        self._candidate = candidate
+        self._largest_rival = largest_rival
         self._may_compete = may_compete
         self._on_gain = on_gain
         self._on_loss = on_loss
@@ -88,6 +115,8 @@
         self._known = False
         self._generation = 0
         self._started_ms = loop.clock.now_ms()
+        self._gained_ms = 0
+        self._yield_after_ms = YIELD_AFTER_MS
         self._free_since_ms = loop.clock.now_ms()
         self._watch = PrefixWatch(
             loop, store, LEADER_KEY, self._on_item, self._on_first_read
@@ -107,7 +136,14 @@
         self._watch.start()
         self._loop.after(RETRY_MS, self._retry)
 
-    def release(self, account: t.Callable[[], bytes]) -> None:
+    @property
+    def should_yield(self) -> bool:
+        """Whether a larger machine should lead instead of this one."""
+        if not self.is_valid() or not self._is_outsized():
+            return False
+        return self._loop.clock.now_ms() - self._gained_ms >= self._yield_after_ms
+
+    def release(self, account: t.Callable[[], bytes], reason: str) -> None:
         """Give the leadership up, so that another process takes it at once.
 
         :param account: called after the loss; returns the record for the successor.
@@ -115,7 +151,9 @@
         if not self.fence:
             return
         fence = self.fence
-        self._lose("released")
+        if self._is_outsized():
+            self._yield_after_ms *= YIELD_BACKOFF
+        self._lose(reason)
         write = Write(
             conditions=((LEADER_KEY, fence),),
             puts=((HANDOVER_KEY, account(), 0),),
@@ -161,7 +199,12 @@
         passed them.
         """
         up_ms = self._loop.clock.now_ms() - self._started_ms
-        return self._handicap_ms + min(MAX_SENIORITY_MS, up_ms // 1_000)
+        patience_ms = min(MAX_SENIORITY_MS, up_ms // 1_000)
+        patience_ms += round((1.0 - self._candidate.capacity) * HANDICAP_MS)
+        return patience_ms + (DEFER_MS if self._is_outsized() else 0)
+
+    def _is_outsized(self) -> bool:
+        return self._largest_rival() >= CLEARLY_LARGER * self._candidate.capacity
 
     def _try_to_lead(self) -> None:
         if (
@@ -191,7 +234,10 @@
             item = reply.items[0] if reply.outcome is Outcome.OK else None
             term = int(item.value or b"0") + 1 if item else 0
             revision = item.revision if item else 0
-            record = {"process": self._process, "address": self._address}
+            record = {
+                "process": self._candidate.process,
+                "address": self._candidate.address,
+            }
             write = Write(
                 conditions=((LEADER_KEY, 0), (TERM_KEY, revision)),
                 puts=(
@@ -218,9 +264,11 @@
             _log.warning("gained the lead too late", fence=fence)
             return
         self.fence = fence
-        self.holder = Holder(self._process, self._address, fence)
+        candidate = self._candidate
+        self.holder = Holder(candidate.process, candidate.address, fence)
         self._generation += 1
-        _log.event("leads", fence=fence, term=term)
+        self._gained_ms = self._loop.clock.now_ms()
+        _log.event("leads", fence=fence, term=term, capacity=candidate.capacity)
         generation = self._generation
         self._loop.after(RENEW_MS, lambda: self._renew(generation))
         self._on_gain(fence, term, previous_fence)
@@ -230,7 +278,7 @@
         self.fence = 0
         self._lease = 0
         self._generation += 1
-        if self.holder and self.holder.process == self._process:
+        if self.holder and self.holder.process == self._candidate.process:
             self.holder = None
         self._on_loss()
 
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -23,7 +23,7 @@
     submission_key,
 )
 from cranberrywheel.node.leader import Leader
-from cranberrywheel.node.leadership import Leadership
+from cranberrywheel.node.leadership import Candidate, Leadership, lead_capacity
 from cranberrywheel.node.metrics import Metrics
 from cranberrywheel.node.store_contact import (
     PEER_TIMEOUT_MS,
@@ -42,6 +42,7 @@
 from cranberrywheel.platform.machines import MachineClient
 from cranberrywheel.platform.settings import NodeSettings
 from cranberrywheel.platform.store import Item, Outcome, Store, StoreReply, Write
+from cranberrywheel.submission.demand import queue_length
 from cranberrywheel.submission.model import Configuration, Queue, State, Submission
 from cranberrywheel.submission.record import decode_final_state
 from cranberrywheel.submission.scheduler import Scheduler
@@ -56,6 +57,8 @@
 MEMBER_LEASE_MS = 5_000
 MEMBER_RENEW_MS = 1_500
 RETRY_MS = 250
+#: Time between two looks for a machine that is better fit to lead.
+YIELD_CHECK_MS = 500
 #: Time between SIGTERM and the exit: the balancer takes two seconds to notice.
 DRAIN_MS = 3_000
 #: Time kept back of the grace period for the exit itself.
@@ -104,13 +107,17 @@
         self._registered = False
         self._member_lease = 0
         self._raw_configuration = b""
-        self._address_by_member: dict[str, str] = {}
+        self._member_by_process: dict[str, Candidate] = {}
+        self._candidate = Candidate(
+            self._process,
+            self._peer_address,
+            lead_capacity(settings.cores, settings.link_mbps),
+        )
         self._leadership = Leadership(
             self._loop,
             self._store,
-            self._process,
-            self._peer_address,
-            settings.cores,
+            self._candidate,
+            self._largest_rival,
             self._may_compete,
             self._on_gain,
             self._on_loss,
@@ -179,6 +186,7 @@
         self._leadership.start()
         self._contact.start()
         self._register()
+        self._loop.after(YIELD_CHECK_MS, self._yield_to_larger)
 
     def _stop(self) -> None:
         self.stopping = True
@@ -195,7 +203,16 @@
     def _hand_over(self) -> None:
         leader = self._leader
         if leader is not None:
-            self._leadership.release(leader.account)
+            self._leadership.release(leader.account, "the process stops")
+        if self._member_lease:
+            # Nobody waits for this process to take the lead any more.
+            self._store.end_lease(self._member_lease, lambda reply: None)
+
+    def _yield_to_larger(self) -> None:
+        self._loop.after(YIELD_CHECK_MS, self._yield_to_larger)
+        leader = self._leader
+        if leader and leader.is_loaded and self._leadership.should_yield:
+            self._leadership.release(leader.account, "a larger machine can lead")
 
     def _way_to_store(self) -> tuple[str, str] | None:
         helper = self._contact.helper()
@@ -235,7 +252,12 @@
                 self._loop.after(RETRY_MS, self._register)
                 return
             self._member_lease = reply.lease
-            value = json.dumps({"address": self._peer_address}).encode()
+            value = json.dumps(
+                {
+                    "address": self._candidate.address,
+                    "capacity": self._candidate.capacity,
+                }
+            ).encode()
             put = (MEMBER_PREFIX + self._process, value, reply.lease)
             self._store.write(Write(puts=(put,)), on_written)
 
@@ -250,7 +272,6 @@
 
     def _renew_member(self) -> None:
         if self.stopping:
-            self._store.end_lease(self._member_lease, lambda reply: None)
             return
 
         def on_reply(reply: StoreReply) -> None:
@@ -262,22 +283,31 @@
         self._store.renew_lease(self._member_lease, on_reply)
 
     def _on_member(self, item: Item) -> None:
-        member = item.key[len(MEMBER_PREFIX) :]
+        process = item.key[len(MEMBER_PREFIX) :]
         if item.value is None:
-            self._address_by_member.pop(member, None)
+            self._member_by_process.pop(process, None)
             return
         try:
-            self._address_by_member[member] = str(json.loads(item.value)["address"])
+            row = json.loads(item.value)
+            member = Candidate(process, str(row["address"]), float(row["capacity"]))
         except (KeyError, TypeError, ValueError) as error:
-            _log.warning("unreadable member", member=member, error=repr(error))
+            _log.warning("unreadable member", member=process, error=repr(error))
+            return
+        self._member_by_process[process] = member
 
-    def _peer_addresses(self) -> list[str]:
+    def _rivals(self) -> list[Candidate]:
         return [
-            address
-            for address in self._address_by_member.values()
-            if address != self._peer_address
+            member
+            for member in self._member_by_process.values()
+            if member.address != self._peer_address
         ]
 
+    def _peer_addresses(self) -> list[str]:
+        return [member.address for member in self._rivals()]
+
+    def _largest_rival(self) -> float:
+        return max((member.capacity for member in self._rivals()), default=0.0)
+
     # Leadership
 
     def _may_compete(self) -> bool:
@@ -429,7 +459,7 @@
     def _count_waiting(self, queue: Queue, future: "Future[int]") -> None:
         leader = self._leader
         if leader and leader.is_loaded:
-            future.set_result(leader.scheduler.queue_length(queue.key))
+            future.set_result(queue_length(leader.scheduler, queue.key))
             return
         holder = self._leadership.holder
         if holder is None or holder.address == self._peer_address:
@@ -517,7 +547,7 @@
                 queue = str(json.loads(request.get_data())["queue"])
             except (KeyError, TypeError, ValueError):
                 return {}
-            return {"count": leader.scheduler.queue_length(queue)}
+            return {"count": queue_length(leader.scheduler, queue)}
         if request.path.startswith("/peer/submission/"):
             state = leader.scheduler.state_of(request.path.rpartition("/")[2])
             return {"state": state.value} if state else {}
--- a/src/cranberrywheel/node/pool_moves.py
+++ b/src/cranberrywheel/node/pool_moves.py
@@ -8,6 +8,7 @@
 from cranberrywheel.node.keys import HOMES_KEY, LEADER_KEY
 from cranberrywheel.platform.machines import MachineClient
 from cranberrywheel.platform.store import Outcome, Store, StoreReply, Write
+from cranberrywheel.submission.demand import demand_by_service
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.machines import DutyVerdict, Machine
 from cranberrywheel.submission.pool_sizes import (
@@ -88,7 +89,7 @@
             state,
             machines,
             standby,
-            self._scheduler.demand_by_service(),
+            demand_by_service(self._scheduler),
             reserved,
             is_empty,
             now_ms,
--- a/src/cranberrywheel/platform/settings.py
+++ b/src/cranberrywheel/platform/settings.py
@@ -39,6 +39,7 @@
     cpu_share: float = pydantic.Field(1.0, alias="cpuShare")
     # Speed of the processor in cores of the reference machine, not their number.
     cpu_speed: float = pydantic.Field(1.0, alias="cpuCores")
+    link_mbps: float = pydantic.Field(1000.0, alias="linkMbps")
 
 
 class _Settings(_Wire):
@@ -65,6 +66,7 @@
     :param store: ``host:port`` of the key-value service.
     :param machines: ``host:port`` of the machines' interface, or ``""``.
     :param cores: processor of the machine, in cores.
+    :param link_mbps: bandwidth of the machine's own link.
     :param advisor: ``host:port`` of the service that allows executors, or ``""``.
     """
 
@@ -79,6 +81,7 @@
     advisor: str
     heartbeat_ms: int
     cores: float
+    link_mbps: float
     bounds: Bounds
 
 
@@ -121,6 +124,7 @@
         advisor=wire.advisor or "",
         heartbeat_ms=wire.heartbeat_ms,
         cores=wire.limits.cpu_share * wire.limits.cpu_speed,
+        link_mbps=wire.limits.link_mbps,
         bounds=Bounds(
             grace_ms=int(bounds.grace_s * 1000),
             duty_lease_ms=bounds.duty_lease_ms,
--- a/src/cranberrywheel/submission/executor.py
+++ b/src/cranberrywheel/submission/executor.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from cranberrywheel.submission.live import LiveSubmission, Run
+from cranberrywheel.submission.live import LiveSubmission, Run, StepRun
 from cranberrywheel.submission.model import NOTHING, Resources
 from cranberrywheel.submission.orders import ExecutorEntry
 
@@ -40,6 +40,8 @@
     :ivar lapse_ms: when every lease that any order may have granted has ended.
     :ivar reachable: the last look was answered.
     :ivar cordoned: takes no new work, for planned work on its machine.
+    :ivar free: capacity that no run claims.
+    :ivar count_by_step: runs of each step that are here.
     :ivar trouble: recent failures of runs, decaying; see :mod:`.suspicion`.
     """
 
@@ -52,6 +54,8 @@
         self.lapse_ms = lapse_ms
         self.runs: dict[tuple[str, int], Run] = {}
         self.used: Resources = NOTHING
+        self.free: Resources = entry.capacity
+        self.count_by_step: dict[StepRun, int] = {}
         self.cordoned = False
         self.clock_offset_ms: int | None = None
         self.clock_read_ms = 0
@@ -70,11 +74,6 @@
         """Id of the executor."""
         return self.entry.id
 
-    @property
-    def free(self) -> Resources:
-        """Capacity that no run claims."""
-        return self.entry.capacity - self.used
-
     @property
     def is_usable(self) -> bool:
         """Whether new runs may start here."""
@@ -86,21 +85,33 @@
             and not self.cordoned
         )
 
+    def set_entry(self, entry: ExecutorEntry) -> None:
+        """Take a newer entry over."""
+        self.entry = entry
+        self.free = entry.capacity - self.used
+
     def add_run(self, run: Run) -> None:
         """Count a run that may be there."""
-        step = run.task.step_run.step
         self.runs[run.key] = run
-        self.used = self.used + step.claim
-        self.filling += step.fills
-        self.serving += step.target_ms > 0
+        self._count(run, 1)
 
     def remove_run(self, run: Run) -> None:
         """Count a run that is certainly not there any more."""
-        step = run.task.step_run.step
         if self.runs.pop(run.key, None) is not None:
-            self.used = self.used - step.claim
-            self.filling -= step.fills
-            self.serving -= step.target_ms > 0
+            self._count(run, -1)
+
+    def _count(self, run: Run, sign: int) -> None:
+        step_run = run.task.step_run
+        step = step_run.step
+        self.used = self.used + step.claim if sign > 0 else self.used - step.claim
+        self.free = self.entry.capacity - self.used
+        self.filling += sign * step.fills
+        self.serving += sign * (step.target_ms > 0)
+        count = self.count_by_step.get(step_run, 0) + sign
+        if count:
+            self.count_by_step[step_run] = count
+        else:
+            self.count_by_step.pop(step_run, None)
 
     def note_clock(self, clock_ms: int, now_ms: int) -> None:
         """Learn the executor's clock from an answer."""
--- a/src/cranberrywheel/submission/live.py
+++ b/src/cranberrywheel/submission/live.py
@@ -1,5 +1,6 @@
 """State of the submissions that are not finished: tasks and their runs."""
 
+import dataclasses
 import enum
 import typing as t
 
@@ -37,6 +38,7 @@
         "paced",
         "paced_ms",
         "percent",
+        "rack",
         "slow",
         "started_ms",
         "state",
@@ -50,6 +52,7 @@
         self.task = task
         self.number = number
         self.executor_id = executor_id
+        self.rack = ""
         self.state = RunState.STARTING
         self.started_ms = now_ms
         self.percent = 0.0
@@ -105,7 +108,8 @@
 class StepRun:
     """A step of one occurrence of a submission.
 
-    :ivar waiting: tasks without a run that are not done, by index.
+    :ivar waiting: tasks without a run that are not done, by index; changed only
+        through the methods, which keep the submission's list of ready steps.
     :ivar begin_version: version of the record that says that the step begins; 0
         before.
     :ivar begun_before: an earlier leader may have started tasks of it.
@@ -150,15 +154,45 @@
             task.done = True
             self.done_count += 1
             self.waiting.pop(task.index, None)
+            self.live.forget_derived()
+
+    def add_waiting(self, task: Task) -> None:
+        """Let a task wait for a start."""
+        if not self.waiting:
+            self.live.forget_derived()
+        self.waiting[task.index] = task
+
+    def remove_waiting(self, task: Task) -> None:
+        """Note that a task waits no more."""
+        self.waiting.pop(task.index, None)
+        if not self.waiting:
+            self.live.forget_derived()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Remaining:
+    """Remaining work of a submission.
+
+    :param chain_ms: duration of its longest chain of steps.
+    :param whole_chain_ms: the same with what is done already.
+    :param core_ms: core-milliseconds.
+    """
+
+    chain_ms: float
+    whole_chain_ms: float
+    core_ms: float
 
 
 class LiveSubmission:
     """A submission that is not finished.
 
+    :ivar started: a run of it has certainly been at an executor.
     :ivar version: rises with each change that must be stored.
     :ivar stored_version: version that the store is known to hold.
     :ivar recovered: read from the store at a take-over, so that tasks of it may
         already run where the leader has not looked yet.
+    :ivar declared_remaining: remaining work by declared durations; ``None`` until it
+        is asked for after a change.
     """
 
     def __init__(self, submission: Submission, queue: Queue, recovered: bool) -> None:
@@ -174,8 +208,30 @@
         self.progress_revision = 0
         self.begun_occurrences = 0
         self.step_runs: dict[tuple[int, int], StepRun] = {}
-        self.left_by_occurrence: dict[int, int] = {}
         self.run_count = 0
+        self.lasts = any(step.long_running for step in submission.steps)
+        self.declared_remaining: Remaining | None = None
+        self._ready_steps: tuple[StepRun, ...] | None = None
+
+    def forget_derived(self) -> None:
+        """Work ready steps and remaining work out again when they are asked for."""
+        self._ready_steps = None
+        self.declared_remaining = None
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any task has no run and is not done."""
+        return any(step_run.waiting for step_run in self.step_runs.values())
+
+    def ready_steps(self) -> tuple[StepRun, ...]:
+        """Return the steps with waiting tasks whose earlier steps are done."""
+        if self._ready_steps is None:
+            self._ready_steps = tuple(
+                step_run
+                for step_run in self.step_runs.values()
+                if step_run.waiting and self.is_ready(step_run)
+            )
+        return self._ready_steps
 
     @property
     def occurrences(self) -> int:
@@ -194,7 +250,7 @@
         """Create the steps of the next occurrence."""
         occurrence = self.begun_occurrences
         self.begun_occurrences += 1
-        self.left_by_occurrence[occurrence] = len(self.submission.steps)
+        self.forget_derived()
         for number in range(len(self.submission.steps)):
             self.step_runs[occurrence, number] = StepRun(self, occurrence, number)
 
@@ -264,7 +320,8 @@
 
     def restore(self, progress: Progress) -> None:
         """Apply a stored progress record."""
-        self.started = bool(progress.begun_steps)
+        # A step is marked as begun before its first start, which may still fail.
+        self.started = bool(progress.done_by_step or progress.failed_runs_by_task)
         for key in progress.begun_steps:
             occurrence, number = map(int, key.split("."))
             task = self.find_task(occurrence, number, 0)
--- a/src/cranberrywheel/submission/order.py
+++ b/src/cranberrywheel/submission/order.py
@@ -6,33 +6,28 @@
 its full benefit goes behind, in the order of arrival, and is still finished.
 """
 
-import dataclasses
-
-from cranberrywheel.submission.live import LiveSubmission
+from cranberrywheel.submission.live import LiveSubmission, Remaining
 
 #: Groups of waiting work; a lower one goes first.
 LASTING, ON_TIME, LATE = 0, 1, 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Remaining:
-    """Remaining work of a submission.
-
-    :param chain_ms: duration of its longest chain of steps.
-    :param whole_chain_ms: the same with what is done already.
-    :param core_ms: core-milliseconds.
-    """
-
-    chain_ms: float
-    whole_chain_ms: float
-    core_ms: float
-
-
 def remaining_work(live: LiveSubmission, duration_factor: float) -> Remaining:
     """Work out what is left of a submission's begun occurrences.
 
     :param duration_factor: true durations as a multiple of the declared ones.
     """
+    declared = live.declared_remaining
+    if declared is None:
+        declared = live.declared_remaining = _declared_remaining(live)
+    return Remaining(
+        declared.chain_ms * duration_factor,
+        declared.whole_chain_ms * duration_factor,
+        declared.core_ms * duration_factor,
+    )
+
+
+def _declared_remaining(live: LiveSubmission) -> Remaining:
     steps = live.submission.steps
     core_ms = 0.0
     longest = 0.0
@@ -42,13 +37,12 @@
         whole_ends: list[float] = []
         for number, step in enumerate(steps):
             step_run = live.step_runs[occurrence, number]
-            duration = step.estimated_ms * duration_factor
             left = step.count - step_run.done_count
-            core_ms += left * duration * step.size.cpu / 1000
+            core_ms += left * step.estimated_ms * step.size.cpu / 1000
             begin = max((ends[earlier] for earlier in step.after), default=0.0)
-            ends.append(begin + (duration if left else 0.0))
+            ends.append(begin + (step.estimated_ms if left else 0.0))
             begin = max((whole_ends[earlier] for earlier in step.after), default=0.0)
-            whole_ends.append(begin + duration)
+            whole_ends.append(begin + step.estimated_ms)
         longest = max(longest, *ends)
         longest_whole = max(longest_whole, *whole_ends)
     return Remaining(longest, longest_whole, core_ms)
@@ -62,7 +56,7 @@
     :param unix_ms: time of day.
     """
     queue = live.queue
-    if any(step.long_running for step in live.submission.steps):
+    if live.lasts:
         return LASTING, queue.priority, live.submission.accepted_ms
     accepted_ms = max(live.submission.accepted_ms, live.due_ms(0))
     goal_ms = accepted_ms + queue.goal_factor * remaining.whole_chain_ms + queue.goal_ms
--- a/src/cranberrywheel/submission/placement.py
+++ b/src/cranberrywheel/submission/placement.py
@@ -8,7 +8,7 @@
 
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.live import StepRun, Task
-from cranberrywheel.submission.model import Resources
+from cranberrywheel.submission.model import NOTHING, Resources
 
 #: Weight of a near data rack against free capacity (0 to 1).
 NEAR_BONUS = 2.0
@@ -21,14 +21,36 @@
 LEAVING_PENALTY = 3.0
 
 
-def can_take(executor: Executor, task: Task, now_ms: int, free: Resources) -> bool:
-    """Tell whether a task may start on an executor.
+class PoolRoom:
+    """Usable executors of a pool with a bound on the free capacity of any one.
 
-    :param free: capacity left after what was decided in the same pass.
+    While a queue has its turn, most waiting steps fit nowhere; the bound tells so
+    without a look at each executor.
     """
-    step = task.step_run.step
-    if not executor.is_usable or not step.claim.fits(free):
-        return False
+
+    def __init__(self, executors: t.Iterable[Executor]) -> None:
+        self.usable = [executor for executor in executors if executor.is_usable]
+        self._largest = NOTHING
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Work the bound out again after a start."""
+        free = [executor.free for executor in self.usable]
+        self._largest = Resources(
+            max((room.cpu for room in free), default=-1),
+            max((room.memory_mb for room in free), default=-1),
+            max((room.gpu for room in free), default=-1),
+        )
+
+    def may_fit(self, claim: Resources) -> bool:
+        """Whether any executor may have room; false is certain."""
+        return claim.fits(self._largest)
+
+
+def may_run(executor: Executor, task: Task, now_ms: int) -> bool:
+    """Tell whether a task may run on a usable executor, its room aside."""
+    step_run = task.step_run
+    step = step_run.step
     if step.required_label and step.required_label not in executor.entry.labels:
         return False
     if any(run.executor_id == executor.id for run in task.runs):
@@ -36,13 +58,17 @@
     if task.avoid_until_ms_by_executor.get(executor.id, 0) > now_ms:
         return False
     return not step.anti_affinity or (
-        count_on(executor, task.step_run) < step.anti_affinity
+        executor.count_by_step.get(step_run, 0) < step.anti_affinity
     )
 
 
-def count_on(executor: Executor, step_run: StepRun) -> int:
-    """Count the runs of a step on an executor."""
-    return sum(run.task.step_run is step_run for run in executor.runs.values())
+def can_take(executor: Executor, task: Task, now_ms: int) -> bool:
+    """Tell whether a task may start on an executor."""
+    return (
+        executor.is_usable
+        and task.step_run.step.claim.fits(executor.free)
+        and may_run(executor, task, now_ms)
+    )
 
 
 def score(
@@ -60,8 +86,8 @@
     if step.data_rack and step.data_rack == executor.entry.rack:
         value += NEAR_BONUS
     if step.colocate:
-        racks = {run.executor_id for other in task.step_run.tasks for run in other.runs}
-        if racks and executor.id in racks:
+        racks = {run.rack for other in task.step_run.tasks for run in other.runs}
+        if executor.entry.rack in racks:
             value += NEAR_BONUS
     if step.fills:
         value -= MIX_PENALTY * executor.serving
@@ -73,16 +99,17 @@
 
 
 def choose(
-    executors: t.Iterable[Executor],
+    room: PoolRoom,
     task: Task,
     now_ms: int,
     leaving: t.Container[str],
 ) -> Executor | None:
     """Return the best executor for a task, or ``None``."""
+    claim = task.step_run.step.claim
     best: Executor | None = None
     best_score = 0.0
-    for executor in executors:
-        if can_take(executor, task, now_ms, executor.free):
+    for executor in room.usable:
+        if claim.fits(executor.free) and may_run(executor, task, now_ms):
             value = score(executor, task, now_ms, leaving)
             if best is None or value > best_score:
                 best, best_score = executor, value
@@ -114,13 +141,13 @@
 ) -> list[Executor] | None:
     step = step_run.step
     free = {executor.id: executor.free for executor in executors}
-    count = {executor.id: count_on(executor, step_run) for executor in executors}
+    count = {x.id: x.count_by_step.get(step_run, 0) for x in executors}
     chosen: list[Executor] = []
     for task in step_run.tasks:
         for executor in executors:
             if step.anti_affinity and count[executor.id] >= step.anti_affinity:
                 continue
-            if can_take(executor, task, now_ms, free[executor.id]):
+            if step.claim.fits(free[executor.id]) and may_run(executor, task, now_ms):
                 free[executor.id] = free[executor.id] - step.claim
                 count[executor.id] += 1
                 chosen.append(executor)
--- a/src/cranberrywheel/submission/record.py
+++ b/src/cranberrywheel/submission/record.py
@@ -85,7 +85,7 @@
 
 def encode_progress(progress: Progress) -> bytes:
     """Encode a progress record."""
-    return _compact(dataclasses.asdict(progress))
+    return _compact(vars(progress))
 
 
 def decode_progress(value: bytes) -> Progress:
--- a/src/cranberrywheel/submission/upkeep.py
+++ b/src/cranberrywheel/submission/upkeep.py
@@ -167,7 +167,7 @@
         if not may_stop(run):
             continue
         if any(
-            other is not executor and can_take(other, run.task, now_ms, other.free)
+            other is not executor and can_take(other, run.task, now_ms)
             for other in pool
         ):
             steps.add(id(step_run))
--- a/src/cranberrywheel_standin/virtual_fleet.py
+++ b/src/cranberrywheel_standin/virtual_fleet.py
@@ -255,6 +255,16 @@
         """See ``Store.write``."""
         self._answer(done, lambda: self._store.write(write))
 
+    def grant_lease(self, ttl_ms: int, done: t.Callable[[StoreReply], None]) -> None:
+        """See ``Store.grant_lease``."""
+        self._answer(done, lambda: self._store.grant_lease(ttl_ms))
+
+    def renew_lease(
+        self, lease: int, done: t.Callable[[StoreReply], None], timeout_ms: int = 0
+    ) -> None:
+        """See ``Store.renew_lease``."""
+        self._answer(done, lambda: self._store.renew_lease(lease))
+
 
 @dataclasses.dataclass
 class VirtualRun:
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -5,7 +5,7 @@
 import pytest
 from leader_world import LeaderWorld, make_step, make_submission
 
-from cranberrywheel.submission import scheduler as scheduler_module
+from cranberrywheel.submission import starting
 from cranberrywheel.submission.live import LiveSubmission
 from cranberrywheel.submission.model import Queue, State
 from cranberrywheel.submission.order import LASTING, LATE, ON_TIME, order_key
@@ -57,7 +57,7 @@
 
     :returns: share of the submissions that met their goal.
     """
-    monkeypatch.setattr(scheduler_module, "order_key", key_of)
+    monkeypatch.setattr(starting, "order_key", key_of)
     world = LeaderWorld(monkeypatch)
     for index in range(4):
         world.fleet.add(f"x{index}", "pool", cpu=8_000)
