Write logs in blocks of whole lines

A write over 4,096 bytes is not taken whole by a pipe. Change: a write ends with a line and stays below that size.

--- a/src/cranberrywheel/logs.py
+++ b/src/cranberrywheel/logs.py
@@ -14,6 +14,9 @@
 MAX_WAITING_LINES = 5_000
 #: Time between two writes of the waiting lines.
 FLUSH_S = 0.25
+#: Largest single write. Up to this size a pipe takes a write whole, so that a reader
+#: of several processes never sees half a line.
+MAX_WRITE_BYTES = 4_096
 
 
 def format_field(value: t.Any) -> str:
@@ -71,6 +74,19 @@
         logging.error("%s", self._line(event, {"error": repr(error), "at": place}))
 
 
+def _whole_lines(lines: list[str]) -> t.Iterator[bytes]:
+    """Join lines to writes that a pipe takes whole."""
+    block = b""
+    for line in lines:
+        data = line.encode() + b"\n"
+        if block and len(block) + len(data) > MAX_WRITE_BYTES:
+            yield block
+            block = b""
+        block += data
+    if block:
+        yield block
+
+
 class _LineBuffer(standard_logging.Handler):
     """Keeps lines until the writer thread takes them; never blocks a caller."""
 
@@ -105,9 +121,9 @@
         if self._dropped:
             lines.append(f"W {int(time.time() * 1000)} [log] dropped={self._dropped}")
             self._dropped = 0
-        data = ("\n".join(lines) + "\n").encode()
-        while data:
-            data = data[os.write(sys.stdout.fileno(), data) :]
+        for data in _whole_lines(lines):
+            while data:
+                data = data[os.write(sys.stdout.fileno(), data) :]
 
     def stop(self) -> None:
         self._stopped.set()
