Log every failed call for watched items, and what a repeated read finds

Change: each failed call names its kind, cause, duration, received bytes and the time since the last answer; a repeated read tells how many changes it found and how many of them a watch had skipped; the version in force and the silence of its watch are gauges.

--- a/src/cranberrywheel/connection/http_loop.py
+++ b/src/cranberrywheel/connection/http_loop.py
@@ -58,12 +58,14 @@
     :param body: the complete reply body.
     :param sent: false if certainly no byte of the request was sent.
     :param error: cause if there is no usable reply.
+    :param received_bytes: bytes of the body that arrived, also without a usable reply.
     """
 
     status: int
     body: bytes = b""
     sent: bool = True
     error: str = ""
+    received_bytes: int = 0
 
 
 class _Transfer:
@@ -252,12 +254,19 @@
             remaining, finished, failed = self._multi.info_read()
             for curl, code, text in [(curl, 0, "") for curl in finished] + list(failed):
                 transfer = self._transfers.pop(curl)
+                received_bytes = transfer.body.tell()
                 if code:
                     sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
-                    reply = HttpReply(0, sent=sent, error=f"{code} {text}")
+                    reply = HttpReply(
+                        0,
+                        sent=sent,
+                        error=f"{code} {text}",
+                        received_bytes=received_bytes,
+                    )
                 else:
                     status = curl.getinfo(pycurl.RESPONSE_CODE)
-                    reply = HttpReply(status, transfer.body.getvalue())
+                    body = transfer.body.getvalue()
+                    reply = HttpReply(status, body, received_bytes=received_bytes)
                 self._multi.remove_handle(curl)
                 self._idle_handles.append(curl)
                 self._run_guarded(
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -160,6 +160,16 @@
             ),
         )
         host, _, port = settings.caller_address.rpartition(":")
+        self._metrics.gauge(
+            "cranberrywheel_configuration_version",
+            "Version of the configuration in force; 0 before the first",
+            lambda: float(self.configuration.version if self.configuration else 0),
+        )
+        self._metrics.gauge(
+            "cranberrywheel_configuration_silence_seconds",
+            "Time since the store last answered a call for the configuration",
+            lambda: self._configuration_watch.silent_ms / 1000,
+        )
         self._caller_server = HttpServer(
             host,
             int(port),
@@ -280,7 +290,11 @@
         self.configuration = configuration
         self._raw_configuration = value
         _log.event(
-            "configuration in force", version=configuration.version, source=source
+            "configuration in force",
+            version=configuration.version,
+            source=source,
+            bytes=len(value),
+            silent_ms=self._configuration_watch.silent_ms,
         )
         if self._leader:
             self._leader.set_configuration(configuration)
--- a/src/cranberrywheel/node/watch.py
+++ b/src/cranberrywheel/node/watch.py
@@ -40,10 +40,17 @@
         self._last_revision = 0
         self._ready = False
         self._stopped = False
-        self._failing = False
+        self._last_answer_ms = loop.clock.now_ms()
+        self._call_sent_ms = 0
+
+    @property
+    def silent_ms(self) -> int:
+        """Time since a read or a watch was last answered, in milliseconds."""
+        return self._loop.clock.now_ms() - self._last_answer_ms
 
     def start(self) -> None:
         """Read all items, then watch for changes."""
+        self._call_sent_ms = self._loop.clock.now_ms()
         self._store.read_all(self._prefix, self._on_read)
 
     def stop(self) -> None:
@@ -54,9 +61,11 @@
         if self._stopped:
             return
         if reply.outcome is not Outcome.OK:
-            self._retry(self.start, reply)
+            self._retry(self.start, reply, "read")
             return
-        self._failing = False
+        if self._ready:
+            self._log_read(reply)
+        self._last_answer_ms = self._loop.clock.now_ms()
         found = {item.key for item in reply.items}
         for key in [key for key in self._revision_by_key if key not in found]:
             self._report(Item(key, None, reply.revision))
@@ -68,7 +77,29 @@
             self._on_ready()
         self._watch_changes()
 
+    def _log_read(self, reply: StoreReply) -> None:
+        """Log what a repeated read found, so that a late change can be explained.
+
+        A change up to the revision of the last watch was skipped by that watch; a later
+        one came while no watch was answered.
+        """
+        revisions = [
+            item.revision
+            for item in reply.items
+            if item.revision > self._revision_by_key.get(item.key, 0)
+        ]
+        _log.event(
+            "all items read again",
+            prefix=self._prefix,
+            changed=len(revisions),
+            skipped=sum(revision <= self._last_revision for revision in revisions),
+            silent_ms=self.silent_ms,
+            took_ms=self._loop.clock.now_ms() - self._call_sent_ms,
+            received_bytes=reply.received_bytes,
+        )
+
     def _watch_changes(self) -> None:
+        self._call_sent_ms = self._loop.clock.now_ms()
         self._store.watch(
             self._prefix, self._last_revision, WATCH_WAIT_MS, self._on_events
         )
@@ -77,7 +108,7 @@
         if self._stopped:
             return
         if reply.outcome is Outcome.OK:
-            self._failing = False
+            self._last_answer_ms = self._loop.clock.now_ms()
             for item in reply.items:
                 self._report(item)
             self._last_revision = max(self._last_revision, reply.revision)
@@ -89,16 +120,21 @@
             self.start()
         else:
             # Changes may have been compacted meanwhile, so everything is read again.
-            self._retry(self.start, reply)
-
-    def _retry(self, action: t.Callable[[], None], reply: StoreReply) -> None:
-        if not self._failing:
-            self._failing = True
-            _log.warning(
-                "store read or watch failed; reading all items again",
-                prefix=self._prefix,
-                outcome=reply.outcome.value,
-            )
+            self._retry(self.start, reply, "watch")
+
+    def _retry(
+        self, action: t.Callable[[], None], reply: StoreReply, call: str
+    ) -> None:
+        _log.warning(
+            "store read or watch failed; reading all items again",
+            prefix=self._prefix,
+            call=call,
+            outcome=reply.outcome.value,
+            error=reply.error,
+            took_ms=self._loop.clock.now_ms() - self._call_sent_ms,
+            received_bytes=reply.received_bytes,
+            silent_ms=self.silent_ms,
+        )
         self._loop.after(RETRY_MS, action)
 
     def _report(self, item: Item) -> None:
--- a/src/cranberrywheel/platform/store.py
+++ b/src/cranberrywheel/platform/store.py
@@ -50,7 +50,11 @@
 
 def _decode(reply: HttpReply) -> StoreReply:
     if reply.status == 0:
-        return StoreReply(Outcome.UNKNOWN if reply.sent else Outcome.NOT_DONE)
+        return StoreReply(
+            Outcome.UNKNOWN if reply.sent else Outcome.NOT_DONE,
+            received_bytes=reply.received_bytes,
+            error=reply.error,
+        )
     outcome = _OUTCOME_BY_STATUS.get(reply.status, Outcome.UNKNOWN)
     try:
         body = decode_object(reply.body) if reply.body else {}
@@ -69,6 +73,8 @@
             int(body.get("lease") or 0) if "key" not in body else 0,
             int(body.get("ttlMs") or 0),
             bool(body.get("hasMore")),
+            reply.received_bytes,
+            "" if outcome is Outcome.OK else str(reply.status),
         )
     except FIELD_ERRORS as error:
         _log.warning(
@@ -76,7 +82,7 @@
             status=reply.status,
             error=repr(error)[:200],
         )
-        return StoreReply(Outcome.UNKNOWN)
+        return StoreReply(Outcome.UNKNOWN, error="malformed answer")
 
 
 class Store:
@@ -191,6 +197,7 @@
         """
         items: list[Item] = []
         revisions: list[int] = []
+        sizes: list[int] = []
 
         def read_page(after: str) -> None:
             query = {"prefix": prefix}
@@ -205,10 +212,19 @@
                 return
             items.extend(reply.items)
             revisions.append(reply.revision)
+            sizes.append(reply.received_bytes)
             if reply.has_more and reply.items:
                 read_page(reply.items[-1].key)
             else:
-                done(StoreReply(Outcome.OK, tuple(items), revisions[0]))
+                received_bytes = sum(sizes)
+                done(
+                    StoreReply(
+                        Outcome.OK,
+                        tuple(items),
+                        revisions[0],
+                        received_bytes=received_bytes,
+                    )
+                )
 
         read_page("")
 
--- a/src/cranberrywheel/store_messages.py
+++ b/src/cranberrywheel/store_messages.py
@@ -41,6 +41,8 @@
     :param lease: id of the granted lease; 0 for none.
     :param ttl_ms: time to live of the granted or renewed lease.
     :param has_more: whether further pages follow.
+    :param received_bytes: bytes of the answer that arrived, also if it is not usable.
+    :param error: cause if there is no usable answer.
     """
 
     outcome: Outcome
@@ -49,6 +51,8 @@
     lease: int = 0
     ttl_ms: int = 0
     has_more: bool = False
+    received_bytes: int = 0
+    error: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
