Let a large answer of the store arrive over a slow link

Cause: the timeout of a read covered the whole answer and followed the times of small answers (150 to 800 ms). The same held for each page of submissions that a new leader loads. Class: a timeout on the total duration of a transfer in place of one on its progress. Change: a read's timeout covers the time until its answer begins; then the call ends after 1.2 s without a further byte. Answer times are learned from the first byte, so a large answer does not raise the timeout of small calls. Relayed reads follow the same rule.

--- a/src/cranberrywheel/connection/http_loop.py
+++ b/src/cranberrywheel/connection/http_loop.py
@@ -22,6 +22,9 @@
 #: The round trip between zones is a few milliseconds, and a lost first packet is sent
 #: again after a second.
 CONNECT_TIMEOUT_MS = 1_000
+#: Limit of calls with a progress timeout, against a server that sends without end. The
+#: largest value of the store takes about 6 s over a link of 2 Mbit/s.
+MAX_TRANSFER_MS = 15_000
 #: Largest accepted reply body.
 MAX_REPLY_BYTES = 8_000_000
 #: Longest wait of the loop if no timer is due earlier.
@@ -39,7 +42,11 @@
     :param path: path with query string.
     :param body: request body, sent as JSON by ``POST``.
     :param headers: additional header lines.
-    :param timeout_ms: longest time in milliseconds until the reply is complete.
+    :param timeout_ms: longest time in milliseconds until the reply is complete or, with
+        a progress timeout, until its body begins to arrive.
+    :param progress_timeout_ms: longest time in milliseconds without a further byte of
+        the body; 0 for none. It keeps a large reply over a slow link from being
+        abandoned while it arrives.
     """
 
     method: str
@@ -48,6 +55,7 @@
     body: bytes | None = None
     headers: tuple[str, ...] = ()
     timeout_ms: int = 1_000
+    progress_timeout_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +67,8 @@
     :param sent: false if certainly no byte of the request was sent.
     :param error: cause if there is no usable reply.
     :param received_bytes: bytes of the body that arrived, also without a usable reply.
+    :param first_byte_ms: time from the call to the first byte of the body or, without
+        one, to the end of the call, in milliseconds.
     """
 
     status: int
@@ -66,23 +76,60 @@
     sent: bool = True
     error: str = ""
     received_bytes: int = 0
+    first_byte_ms: int = 0
 
 
-class _Transfer:
-    __slots__ = ("body", "curl", "on_reply")
+class HttpCall:
+    """A call under way.
+
+    :ivar sent_ms: steady time of the call, in milliseconds.
+    :ivar last_byte_ms: steady time at which the last bytes of the body arrived, in
+        milliseconds; 0 before the first.
+    """
+
+    __slots__ = (
+        "_clock",
+        "body",
+        "curl",
+        "first_byte_ms",
+        "last_byte_ms",
+        "on_reply",
+        "sent_ms",
+    )
 
     def __init__(
-        self, curl: pycurl.Curl, on_reply: t.Callable[[HttpReply], None]
+        self,
+        curl: pycurl.Curl,
+        on_reply: t.Callable[[HttpReply], None],
+        clock: Clock,
     ) -> None:
         self.curl = curl
         self.on_reply = on_reply
         self.body = io.BytesIO()
+        self.sent_ms = clock.now_ms()
+        self.first_byte_ms = 0
+        self.last_byte_ms = 0
+        self._clock = clock
 
     def write(self, chunk: bytes) -> int:
+        """Receive bytes of the body; the callback of the transfer library."""
+        self.last_byte_ms = self._clock.now_ms()
+        self.first_byte_ms = self.first_byte_ms or self.last_byte_ms
         if self.body.tell() + len(chunk) > MAX_REPLY_BYTES:
             return -1
         return self.body.write(chunk)
 
+    def build_reply(self, status: int, sent: bool = True, error: str = "") -> HttpReply:
+        """Build the reply from what has arrived; status 0 for no usable reply."""
+        return HttpReply(
+            status,
+            self.body.getvalue() if status else b"",
+            sent,
+            error,
+            self.body.tell(),
+            (self.first_byte_ms or self._clock.now_ms()) - self.sent_ms,
+        )
+
 
 class HttpLoop:
     """A thread with a ``CurlMulti``, timers and a queue of functions to run.
@@ -106,7 +153,7 @@
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_curl_timer)
         self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_CONNECTIONS)
         self._curl_timer_due_ms: int | None = None
-        self._transfers: dict[pycurl.Curl, _Transfer] = {}
+        self._calls: dict[pycurl.Curl, HttpCall] = {}
         self._idle_handles: list[pycurl.Curl] = []
         self._timers: list[tuple[int, int, t.Callable[[], None]]] = []
         self._timer_sequence = itertools.count()
@@ -142,9 +189,9 @@
         """Send a request; ``on_reply`` receives its reply on the loop's thread."""
         curl = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         curl.reset()
-        transfer = _Transfer(curl, on_reply)
+        call = HttpCall(curl, on_reply, self.clock)
         try:
-            self._set_up(curl, request, transfer)
+            self._set_up(curl, request, call)
         except (pycurl.error, TypeError, ValueError) as error:
             # Addresses and ids come from other processes. The caller gets its reply
             # like that of any other failed call.
@@ -157,21 +204,41 @@
             reply = HttpReply(0, sent=False, error=repr(error))
             self.after(0, lambda: on_reply(reply))
             return
-        self._transfers[curl] = transfer
+        self._calls[curl] = call
         self._multi.add_handle(curl)
+        if request.progress_timeout_ms:
+            self._check_progress(call, request)
+
+    def _check_progress(self, call: HttpCall, request: HttpRequest) -> None:
+        """End a call whose body does not begin or does not go on in time."""
+        if self._calls.get(call.curl) is not call:
+            return  # the call has ended
+        due_ms = (
+            call.last_byte_ms + request.progress_timeout_ms
+            if call.last_byte_ms
+            else call.sent_ms + request.timeout_ms
+        )
+        remaining_ms = due_ms - self.clock.now_ms()
+        if remaining_ms > 0:
+            self.after(remaining_ms, lambda: self._check_progress(call, request))
+            return
+        self._end_call(
+            call, pycurl.E_OPERATION_TIMEDOUT, "timed out without further data"
+        )
 
-    def _set_up(
-        self, curl: pycurl.Curl, request: HttpRequest, transfer: _Transfer
-    ) -> None:
+    def _set_up(self, curl: pycurl.Curl, request: HttpRequest, call: HttpCall) -> None:
         curl.setopt(pycurl.URL, f"http://{request.address}{request.path}")
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.TCP_NODELAY, 1)
-        curl.setopt(pycurl.TIMEOUT_MS, max(1, request.timeout_ms))
+        limit_ms = (
+            MAX_TRANSFER_MS if request.progress_timeout_ms else request.timeout_ms
+        )
+        curl.setopt(pycurl.TIMEOUT_MS, max(1, limit_ms))
         curl.setopt(
             pycurl.CONNECTTIMEOUT_MS,
             max(1, min(CONNECT_TIMEOUT_MS, request.timeout_ms)),
         )
-        curl.setopt(pycurl.WRITEFUNCTION, transfer.write)
+        curl.setopt(pycurl.WRITEFUNCTION, call.write)
         headers = list(request.headers)
         if request.method == "POST":
             curl.setopt(pycurl.POSTFIELDS, request.body or b"")
@@ -253,25 +320,23 @@
         while remaining:
             remaining, finished, failed = self._multi.info_read()
             for curl, code, text in [(curl, 0, "") for curl in finished] + list(failed):
-                transfer = self._transfers.pop(curl)
-                received_bytes = transfer.body.tell()
-                if code:
-                    sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
-                    reply = HttpReply(
-                        0,
-                        sent=sent,
-                        error=f"{code} {text}",
-                        received_bytes=received_bytes,
-                    )
-                else:
-                    status = curl.getinfo(pycurl.RESPONSE_CODE)
-                    body = transfer.body.getvalue()
-                    reply = HttpReply(status, body, received_bytes=received_bytes)
-                self._multi.remove_handle(curl)
-                self._idle_handles.append(curl)
-                self._run_guarded(
-                    lambda on_reply=transfer.on_reply, reply=reply: on_reply(reply)
-                )
+                self._end_call(self._calls[curl], code, text)
+
+    def _end_call(self, call: HttpCall, code: int, text: str) -> None:
+        """Release the handle of a call and deliver its reply.
+
+        :param code: error code of the transfer library; 0 for a complete reply.
+        """
+        curl = call.curl
+        del self._calls[curl]
+        if code:
+            sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
+            reply = call.build_reply(0, sent, f"{code} {text}")
+        else:
+            reply = call.build_reply(curl.getinfo(pycurl.RESPONSE_CODE))
+        self._multi.remove_handle(curl)
+        self._idle_handles.append(curl)
+        self._run_guarded(lambda: call.on_reply(reply))
 
     def _run_guarded(self, function: t.Callable[[], None]) -> None:
         try:
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -10,7 +10,12 @@
 from werkzeug.wrappers import Request, Response
 
 from cranberrywheel.clock import Clock
-from cranberrywheel.connection.http_loop import HttpLoop, HttpReply, HttpRequest
+from cranberrywheel.connection.http_loop import (
+    MAX_TRANSFER_MS,
+    HttpLoop,
+    HttpReply,
+    HttpRequest,
+)
 from cranberrywheel.connection.http_server import HttpServer
 from cranberrywheel.json_body import FIELD_ERRORS, decode_object
 from cranberrywheel.logs import ComponentLogger
@@ -76,7 +81,7 @@
 EXIT_MARGIN_MS = 1_000
 #: Default port of the metrics.
 METRICS_PORT = 9464
-#: Timeout of a relayed call: longer than the store holds a watch call open.
+#: Time until a relayed call is answered: longer than the store holds a watch call open.
 RELAY_TIMEOUT_MS = 1_600
 #: Concurrent connections of peers; each watch call relayed for a peer occupies one.
 PEER_THREADS = 48
@@ -294,7 +299,6 @@
             version=configuration.version,
             source=source,
             bytes=len(value),
-            silent_ms=self._configuration_watch.silent_ms,
         )
         if self._leader:
             self._leader.set_configuration(configuration)
@@ -600,7 +604,7 @@
             )
         )
         try:
-            reply = answer.result(RELAY_TIMEOUT_MS / 1000 + 1)
+            reply = answer.result(MAX_TRANSFER_MS / 1000 + 1)
         except TimeoutError:
             reply = HttpReply(0)
         # 503: the call had no effect; 504: it may have taken effect.
--- a/src/cranberrywheel/platform/store.py
+++ b/src/cranberrywheel/platform/store.py
@@ -21,6 +21,8 @@
 CALL_TIMEOUT_MS = 800
 #: Time added to the wait of a watch call before it counts as unanswered.
 WATCH_MARGIN_MS = 700
+#: Longest pause in an answer with items. A lost packet is sent again after 0.2 to 1 s.
+PROGRESS_TIMEOUT_MS = 1_200
 
 _log = ComponentLogger("store")
 
@@ -85,6 +87,24 @@
         return StoreReply(Outcome.UNKNOWN, error="malformed answer")
 
 
+def _build_request(
+    method: str, address: str, path: str, data: bytes | None, timeout_ms: int
+) -> HttpRequest:
+    """Build a request, whose answer may be large if it is a read.
+
+    :param timeout_ms: longest time until the answer begins.
+    """
+    progress_timeout_ms = PROGRESS_TIMEOUT_MS if method == "GET" else 0
+    return HttpRequest(
+        method,
+        address,
+        path,
+        data,
+        timeout_ms=timeout_ms,
+        progress_timeout_ms=progress_timeout_ms,
+    )
+
+
 class Store:
     """Client of the key-value service; each ``done`` runs on the loop's thread.
 
@@ -129,18 +149,18 @@
         waits: bool,
         done: ReplyCallback,
     ) -> None:
-        sent_ms = self._loop.clock.now_ms()
-
         def decode(reply: HttpReply) -> None:
             result = _decode(reply)
-            took_ms = self._loop.clock.now_ms() - sent_ms
+            # The rest of a large answer takes its time on the link, not at the service.
+            took_ms = reply.first_byte_ms
             self._on_call_end(
                 CallResult(result.outcome.is_answer, took_ms, timeout_ms, waits)
             )
             done(result)
 
-        request = HttpRequest(method, self._address, path, data, timeout_ms=timeout_ms)
-        self._loop.call(request, decode)
+        self._loop.call(
+            _build_request(method, self._address, path, data, timeout_ms), decode
+        )
 
     def relay(
         self,
@@ -151,8 +171,9 @@
         done: t.Callable[[HttpReply], None],
     ) -> None:
         """Send a call on behalf of a peer that cannot reach the service."""
-        request = HttpRequest(method, self._address, path, body, timeout_ms=timeout_ms)
-        self._loop.call(request, done)
+        self._loop.call(
+            _build_request(method, self._address, path, body, timeout_ms), done
+        )
 
     def _call(
         self,
@@ -176,14 +197,11 @@
             )
             return
         address, prefix = route
-        request = HttpRequest(
-            method,
-            address,
-            prefix + path,
-            data,
-            timeout_ms=timeout_ms or CALL_TIMEOUT_MS,
+        timeout_ms = timeout_ms or CALL_TIMEOUT_MS
+        self._loop.call(
+            _build_request(method, address, prefix + path, data, timeout_ms),
+            lambda reply: done(_decode(reply)),
         )
-        self._loop.call(request, lambda reply: done(_decode(reply)))
 
     def read(self, key: str, done: ReplyCallback) -> None:
         """Read one key; the outcome is ``ABSENT`` if it does not exist."""
--- /dev/null
+++ b/tests/test_slow_transfer.py
@@ -0,0 +1,123 @@
+"""Answers that arrive slowly, as over the link of a small instance, over sockets."""
+
+import base64
+import json
+import socket
+import threading
+import time
+
+import pytest
+
+from cranberrywheel.clock import Clock
+from cranberrywheel.connection.http_loop import HttpLoop
+from cranberrywheel.node.watch import PrefixWatch
+from cranberrywheel.platform.store import CALL_TIMEOUT_MS, Store
+
+KEY = "op/config"
+VALUE = b"x" * 200_000
+CHUNK_BYTES = 12_000
+#: With 23 chunks, an answer takes longer than the longest timeout of a store call.
+CHUNK_INTERVAL_S = 0.06
+
+
+class SlowServer:
+    """Answers each request with the same body, chunk by chunk.
+
+    :ivar sent_chunks: chunks after which an answer stalls; ``None`` to send all.
+    :ivar paths: paths of all requests.
+    """
+
+    def __init__(self, body):
+        self._body = body
+        self.sent_chunks = None
+        self.paths = []
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection):
+        try:
+            while request := connection.recv(65_536):
+                self.paths.append(request.split()[1].decode())
+                self._answer(connection)
+        except OSError:
+            pass  # the client closed the connection
+
+    def _answer(self, connection):
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(self._body)}\r\n\r\n"
+        connection.sendall(head.encode())
+        for number, start in enumerate(range(0, len(self._body), CHUNK_BYTES)):
+            if number == self.sent_chunks:
+                connection.recv(1)  # stalls until the client closes the connection
+                return
+            connection.sendall(self._body[start : start + CHUNK_BYTES])
+            time.sleep(CHUNK_INTERVAL_S)
+
+    def close(self):
+        self._listener.close()
+
+
+@pytest.fixture
+def server():
+    row = {"key": KEY, "value": base64.b64encode(VALUE).decode(), "revision": 7}
+    server = SlowServer(json.dumps({"items": [row], "asOf": 7}).encode())
+    yield server
+    server.close()
+
+
+@pytest.fixture
+def loop():
+    loop = HttpLoop(Clock())
+    loop.start()
+    yield loop
+    loop.stop()
+
+
+def test_large_configuration_arrives_over_a_slow_link(server, loop):
+    """Guards against a read that is ended and begun again while its bytes arrive.
+
+    On mlr-clyde-grown, processes with links of 10 Mbit/s had a confirmed configuration
+    in force more than 3 s late.
+    """
+    assert len(server._body) / CHUNK_BYTES * CHUNK_INTERVAL_S * 1000 > CALL_TIMEOUT_MS
+    store = Store(loop, server.address, lambda result: None, timeout=lambda: 200)
+    values = []
+    arrived = threading.Event()
+
+    def on_item(item):
+        values.append(item.value)
+        arrived.set()
+
+    watch = PrefixWatch(loop, store, KEY, on_item)
+    loop.post(watch.start)
+    assert arrived.wait(10)
+    reads = [path for path in server.paths if path.startswith("/api/kv-range")]
+    assert values == [VALUE] and len(reads) == 1
+
+
+def test_stalled_answer_ends_the_call(server, loop):
+    """Guards against a read that waits for ever for the rest of an answer."""
+    server.sent_chunks = 3
+    results = []
+    ended = threading.Event()
+    store = Store(loop, server.address, results.append, timeout=lambda: 200)
+
+    def on_reply(reply):
+        results.append(reply)
+        ended.set()
+
+    loop.post(lambda: store.read_all(KEY, on_reply))
+    assert ended.wait(10)
+    result, reply = results
+    assert not result.answered and not reply.outcome.is_answer
+    assert reply.received_bytes == 3 * CHUNK_BYTES
