Announce configuration versions between the processes

What callers saw: 404 for a route that had been added more than 3 s ago, from an instance whose watch was silent (after dropped history, or with a store that did not answer some instances). Cause: each process learned of a version from its own watch only. A silent watch is noticed after 1.7 s, and the read waited another 0.25 s; two failed reads after that exceed configApplyMs on the grown deployments. The peers knew the version and their interface for it, /peer/configuration, was never called. Class: a bound on the freshness of state that depends on one channel. Change: a process announces each version that it puts in force to log2(n) peers. A process that was told of a version and gets no data for 0.4 s reads it beside its watch, or asks the announcing peer. Relay reports carry the version too. A failed watch is followed by a read at once, and the times for which watches are held open vary, so that not all time out together.

--- a/src/cranberrywheel/connection/http_loop.py
+++ b/src/cranberrywheel/connection/http_loop.py
@@ -89,6 +89,7 @@
 
     __slots__ = (
         "_clock",
+        "_on_data",
         "body",
         "curl",
         "first_byte_ms",
@@ -101,10 +102,12 @@
         self,
         curl: pycurl.Curl,
         on_reply: t.Callable[[HttpReply], None],
+        on_data: t.Callable[[], None],
         clock: Clock,
     ) -> None:
         self.curl = curl
         self.on_reply = on_reply
+        self._on_data = on_data
         self.body = io.BytesIO()
         self.sent_ms = clock.now_ms()
         self.first_byte_ms = 0
@@ -115,6 +118,7 @@
         """Receive bytes of the body; the callback of the transfer library."""
         self.last_byte_ms = self._clock.now_ms()
         self.first_byte_ms = self.first_byte_ms or self.last_byte_ms
+        self._on_data()
         if self.body.tell() + len(chunk) > MAX_REPLY_BYTES:
             return -1
         return self.body.write(chunk)
@@ -184,12 +188,19 @@
         heapq.heappush(self._timers, (due_ms, next(self._timer_sequence), function))
 
     def call(
-        self, request: HttpRequest, on_reply: t.Callable[[HttpReply], None]
+        self,
+        request: HttpRequest,
+        on_reply: t.Callable[[HttpReply], None],
+        on_data: t.Callable[[], None] = lambda: None,
     ) -> None:
-        """Send a request; ``on_reply`` receives its reply on the loop's thread."""
+        """Send a request.
+
+        :param on_reply: receives its reply on the loop's thread.
+        :param on_data: called whenever bytes of the body have arrived.
+        """
         curl = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         curl.reset()
-        call = HttpCall(curl, on_reply, self.clock)
+        call = HttpCall(curl, on_reply, on_data, self.clock)
         try:
             self._set_up(curl, request, call)
         except (pycurl.error, TypeError, ValueError) as error:
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -21,6 +21,11 @@
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.node.call_timeout import CallTimeout
 from cranberrywheel.node.caller_api import CallerApi
+from cranberrywheel.node.configuration_sync import (
+    ANNOUNCEMENT_PATH,
+    CONFIGURATION_PATH,
+    ConfigurationSync,
+)
 from cranberrywheel.node.intake import Acceptance, Intake
 from cranberrywheel.node.keys import (
     CANCEL_SUFFIX,
@@ -40,11 +45,6 @@
 )
 from cranberrywheel.node.watch import PrefixWatch
 from cranberrywheel.platform.callers import READY_PATH
-from cranberrywheel.platform.configuration import (
-    CONFIGURATION_KEY,
-    OPERATOR_PREFIX,
-    decode_configuration,
-)
 from cranberrywheel.platform.executors import AdvisorClient, ExecutorClient
 from cranberrywheel.platform.machines import MachineClient
 from cranberrywheel.platform.settings import NodeSettings
@@ -104,7 +104,6 @@
         self, settings: NodeSettings, metrics_port: int = METRICS_PORT
     ) -> None:
         self._settings = settings
-        self.configuration: Configuration | None = None
         self.stopping = False
         self._stop_requested = threading.Event()
         self._clock = Clock()
@@ -120,7 +119,13 @@
             lambda: self._store_timeout.current_ms,
         )
         self._store_route = StoreRoute(
-            self._loop, self._peer_capacities, self._store.probe, self._peer_address
+            self._loop,
+            self._peer_capacities,
+            self._store.probe,
+            self._peer_address,
+            lambda version, peer: self._configuration_sync.on_announcement(
+                version, peer
+            ),
         )
         self._intake = Intake(
             self._loop, self._store, lambda: self._store_route.has_route
@@ -129,7 +134,6 @@
         self._leader: Leader | None = None
         self._is_registered = False
         self._member_lease = 0
-        self._raw_configuration = b""
         self._member_by_process: dict[str, Candidate] = {}
         self._candidate = Candidate(
             self._process_name,
@@ -145,8 +149,13 @@
             self._on_leadership_acquired,
             self._on_leadership_lost,
         )
-        self._configuration_watch = PrefixWatch(
-            self._loop, self._store, OPERATOR_PREFIX + "config", self._on_configuration
+        self._configuration_sync = ConfigurationSync(
+            self._loop,
+            self._store,
+            self._peer_capacities,
+            self._peer_address,
+            lambda: not self._store_route.is_unreachable,
+            self._on_configuration,
         )
         self._member_watch = PrefixWatch(
             self._loop, self._store, MEMBER_PREFIX, self._on_member
@@ -168,12 +177,12 @@
         self._metrics.gauge(
             "cranberrywheel_configuration_version",
             "Version of the configuration in force; 0 before the first",
-            lambda: float(self.configuration.version if self.configuration else 0),
+            lambda: float(self._configuration_sync.version),
         )
         self._metrics.gauge(
             "cranberrywheel_configuration_silence_seconds",
             "Time since the store last answered a call for the configuration",
-            lambda: self._configuration_watch.silent_ms / 1000,
+            lambda: self._configuration_sync.silent_ms / 1000,
         )
         self._caller_server = HttpServer(
             host,
@@ -224,7 +233,7 @@
         self._stop()
 
     def _start(self) -> None:
-        self._configuration_watch.start()
+        self._configuration_sync.start()
         self._member_watch.start()
         self._leadership.start()
         self._store_route.start()
@@ -277,29 +286,12 @@
 
     # Configuration
 
-    def _on_configuration(self, item: Item) -> None:
-        if item.key == CONFIGURATION_KEY and item.value is not None:
-            self._adopt_configuration(item.value, "store")
+    @property
+    def configuration(self) -> Configuration | None:
+        """Configuration in force; ``None`` before the first."""
+        return self._configuration_sync.configuration
 
-    def _adopt_configuration(self, value: bytes, source: str) -> None:
-        try:
-            configuration = decode_configuration(value)
-        except ValueError as error:
-            _log.warning(
-                "configuration cannot be decoded; ignored", error=str(error)[:200]
-            )
-            return
-        known = self.configuration
-        if known is not None and configuration.version <= known.version:
-            return
-        self.configuration = configuration
-        self._raw_configuration = value
-        _log.event(
-            "configuration in force",
-            version=configuration.version,
-            source=source,
-            bytes=len(value),
-        )
+    def _on_configuration(self, configuration: Configuration) -> None:
         if self._leader:
             self._leader.set_configuration(configuration)
 
@@ -618,10 +610,12 @@
             return {
                 "store_away": self._store_route.is_unreachable,
                 "fence": holder.fence if holder else 0,
-                "version": self.configuration.version if self.configuration else 0,
+                "version": self._configuration_sync.version,
             }
-        if request.path == "/peer/configuration" and self._raw_configuration:
-            return {"value": self._raw_configuration.decode()}
+        if request.path == CONFIGURATION_PATH:
+            return self._configuration_sync.encode_for_peer()
+        if request.path == ANNOUNCEMENT_PATH:
+            return self._configuration_sync.answer_announcement(request.get_data())
         if leader is None or not leader.is_loaded:
             return {}
         if request.path == "/peer/queue":
--- a/src/cranberrywheel/node/store_route.py
+++ b/src/cranberrywheel/node/store_route.py
@@ -40,6 +40,7 @@
     received_ms: int
     store_away: bool
     fence: int
+    version: int
 
 
 class StoreRoute:
@@ -51,6 +52,8 @@
     :param probe: sends one direct call to the store.
     :param own_address: ``host:port`` of this process. Processes with different
         addresses prefer different peers, so that no peer relays the calls of all.
+    :param on_version: called with the configuration version of each peer that reports,
+        and its address.
     """
 
     def __init__(
@@ -59,8 +62,10 @@
         peers: t.Callable[[], t.Mapping[str, float]],
         probe: t.Callable[[], None],
         own_address: str = "",
+        on_version: t.Callable[[int, str], None] = lambda version, address: None,
     ) -> None:
         self._loop = loop
+        self._on_version = on_version
         self._peers = peers
         self._probe = probe
         self._own_address = own_address
@@ -186,7 +191,10 @@
         try:
             body = decode_object(reply.body)
             report = _PeerReport(
-                self._loop.clock.now_ms(), bool(body["store_away"]), int(body["fence"])
+                self._loop.clock.now_ms(),
+                bool(body["store_away"]),
+                int(body["fence"]),
+                int(body["version"]),
             )
         except FIELD_ERRORS:
             self._report_by_address.pop(address, None)
@@ -194,6 +202,7 @@
                 self._select_relay_peer()
             return
         self._report_by_address[address] = report
+        self._on_version(report.version, address)
         if not self.is_unreachable:
             return
         if not report.store_away or self._relay_peer == address:
--- a/src/cranberrywheel/node/watch.py
+++ b/src/cranberrywheel/node/watch.py
@@ -1,5 +1,6 @@
 """Reports the changes of all items under a key prefix of the store."""
 
+import random
 import typing as t
 
 from cranberrywheel.connection.http_loop import HttpLoop
@@ -10,7 +11,7 @@
 #: Longest time for which the store holds a watch call open. A broken connection is
 #: detected after this time plus the margin of the store client.
 WATCH_WAIT_MS = 1_000
-#: Delay before a failed call is repeated.
+#: Delay before a failed read is repeated.
 RETRY_MS = 250
 
 _log = ComponentLogger("watch")
@@ -21,6 +22,9 @@
 
     :param on_item: called with each new, changed or deleted item.
     :param on_ready: called once after the first complete read.
+    :param shortest_wait_ms: the store holds each watch call open for a random time from
+        this to :data:`WATCH_WAIT_MS`.
+    :ivar last_data_ms: steady time at which bytes of an answer last arrived.
     """
 
     def __init__(
@@ -30,6 +34,7 @@
         prefix: str,
         on_item: t.Callable[[Item], None],
         on_ready: t.Callable[[], None] = lambda: None,
+        shortest_wait_ms: int = WATCH_WAIT_MS,
     ) -> None:
         self._loop = loop
         self._store = store
@@ -42,6 +47,8 @@
         self._stopped = False
         self._last_answer_ms = loop.clock.now_ms()
         self._call_sent_ms = 0
+        self._shortest_wait_ms = shortest_wait_ms
+        self.last_data_ms = 0
 
     @property
     def silent_ms(self) -> int:
@@ -50,8 +57,24 @@
 
     def start(self) -> None:
         """Read all items, then watch for changes."""
+        if self._stopped:
+            return
         self._call_sent_ms = self._loop.clock.now_ms()
-        self._store.read_all(self._prefix, self._on_read)
+        self._store.read_all(self._prefix, self._on_read, self._on_data)
+
+    def read_beside(self) -> None:
+        """Read all items beside the watch, which may have become silent.
+
+        A failure has no consequence; the watch notices by itself that it is silent.
+        """
+        self._store.read_all(self._prefix, self._on_read_beside, self._on_data)
+
+    def _on_data(self) -> None:
+        self.last_data_ms = self._loop.clock.now_ms()
+
+    def _on_read_beside(self, reply: StoreReply) -> None:
+        if reply.outcome is Outcome.OK and not self._stopped:
+            self._apply_read(reply)
 
     def stop(self) -> None:
         """Report no further changes."""
@@ -61,21 +84,26 @@
         if self._stopped:
             return
         if reply.outcome is not Outcome.OK:
-            self._retry(self.start, reply, "read")
+            self._log_failure(reply, "read")
+            self._loop.after(RETRY_MS, self.start)
             return
         if self._ready:
             self._log_read(reply)
         self._last_answer_ms = self._loop.clock.now_ms()
+        self._apply_read(reply)
+        if not self._ready:
+            self._ready = True
+            self._on_ready()
+        self._watch_changes()
+
+    def _apply_read(self, reply: StoreReply) -> None:
+        """Report the changes since what was last reported, deletions first."""
         found = {item.key for item in reply.items}
         for key in [key for key in self._revision_by_key if key not in found]:
             self._report(Item(key, None, reply.revision))
         for item in reply.items:
             self._report(item)
-        self._last_revision = reply.revision
-        if not self._ready:
-            self._ready = True
-            self._on_ready()
-        self._watch_changes()
+        self._last_revision = max(self._last_revision, reply.revision)
 
     def _log_read(self, reply: StoreReply) -> None:
         """Log what a repeated read found, so that a late change can be explained.
@@ -100,8 +128,9 @@
 
     def _watch_changes(self) -> None:
         self._call_sent_ms = self._loop.clock.now_ms()
+        wait_ms = random.randint(self._shortest_wait_ms, WATCH_WAIT_MS)
         self._store.watch(
-            self._prefix, self._last_revision, WATCH_WAIT_MS, self._on_events
+            self._prefix, self._last_revision, wait_ms, self._on_events, self._on_data
         )
 
     def _on_events(self, reply: StoreReply) -> None:
@@ -119,12 +148,12 @@
             )
             self.start()
         else:
-            # Changes may have been compacted meanwhile, so everything is read again.
-            self._retry(self.start, reply, "watch")
+            # Changes may have been compacted meanwhile, so everything is read again, at
+            # once: the timeout of the watch was long enough a delay.
+            self._log_failure(reply, "watch")
+            self.start()
 
-    def _retry(
-        self, action: t.Callable[[], None], reply: StoreReply, call: str
-    ) -> None:
+    def _log_failure(self, reply: StoreReply, call: str) -> None:
         _log.warning(
             "store read or watch failed; reading all items again",
             prefix=self._prefix,
@@ -135,7 +164,6 @@
             received_bytes=reply.received_bytes,
             silent_ms=self.silent_ms,
         )
-        self._loop.after(RETRY_MS, action)
 
     def _report(self, item: Item) -> None:
         known_revision = self._revision_by_key.get(item.key, 0)
--- a/src/cranberrywheel/platform/store.py
+++ b/src/cranberrywheel/platform/store.py
@@ -148,6 +148,7 @@
         timeout_ms: int,
         waits: bool,
         done: ReplyCallback,
+        on_data: t.Callable[[], None] = lambda: None,
     ) -> None:
         def decode(reply: HttpReply) -> None:
             result = _decode(reply)
@@ -159,7 +160,9 @@
             done(result)
 
         self._loop.call(
-            _build_request(method, self._address, path, data, timeout_ms), decode
+            _build_request(method, self._address, path, data, timeout_ms),
+            decode,
+            on_data,
         )
 
     def relay(
@@ -183,17 +186,19 @@
         body: t.Any = None,
         timeout_ms: int = 0,
         waits: bool = False,
+        on_data: t.Callable[[], None] = lambda: None,
     ) -> None:
         """Send a call to the service or through the relay peer.
 
         :param timeout_ms: timeout; 0 for that of an ordinary call.
         :param waits: the service may hold the call open.
+        :param on_data: called whenever bytes of the answer have arrived.
         """
         data = None if body is None else json.dumps(body).encode()
         route = self._route()
         if route is None:
             self._call_directly(
-                method, path, data, timeout_ms or self._timeout(), waits, done
+                method, path, data, timeout_ms or self._timeout(), waits, done, on_data
             )
             return
         address, prefix = route
@@ -201,17 +206,25 @@
         self._loop.call(
             _build_request(method, address, prefix + path, data, timeout_ms),
             lambda reply: done(_decode(reply)),
+            on_data,
         )
 
     def read(self, key: str, done: ReplyCallback) -> None:
         """Read one key; the outcome is ``ABSENT`` if it does not exist."""
         self._call("GET", f"/api/kv-key?{urllib.parse.urlencode({'key': key})}", done)
 
-    def read_all(self, prefix: str, done: ReplyCallback) -> None:
+    def read_all(
+        self,
+        prefix: str,
+        done: ReplyCallback,
+        on_data: t.Callable[[], None] = lambda: None,
+    ) -> None:
         """Read all items under a prefix.
 
         The reply carries the revision of the first page, so that a watch from there
         also reports what changed while further pages were read.
+
+        :param on_data: called whenever bytes of the answer have arrived.
         """
         items: list[Item] = []
         revisions: list[int] = []
@@ -222,7 +235,7 @@
             if after:
                 query["after"] = after
             path = f"/api/kv-range?{urllib.parse.urlencode(query)}"
-            self._call("GET", path, on_page)
+            self._call("GET", path, on_page, on_data=on_data)
 
         def on_page(reply: StoreReply) -> None:
             if reply.outcome is not Outcome.OK:
@@ -246,11 +259,19 @@
 
         read_page("")
 
-    def watch(self, prefix: str, after: int, wait_ms: int, done: ReplyCallback) -> None:
+    def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_ms: int,
+        done: ReplyCallback,
+        on_data: t.Callable[[], None] = lambda: None,
+    ) -> None:
         """Wait for changes under a prefix.
 
         :param after: revision after which changes are reported.
         :param wait_ms: longest time for which the service holds the call open.
+        :param on_data: called whenever bytes of the answer have arrived.
         """
         query = urllib.parse.urlencode(
             {"prefix": prefix, "after": after, "waitMs": wait_ms}
@@ -261,6 +282,7 @@
             done,
             timeout_ms=wait_ms + WATCH_MARGIN_MS,
             waits=True,
+            on_data=on_data,
         )
 
     def write(self, write: Write, done: ReplyCallback) -> None:
--- a/src/cranberrywheel_standin/virtual_fleet.py
+++ b/src/cranberrywheel_standin/virtual_fleet.py
@@ -13,7 +13,7 @@
 
 from cranberrywheel.clock import Clock, ManualClock
 from cranberrywheel.platform.executors import EXECUTOR_PREFIX, encode_executor
-from cranberrywheel.platform.store import Store
+from cranberrywheel.platform.store import WATCH_MARGIN_MS, Store
 from cranberrywheel.store_messages import Item, Outcome, StoreReply, Write
 from cranberrywheel.submission.executor_orders import (
     CompletionReport,
@@ -69,6 +69,7 @@
 
     :param clock: clock by which leases expire.
     :ivar writes: number of conditional writes that were attempted.
+    :ivar reads: number of reads of all keys under a prefix.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -77,6 +78,7 @@
         self.item_by_key: dict[str, Item] = {}
         self.lease_by_key: dict[str, int] = {}
         self.writes = 0
+        self.reads = 0
         self._lease_times_by_id: dict[int, tuple[int, int]] = {}
         self._history: list[Item] = []
         self._lease_ids = itertools.count(1)
@@ -120,6 +122,7 @@
     def read_all(self, prefix: str) -> StoreReply:
         """Read all keys under a prefix."""
         self._expire_leases()
+        self.reads += 1
         items = [
             item
             for key, item in sorted(self.item_by_key.items())
@@ -217,11 +220,19 @@
 
 
 class VirtualStoreClient:
-    """Client of a virtual store; stands in for ``Store``."""
+    """Client of a virtual store; stands in for ``Store``.
+
+    :ivar watches_silent: watches that are waiting get no answer.
+    :ivar unreachable: no call of this client is answered while this is true.
+    :ivar failing_reads: number of next reads whose connection breaks midway.
+    """
 
     def __init__(self, loop: VirtualLoop, store: VirtualStore) -> None:
         self._loop = loop
         self._store = store
+        self.watches_silent = False
+        self.unreachable = False
+        self.failing_reads = 0
 
     def _call_store(
         self,
@@ -232,7 +243,7 @@
     ) -> None:
         def process_call() -> None:
             is_lost = self._store.random.random() < self._store.lost_answer_share
-            if self._store.unreachable or is_lost:
+            if self._store.unreachable or self.unreachable or is_lost:
                 self._loop.after(timeout_ms, lambda: done(StoreReply(Outcome.UNKNOWN)))
                 if is_lost:
                     late_ms = self._store.random.randint(1_000, 6_000)
@@ -247,9 +258,18 @@
         """See ``Store.read``."""
         self._call_store(done, lambda: self._store.read(key))
 
-    def read_all(self, prefix: str, done: t.Callable[[StoreReply], None]) -> None:
+    def read_all(
+        self,
+        prefix: str,
+        done: t.Callable[[StoreReply], None],
+        on_data: t.Callable[[], None] = lambda: None,
+    ) -> None:
         """See ``Store.read_all``."""
         delay_ms = NETWORK_DELAY_MS + self._store.delay_ms_by_prefix.get(prefix, 0)
+        if self.failing_reads:
+            self.failing_reads -= 1
+            self._loop.after(delay_ms, lambda: done(StoreReply(Outcome.UNKNOWN)))
+            return
         self._call_store(done, lambda: self._store.read_all(prefix), delay_ms)
 
     def watch(
@@ -258,12 +278,18 @@
         after: int,
         wait_ms: int,
         done: t.Callable[[StoreReply], None],
+        on_data: t.Callable[[], None] = lambda: None,
     ) -> None:
         """See ``Store.watch``."""
         wait_end_ms = self._loop.clock.now_ms() + wait_ms
 
         def poll() -> None:
             timed_out = self._loop.clock.now_ms() >= wait_end_ms
+            if self.watches_silent:
+                timeout_ms = max(0, wait_end_ms - self._loop.clock.now_ms())
+                timeout_ms += WATCH_MARGIN_MS
+                self._loop.after(timeout_ms, lambda: done(StoreReply(Outcome.UNKNOWN)))
+                return
             reply = self._store.events(prefix, after)
             if self._store.unreachable and timed_out:
                 done(StoreReply(Outcome.UNKNOWN))
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -71,7 +71,7 @@
         super().__init__()
         self.replies = list(replies)
 
-    def call(self, request, on_reply):
+    def call(self, request, on_reply, on_data=lambda: None):
         reply = self.replies.pop(0) if len(self.replies) > 1 else self.replies[0]
         self.after(1, lambda: on_reply(reply))
 
--- a/tests/test_store_route.py
+++ b/tests/test_store_route.py
@@ -14,7 +14,7 @@
         super().__init__()
         self.body_by_address = body_by_address
 
-    def call(self, request, done):
+    def call(self, request, done, on_data=lambda: None):
         body = self.body_by_address.get(request.address)
         if body is None:
             self.after(request.timeout_ms, lambda: done(HttpReply(0)))
@@ -40,8 +40,8 @@
     """Guards against failed calls while only some instances reach the store."""
     loop, route = make_route(
         {
-            "a": {"store_away": True, "fence": 3},
-            "b": {"store_away": False, "fence": 3},
+            "a": {"store_away": True, "fence": 3, "version": 1},
+            "b": {"store_away": False, "fence": 3, "version": 1},
         }
     )
     make_unreachable(loop, route)
@@ -51,7 +51,9 @@
 
 def test_process_without_a_route_is_isolated():
     """Guards against a partitioned zone that accepts callers it cannot serve."""
-    loop, route = make_route({"a": {"store_away": True, "fence": 3}, "b": None})
+    loop, route = make_route(
+        {"a": {"store_away": True, "fence": 3, "version": 1}, "b": None}
+    )
     make_unreachable(loop, route)
     assert route.is_isolated(3) and not route.has_route
 
@@ -59,7 +61,10 @@
 def test_outage_for_all_isolates_no_process():
     """Guards against a store outage in which no instance stays ready."""
     loop, route = make_route(
-        {"a": {"store_away": True, "fence": 3}, "b": {"store_away": True, "fence": 0}}
+        {
+            "a": {"store_away": True, "fence": 3, "version": 1},
+            "b": {"store_away": True, "fence": 0, "version": 1},
+        }
     )
     make_unreachable(loop, route)
     assert route.is_unreachable_for_all(3) and not route.is_isolated(3)
@@ -67,21 +72,23 @@
 
 def test_leader_does_not_continue_when_a_peer_knows_a_newer_one():
     """Guards against two leaders that both extend executor leases."""
-    loop, route = make_route({"a": {"store_away": True, "fence": 9}})
+    loop, route = make_route({"a": {"store_away": True, "fence": 9, "version": 1}})
     make_unreachable(loop, route)
     assert not route.is_unreachable_for_all(3)
 
 
 def test_leader_does_not_continue_when_a_peer_does_not_answer():
     """Guards against two leaders: an unreachable peer may have taken over."""
-    loop, route = make_route({"a": {"store_away": True, "fence": 3}, "b": None})
+    loop, route = make_route(
+        {"a": {"store_away": True, "fence": 3, "version": 1}, "b": None}
+    )
     make_unreachable(loop, route)
     assert not route.is_unreachable_for_all(3)
 
 
 def test_direct_calls_resume_once_the_store_answers():
     """Guards against calls that stay on the relay peer after an outage."""
-    loop, route = make_route({"a": {"store_away": False, "fence": 3}})
+    loop, route = make_route({"a": {"store_away": False, "fence": 3, "version": 1}})
     make_unreachable(loop, route)
     assert route.relay_peer() == "a"
     route.record_call(True)
@@ -93,7 +100,7 @@
 def test_relay_peer_is_known_when_the_second_call_fails():
     """Guards against a leader whose lease expires while it selects a relay peer
     (scenario mlr-clyde trouble-1, at 16.5 s: 1.5 s without a leader)."""
-    loop, route = make_route({"a": {"store_away": False, "fence": 3}})
+    loop, route = make_route({"a": {"store_away": False, "fence": 3, "version": 1}})
     route.record_call(False)
     loop.run_for(10)
     assert route.relay_peer() is None
@@ -104,7 +111,7 @@
 def test_store_that_loses_some_answers_stays_the_route():
     """Guards against a detour through peers, and distrust of records at a takeover,
     because two of many calls were lost."""
-    loop, route = make_route({"a": {"store_away": False, "fence": 3}})
+    loop, route = make_route({"a": {"store_away": False, "fence": 3, "version": 1}})
     for _ in range(50):
         route.record_call(True)
         loop.run_for(100)
@@ -116,7 +123,7 @@
 
 def test_silent_store_is_noticed():
     """Guards against a partition that is taken for lost answers."""
-    loop, route = make_route({"a": {"store_away": False, "fence": 3}})
+    loop, route = make_route({"a": {"store_away": False, "fence": 3, "version": 1}})
     route.record_call(True)
     for _ in range(3):
         loop.run_for(300)
@@ -126,7 +133,7 @@
 
 
 def select_relay_peer(own_address, capacity_by_address):
-    body = {"store_away": False, "fence": 3}
+    body = {"store_away": False, "fence": 3, "version": 1}
     loop = PeerLoop(dict.fromkeys(capacity_by_address, body))
     route = StoreRoute(loop, lambda: capacity_by_address, lambda: None, own_address)
     route.start()
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -23,10 +23,10 @@
         self._watch_replies = list(watch_replies)
         self._delay_ms = delay_ms
 
-    def read_all(self, prefix, done):
+    def read_all(self, prefix, done, on_data):
         self._answer(self._read_replies, done)
 
-    def watch(self, prefix, after, wait_ms, done):
+    def watch(self, prefix, after, wait_ms, done, on_data):
         self._answer(self._watch_replies, done)
 
     def _answer(self, replies, done):
