Use no connections opened before a call that got no answer

What callers see: an answer by an old configuration, or work that waits, although the server answers on new connections. Cause: when open connections go silent together, each repeated call took the next of them from the pool and timed out again. Change: after a call that timed out, connections to its server that are older than that moment are not used again. Evidence: test_silent_connections.py.

--- a/src/cranberrywheel/connection/http_loop.py
+++ b/src/cranberrywheel/connection/http_loop.py
@@ -22,6 +22,8 @@
 #: The round trip between zones is a few milliseconds, and a lost first packet is sent
 #: again after a second.
 CONNECT_TIMEOUT_MS = 1_000
+#: Time after which the transfer library closes an unused connection.
+MAX_IDLE_CONNECTION_MS = 118_000
 #: Limit of calls with a progress timeout, against a server that sends without end. The
 #: largest value of the store takes about 6 s over a link of 2 Mbit/s.
 MAX_TRANSFER_MS = 15_000
@@ -90,6 +92,7 @@
     __slots__ = (
         "_clock",
         "_on_data",
+        "address",
         "body",
         "curl",
         "first_byte_ms",
@@ -101,11 +104,13 @@
     def __init__(
         self,
         curl: pycurl.Curl,
+        address: str,
         on_reply: t.Callable[[HttpReply], None],
         on_data: t.Callable[[], None],
         clock: Clock,
     ) -> None:
         self.curl = curl
+        self.address = address
         self.on_reply = on_reply
         self._on_data = on_data
         self.body = io.BytesIO()
@@ -123,15 +128,27 @@
             return -1
         return self.body.write(chunk)
 
-    def build_reply(self, status: int, sent: bool = True, error: str = "") -> HttpReply:
-        """Build the reply from what has arrived; status 0 for no usable reply."""
+    def build_reply(self, code: int, text: str) -> HttpReply:
+        """Build the reply from what has arrived.
+
+        :param code: error code of the transfer library; 0 for a complete reply.
+        :param text: its description.
+        """
+        first_byte_ms = (self.first_byte_ms or self._clock.now_ms()) - self.sent_ms
+        received_bytes = self.body.tell()
+        if not code:
+            return HttpReply(
+                self.curl.getinfo(pycurl.RESPONSE_CODE),
+                self.body.getvalue(),
+                received_bytes=received_bytes,
+                first_byte_ms=first_byte_ms,
+            )
         return HttpReply(
-            status,
-            self.body.getvalue() if status else b"",
-            sent,
-            error,
-            self.body.tell(),
-            (self.first_byte_ms or self._clock.now_ms()) - self.sent_ms,
+            0,
+            sent=self.curl.getinfo(pycurl.REQUEST_SIZE) > 0,
+            error=f"{code} {text}",
+            received_bytes=received_bytes,
+            first_byte_ms=first_byte_ms,
         )
 
 
@@ -158,6 +175,9 @@
         self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_CONNECTIONS)
         self._curl_timer_due_ms: int | None = None
         self._calls: dict[pycurl.Curl, HttpCall] = {}
+        #: Steady time of the last call that timed out, by address. Connections to a
+        #: server may go silent together, so those opened before are not used again.
+        self._timeout_ms_by_address: dict[str, int] = {}
         self._idle_handles: list[pycurl.Curl] = []
         self._timers: list[tuple[int, int, t.Callable[[], None]]] = []
         self._timer_sequence = itertools.count()
@@ -200,7 +220,7 @@
         """
         curl = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         curl.reset()
-        call = HttpCall(curl, on_reply, on_data, self.clock)
+        call = HttpCall(curl, request.address, on_reply, on_data, self.clock)
         try:
             self._set_up(curl, request, call)
         except (pycurl.error, TypeError, ValueError) as error:
@@ -250,6 +270,8 @@
             max(1, min(CONNECT_TIMEOUT_MS, request.timeout_ms)),
         )
         curl.setopt(pycurl.WRITEFUNCTION, call.write)
+        if request.address in self._timeout_ms_by_address:
+            self._exclude_old_connections(curl, request.address)
         headers = list(request.headers)
         if request.method == "POST":
             curl.setopt(pycurl.POSTFIELDS, request.body or b"")
@@ -259,6 +281,16 @@
         if headers:
             curl.setopt(pycurl.HTTPHEADER, headers)
 
+    def _exclude_old_connections(self, curl: pycurl.Curl, address: str) -> None:
+        """Prevent the use of connections from before the address's last timeout."""
+        elapsed_ms = self.clock.now_ms() - self._timeout_ms_by_address[address]
+        if elapsed_ms < 1_000:
+            curl.setopt(pycurl.FRESH_CONNECT, 1)
+        elif elapsed_ms < MAX_IDLE_CONNECTION_MS:
+            curl.setopt(pycurl.MAXLIFETIME_CONN, elapsed_ms // 1_000)
+        else:
+            del self._timeout_ms_by_address[address]
+
     def _watch_socket(self, event: int, fd: int, multi: t.Any, data: t.Any) -> None:
         registered = fd in self._selector.get_map()
         if event == pycurl.POLL_REMOVE:
@@ -340,11 +372,9 @@
         """
         curl = call.curl
         del self._calls[curl]
-        if code:
-            sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
-            reply = call.build_reply(0, sent, f"{code} {text}")
-        else:
-            reply = call.build_reply(curl.getinfo(pycurl.RESPONSE_CODE))
+        if code == pycurl.E_OPERATION_TIMEDOUT:
+            self._timeout_ms_by_address[call.address] = self.clock.now_ms()
+        reply = call.build_reply(code, text)
         self._multi.remove_handle(curl)
         self._idle_handles.append(curl)
         self._run_guarded(lambda: call.on_reply(reply))
--- /dev/null
+++ b/tests/test_silent_connections.py
@@ -0,0 +1,109 @@
+"""Connections that go silent without a reset while new ones work, over sockets."""
+
+import socket
+import threading
+
+import pytest
+
+from cranberrywheel.clock import Clock
+from cranberrywheel.connection.http_loop import HttpLoop, HttpRequest
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+CALL_TIMEOUT_MS = 150
+
+
+class Server:
+    """Answers requests on connections that were not silenced.
+
+    :ivar release: requests are answered once this is set.
+    """
+
+    def __init__(self):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.release = threading.Event()
+        self._silent = set()
+        self._connections = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self._connections.append(connection)
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection):
+        try:
+            while connection.recv(65_536):
+                self.release.wait()
+                if connection not in self._silent:
+                    connection.sendall(ANSWER)
+        except OSError:
+            pass  # the client closed the connection
+
+    def silence_open_connections(self):
+        self._silent = set(self._connections)
+
+    def close(self):
+        self._listener.close()
+
+
+class Client:
+    """Sends requests in parallel and waits for all replies."""
+
+    def __init__(self, loop, address):
+        self._loop = loop
+        self._address = address
+
+    def call(self, count=1):
+        replies = []
+        all_done = threading.Event()
+
+        def on_reply(reply):
+            replies.append(reply)
+            if len(replies) == count:
+                all_done.set()
+
+        def send():
+            for _ in range(count):
+                request = HttpRequest(
+                    "GET", self._address, "/", timeout_ms=CALL_TIMEOUT_MS
+                )
+                self._loop.call(request, on_reply)
+
+        self._loop.post(send)
+        return all_done, replies
+
+
+@pytest.fixture
+def loop():
+    loop = HttpLoop(Clock())
+    loop.start()
+    yield loop
+    loop.stop()
+
+
+def test_silent_connections_cost_one_timeout(loop):
+    """Guards against a call that times out once for each silent connection.
+
+    Connections to the store, to peers and to executors may go silent together; a call
+    that is repeated on the next of them is answered only when all are used up.
+    """
+    server = Server()
+    client = Client(loop, server.address)
+    warm, replies = client.call(4)  # opens four connections, which stay in the pool
+    server.release.set()
+    assert warm.wait(5) and [reply.status for reply in replies] == [200] * 4
+    server.silence_open_connections()
+    statuses = []
+    for _ in range(6):
+        done, replies = client.call()
+        assert done.wait(5)
+        statuses.append(replies[0].status)
+    server.close()
+    assert statuses == [0, 200, 200, 200, 200, 200]
