--- a/src/cranberrywheel/connection/http_loop.py
+++ b/src/cranberrywheel/connection/http_loop.py
@@ -29,6 +29,10 @@
 MAX_TRANSFER_MS = 15_000
 #: Largest accepted reply body.
 MAX_REPLY_BYTES = 8_000_000
+#: Error codes for a connection that the server closed or reset during a call.
+LOST_CONNECTION_CODES = frozenset(
+    {pycurl.E_GOT_NOTHING, pycurl.E_RECV_ERROR, pycurl.E_SEND_ERROR}
+)
 #: Longest wait of the loop if no timer is due earlier.
 MAX_SELECT_MS = 1_000
 
@@ -71,6 +75,7 @@
     :param received_bytes: bytes of the body that arrived, also without a usable reply.
     :param first_byte_ms: time from the call to the first byte of the body or, without
         one, to the end of the call, in milliseconds.
+    :param connection_lost: the server closed or reset the connection of the call.
     """
 
     status: int
@@ -79,6 +84,7 @@
     error: str = ""
     received_bytes: int = 0
     first_byte_ms: int = 0
+    connection_lost: bool = False
 
 
 class HttpCall:
@@ -149,6 +155,7 @@
             error=f"{code} {text}",
             received_bytes=received_bytes,
             first_byte_ms=first_byte_ms,
+            connection_lost=code in LOST_CONNECTION_CODES,
         )
 
 
--- a/src/cranberrywheel/submission/executor.py
+++ b/src/cranberrywheel/submission/executor.py
@@ -61,6 +61,8 @@
         a move.
     :ivar clock_offset_ms: its clock minus the leader's; ``None`` until it is known.
     :ivar clock_read_ms: when its clock was last read.
+    :ivar last_alive_ms: last sign of life of its process: an answer, or the loss of a
+        connection that had been open.
     :ivar received_sequence: last completion that the leader has received.
     :ivar acknowledged_sequence: last completion that the executor may forget.
     :ivar pending_completions: received completions that are not acknowledged yet, in
@@ -89,6 +91,7 @@
         self.cordoned = False
         self.clock_offset_ms: int | None = None
         self.clock_read_ms = 0
+        self.last_alive_ms = 0
         self.received_sequence = 0
         self.acknowledged_sequence = 0
         self.pending_completions: collections.deque[PendingCompletion] = (
--- a/src/cranberrywheel/submission/executor_orders.py
+++ b/src/cranberrywheel/submission/executor_orders.py
@@ -121,6 +121,7 @@
     :param running: all runs that have not ended.
     :param completions: completions that no leader has acknowledged yet.
     :param error: reason without an answer, otherwise the status code; for logs.
+    :param connection_lost: the executor closed or reset the connection of the poll.
     """
 
     verdict: OrderVerdict
@@ -129,6 +130,7 @@
     running: tuple[RunningReport, ...] = ()
     completions: tuple[CompletionReport, ...] = ()
     error: str = ""
+    connection_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cranberrywheel/submission/reports.py
+++ b/src/cranberrywheel/submission/reports.py
@@ -44,6 +44,8 @@
         mark_terminated(state, executor, now_ms, "another boot answered")
         return True
     if reply.verdict is not OrderVerdict.OK:
+        if reply.connection_lost and executor.reachable:
+            executor.last_alive_ms = now_ms
         _mark_unreachable(state, executor, reply.error)
         return True
     if reply.boot and executor.boot and reply.boot != executor.boot:
@@ -51,6 +53,7 @@
             return True  # a late answer of an earlier boot
         state.restart_executor(executor, reply.boot, now_ms)
     executor.boot = reply.boot or executor.boot
+    executor.last_alive_ms = now_ms
     if not executor.reachable:
         _log.event("executor reachable again", executor=executor_id)
     if not executor.reachable or not executor.fence_confirmed:
@@ -95,7 +98,7 @@
     state: SchedulerState, executor: Executor, now_ms: int, reason: str
 ) -> None:
     """Record that an executor's process has certainly ended, and requeue its tasks."""
-    state.discard_all_runs(executor, reason)
+    state.discard_all_runs(executor, reason, now_ms)
     executor.reachable = False
     executor.lease_expiry_ms = min(executor.lease_expiry_ms, now_ms)
     if executor.registered:
@@ -116,6 +119,8 @@
     if executor is None or run.key not in executor.runs:
         return True
     executor.update_clock(reply.clock_ms, now_ms)
+    if reply.verdict is OrderVerdict.OK:
+        executor.last_alive_ms = now_ms
     if run.state is not RunState.STARTING:
         return True
     if reply.verdict is OrderVerdict.OK:
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -222,7 +222,7 @@
     def _check_executor(self, executor: Executor, now_ms: int) -> None:
         """Check the lease of an executor and the state of its runs."""
         if not executor.reachable and now_ms > executor.lease_expiry_ms:
-            self.discard_all_runs(executor, "the lease has expired")
+            self.discard_all_runs(executor, "the lease has expired", now_ms)
         if (
             not executor.registered
             and not executor.runs
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -50,6 +50,19 @@
     pending: bool = False
 
 
+def log_lost_run(run: Run, executor: Executor) -> None:
+    """Log a run that ended with its executor, and how long it had certainly run."""
+    _log.warning(
+        "run lost with its executor",
+        request=run.task.name,
+        run=run.number,
+        executor=executor.id,
+        machine=executor.entry.machine,
+        state=run.state.value,
+        ran_ms=executor.last_alive_ms - run.started_ms,
+    )
+
+
 class SchedulerState:
     """State of the scheduler during one leadership, and its consistent changes.
 
@@ -211,7 +224,7 @@
         if not run.task.runs:
             self.requeue(run.task)
 
-    def discard_all_runs(self, executor: Executor, reason: str) -> None:
+    def discard_all_runs(self, executor: Executor, reason: str, now_ms: int) -> None:
         """Requeue all tasks of an executor that certainly runs none of them."""
         if executor.runs:
             _log.warning(
@@ -219,8 +232,10 @@
                 executor=executor.id,
                 count=len(executor.runs),
                 reason=reason,
+                silent_ms=now_ms - executor.last_alive_ms,
             )
         for run in list(executor.runs.values()):
+            log_lost_run(run, executor)
             self.discard_run(run)
 
     def restart_executor(self, executor: Executor, boot: int, now_ms: int) -> None:
@@ -236,6 +251,8 @@
             boot=boot,
             runs=len(executor.runs),
         )
+        for run in executor.runs.values():
+            log_lost_run(run, executor)
         executor.restart(boot)
         if any(
             run.state in (RunState.STARTING, RunState.UNCONFIRMED)
