Give up a task that crashes the executors that start it

Cause: only runs that executors list as failed count as attempts. A run that ends with its executor is requeued without a trace, and a speculative copy crashes the next executor 16 ms later. Class: a retry without a budget. Change: a crash that shows (refused or closed connections, another process) counts against the tasks that had begun less than 0.4 s before. They start again isolated, once the count is stored, so that a second crash is attributed to one submission, which fails. A planned end or silence is no crash. An executor of an earlier crash's machine comes last.

--- a/src/cranberrywheel/connection/http_loop.py
+++ b/src/cranberrywheel/connection/http_loop.py
@@ -76,6 +76,8 @@
     :param first_byte_ms: time from the call to the first byte of the body or, without
         one, to the end of the call, in milliseconds.
     :param connection_lost: the server closed or reset the connection of the call.
+    :param refused: no connection to the server could be opened, and that was known
+        before the timeout.
     """
 
     status: int
@@ -85,6 +87,7 @@
     received_bytes: int = 0
     first_byte_ms: int = 0
     connection_lost: bool = False
+    refused: bool = False
 
 
 class HttpCall:
@@ -156,6 +159,7 @@
             received_bytes=received_bytes,
             first_byte_ms=first_byte_ms,
             connection_lost=code in LOST_CONNECTION_CODES,
+            refused=code == pycurl.E_COULDNT_CONNECT,
         )
 
 
--- a/src/cranberrywheel/platform/executors.py
+++ b/src/cranberrywheel/platform/executors.py
@@ -135,7 +135,10 @@
     text = reply.error or str(reply.status)
     if reply.status != 200:
         return PollReply(
-            _decode_refusal(reply), error=text, connection_lost=reply.connection_lost
+            _decode_refusal(reply),
+            error=text,
+            connection_lost=reply.connection_lost,
+            refused=reply.refused,
         )
     try:
         answer = decode_object(reply.body)
--- a/src/cranberrywheel/submission/executor.py
+++ b/src/cranberrywheel/submission/executor.py
@@ -71,6 +71,11 @@
         :mod:`.fault_detection`.
     :ivar fault_counted_ms: when ``fault_count`` was last updated.
     :ivar suspect_until_ms: until when other executors are preferred.
+    :ivar ended_visibly: its process has closed its connections or its port, and has
+        not answered since.
+    :ivar isolated_for: only this submission may begin runs on it, because it may crash
+        its executors; ``None`` for all, see :mod:`.crash_attribution`.
+    :ivar isolated_until_ms: until when it is kept free for that submission.
     :ivar background_count: number of background runs.
     :ivar latency_sensitive_count: number of latency-sensitive runs.
     """
@@ -101,6 +106,9 @@
         self.fault_count = 0.0
         self.fault_counted_ms = 0
         self.suspect_until_ms = 0
+        self.ended_visibly = False
+        self.isolated_for: LiveSubmission | None = None
+        self.isolated_until_ms = 0
         self.background_count = 0
         self.latency_sensitive_count = 0
 
@@ -111,7 +119,12 @@
 
     @property
     def is_usable(self) -> bool:
-        """Whether new runs may start on it."""
+        """Whether new runs of any submission may start on it."""
+        return self.accepts_isolated and self.isolated_for is None
+
+    @property
+    def accepts_isolated(self) -> bool:
+        """Whether new runs may start on it, at least of :attr:`isolated_for`."""
         return (
             self.registered
             and self.fence_confirmed
@@ -120,6 +133,11 @@
             and not self.cordoned
         )
 
+    def isolate(self, live: LiveSubmission | None, until_ms: int) -> None:
+        """Keep it free for a submission, or open it to all with ``None``."""
+        self.isolated_for = live
+        self.isolated_until_ms = until_ms
+
     def set_entry(self, entry: ExecutorEntry) -> None:
         """Replace the entry by a newer one."""
         self.entry = entry
--- a/src/cranberrywheel/submission/executor_orders.py
+++ b/src/cranberrywheel/submission/executor_orders.py
@@ -122,6 +122,7 @@
     :param completions: completions that no leader has acknowledged yet.
     :param error: reason without an answer, otherwise the status code; for logs.
     :param connection_lost: the executor closed or reset the connection of the poll.
+    :param refused: nothing accepts connections at the executor's address.
     """
 
     verdict: OrderVerdict
@@ -131,6 +132,7 @@
     completions: tuple[CompletionReport, ...] = ()
     error: str = ""
     connection_lost: bool = False
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cranberrywheel/submission/live.py
+++ b/src/cranberrywheel/submission/live.py
@@ -21,6 +21,25 @@
     STOPPING = "stopping"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """Crash of an executor just after the start of a task.
+
+    :param boot: start of the process that crashed.
+    :param machine: id of its machine.
+    :param is_attributed: only tasks of one submission can have caused it.
+    """
+
+    executor_id: str
+    boot: int
+    machine: str
+    is_attributed: bool
+
+    def is_same_process(self, other: "Crash") -> bool:
+        """Tell whether both are the crash of one process."""
+        return (self.executor_id, self.boot) == (other.executor_id, other.boot)
+
+
 class Run:
     """One execution of a task on one executor. Times are steady milliseconds.
 
@@ -28,7 +47,8 @@
     :ivar zone: availability zone of the executor when the run started.
     :ivar rack: rack of the executor when the run started.
     :ivar percent: progress; 100 means that a long-running task is available.
-    :ivar is_confirmed: its executor has confirmed the start or listed the run.
+    :ivar confirmed_ms: when its executor confirmed the start or first listed the run;
+        0 before.
     :ivar last_progress_ms: when ``percent`` last changed.
     :ivar load: last reading, see :class:`.executor_orders.RunningReport`.
     :ivar over_limit_since_ms: since when the latency of a latency-sensitive run is over
@@ -44,7 +64,7 @@
     __slots__ = (
         "last_progress_ms",
         "executor_id",
-        "is_confirmed",
+        "confirmed_ms",
         "load",
         "number",
         "over_limit_since_ms",
@@ -69,7 +89,7 @@
         self.zone = ""
         self.rack = ""
         self.state = RunState.STARTING
-        self.is_confirmed = False
+        self.confirmed_ms = 0
         self.started_ms = now_ms
         self.percent = 0.0
         self.last_progress_ms = now_ms
@@ -82,6 +102,15 @@
         self.stop_reason = ""
         self.slowness_recorded = False
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether its executor has confirmed the start or listed the run."""
+        return self.confirmed_ms > 0
+
+    def confirm(self, now_ms: int) -> None:
+        """Record that its executor has confirmed it."""
+        self.confirmed_ms = self.confirmed_ms or now_ms
+
     @property
     def key(self) -> tuple[str, int]:
         """Name of the task and number of the run, as executors identify it."""
@@ -94,6 +123,9 @@
     :ivar index: position within the step.
     :ivar name: ``ID.OCCURRENCE.STEP.INDEX``, see :func:`parse_task_name`.
     :ivar failed_runs: numbers of the runs that ended as failed.
+    :ivar crashes: crashes of executors that the task may have caused, see
+        :mod:`.crash_attribution`.
+    :ivar crash_record_version: version of the submission's record that contains them.
     :ivar last_run_number: highest number of a run so far.
     :ivar checkpoint: last saved checkpoint, from which the next run resumes.
     :ivar avoid_until_ms_by_executor: until when the task should not start on an
@@ -104,6 +136,8 @@
         "avoid_until_ms_by_executor",
         "unavailable_since_ms",
         "checkpoint",
+        "crash_record_version",
+        "crashes",
         "done",
         "failed_runs",
         "index",
@@ -122,6 +156,8 @@
         self.runs: list[Run] = []
         self.done = False
         self.failed_runs: set[int] = set()
+        self.crashes: list[Crash] = []
+        self.crash_record_version = 0
         self.last_run_number = 0
         self.checkpoint = ""
         self.avoid_until_ms_by_executor: dict[str, int] = {}
@@ -366,6 +402,12 @@
                 progress.done_by_step[f"{occurrence}.{number}"] = [
                     task.index for task in step_run.tasks if task.done
                 ]
+            for task in step_run.tasks:
+                if task.crashes and not task.done:
+                    key = f"{occurrence}.{number}.{task.index}"
+                    progress.crashes_by_task[key] = [
+                        dataclasses.astuple(crash) for crash in task.crashes
+                    ]
             if step_run.step.long_running:
                 continue
             for task in step_run.tasks:
@@ -401,6 +443,10 @@
             task = self.find_task(*map(int, key.split(".")))
             if task is not None:
                 task.checkpoint = checkpoint
+        for key, rows in progress.crashes_by_task.items():
+            task = self.find_task(*map(int, key.split(".")))
+            if task is not None:
+                task.crashes = [Crash(*row) for row in rows]
 
 
 def parse_task_name(name: str) -> tuple[str, int, int, int] | None:
--- a/src/cranberrywheel/submission/placement.py
+++ b/src/cranberrywheel/submission/placement.py
@@ -44,14 +44,28 @@
     """
 
     def __init__(self, executors: t.Iterable[Executor]) -> None:
+        executors = list(executors)
         self.usable = [executor for executor in executors if executor.is_usable]
+        self._isolated = [
+            executor
+            for executor in executors
+            if executor.isolated_for is not None and executor.accepts_isolated
+        ]
         self.total_cpu = sum(executor.entry.capacity.cpu for executor in self.usable)
         self._largest_free = NO_RESOURCES
         self.refresh()
 
+    def isolate(self, executor: Executor) -> None:
+        """Exclude an executor that is isolated for one submission from now on."""
+        self.usable.remove(executor)
+        self._isolated.append(executor)
+
     def refresh(self) -> None:
-        """Recompute the bound after free capacities have changed."""
-        free = [executor.free for executor in self.usable]
+        """Recompute the bound after free capacities have changed.
+
+        It covers isolated executors, on which the steps of one submission fit.
+        """
+        free = [executor.free for executor in (*self.usable, *self._isolated)]
         self._largest_free = Resources(
             max((amount.cpu for amount in free), default=-1),
             max((amount.memory_mb for amount in free), default=-1),
--- a/src/cranberrywheel/submission/record.py
+++ b/src/cranberrywheel/submission/record.py
@@ -79,6 +79,8 @@
     :param done_by_step: indices of finished tasks, by ``OCCURRENCE.STEP``.
     :param failed_runs_by_task: numbers of failed runs, by ``OCCURRENCE.STEP.INDEX``.
     :param checkpoint_by_task: last checkpoint, by ``OCCURRENCE.STEP.INDEX``.
+    :param crashes_by_task: the fields of each :class:`.live.Crash` by position, by
+        ``OCCURRENCE.STEP.INDEX``.
     :param begun_steps: ``OCCURRENCE.STEP`` of each step that may have started tasks;
         stored before the first start, so that a new leader knows which steps cannot
         have runs that it has not seen.
@@ -88,11 +90,16 @@
     failed_runs_by_task: dict[str, list[int]] = dataclasses.field(default_factory=dict)
     checkpoint_by_task: dict[str, str] = dataclasses.field(default_factory=dict)
     begun_steps: list[str] = dataclasses.field(default_factory=list)
+    crashes_by_task: dict[str, list[tuple[t.Any, ...]]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def encode_progress(progress: Progress) -> bytes:
-    """Encode a progress record."""
-    return _encode_compact_json(vars(progress))
+    """Encode a progress record; fields without entries are omitted."""
+    return _encode_compact_json(
+        {name: value for name, value in vars(progress).items() if value}
+    )
 
 
 def decode_progress(value: bytes) -> Progress:
--- a/src/cranberrywheel/submission/reports.py
+++ b/src/cranberrywheel/submission/reports.py
@@ -2,6 +2,7 @@
 
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.submission import actions
+from cranberrywheel.submission.crash_attribution import may_have_crashed
 from cranberrywheel.submission.executor import Executor, PendingCompletion
 from cranberrywheel.submission.executor_orders import (
     CompletionReport,
@@ -46,6 +47,8 @@
     if reply.verdict is not OrderVerdict.OK:
         if reply.connection_lost and executor.reachable:
             executor.last_alive_ms = now_ms
+        if reply.connection_lost or reply.refused:
+            executor.ended_visibly = True
         _mark_unreachable(state, executor, reply.error)
         return True
     if reply.boot and executor.boot and reply.boot != executor.boot:
@@ -54,6 +57,7 @@
         state.restart_executor(executor, reply.boot, now_ms)
     executor.boot = reply.boot or executor.boot
     executor.last_alive_ms = now_ms
+    executor.ended_visibly = False
     if not executor.reachable:
         _log.event("executor reachable again", executor=executor_id)
     if not executor.reachable or not executor.fence_confirmed:
@@ -91,13 +95,16 @@
     state.dirty_services.add(executor.entry.service)
     for run in executor.runs.values():
         run.task.available_since_ms = 0
-        _allow_speculative_run(state, run.task)
+        # A second run would crash a second executor before the first crash is certain.
+        if not (executor.ended_visibly and may_have_crashed(run, executor)):
+            _allow_speculative_run(state, run.task)
 
 
 def mark_terminated(
     state: SchedulerState, executor: Executor, now_ms: int, reason: str
 ) -> None:
     """Record that an executor's process has certainly ended, and requeue its tasks."""
+    state.hold_crash_against_tasks(executor, now_ms)
     state.discard_all_runs(executor, reason, now_ms)
     executor.reachable = False
     executor.lease_expiry_ms = min(executor.lease_expiry_ms, now_ms)
@@ -125,7 +132,7 @@
         return True
     if reply.verdict is OrderVerdict.OK:
         run.state = RunState.RUNNING
-        run.is_confirmed = True
+        run.confirm(now_ms)
         run.last_progress_ms = now_ms
         run.task.step_run.live.started = True
     elif reply.verdict is OrderVerdict.UNKNOWN:
@@ -288,7 +295,7 @@
             return
     if run.state in (RunState.STARTING, RunState.UNCONFIRMED):
         run.state = RunState.RUNNING
-    run.is_confirmed = True
+    run.confirm(now_ms)
     task = run.task
     task.step_run.live.started = True
     if report.percent != run.percent:
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -7,6 +7,7 @@
 """
 
 from cranberrywheel.submission import actions, reports, scheduling_pass
+from cranberrywheel.submission.crash_attribution import end_isolation
 from cranberrywheel.submission.demand import record_arrival
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.executor_orders import (
@@ -221,7 +222,10 @@
 
     def _check_executor(self, executor: Executor, now_ms: int) -> None:
         """Check the lease of an executor and the state of its runs."""
+        end_isolation(executor, now_ms)
         if not executor.reachable and now_ms > executor.lease_expiry_ms:
+            if executor.ended_visibly:
+                self.hold_crash_against_tasks(executor, now_ms)
             self.discard_all_runs(executor, "the lease has expired", now_ms)
         if (
             not executor.registered
--- a/src/cranberrywheel/submission/scheduling_pass.py
+++ b/src/cranberrywheel/submission/scheduling_pass.py
@@ -10,6 +10,7 @@
 
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.submission import actions
+from cranberrywheel.submission.crash_attribution import choose_isolated_executor
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.live import LiveSubmission, Run, StepRun, Task
 from cranberrywheel.submission.model import NO_RESOURCES, Resources
@@ -152,7 +153,16 @@
             state, live, step.size
         ):
             return
-        executor = choose_executor(pool_capacity, task, now_ms, leaving_machines, zone)
+        if task.crashes:
+            if not _may_start_suspect(state, task):
+                continue
+            executor = choose_isolated_executor(pool, pool_capacity, task, now_ms)
+            if executor is None:
+                continue
+        else:
+            executor = choose_executor(
+                pool_capacity, task, now_ms, leaving_machines, zone
+            )
         if executor is None:
             if not task.avoid_until_ms_by_executor:
                 return  # the other tasks of the step need the same capacity
@@ -170,6 +180,14 @@
         pool_capacity.refresh()
 
 
+def _may_start_suspect(state: SchedulerState, task: Task) -> bool:
+    """Tell whether a task that may have crashed an executor may start again.
+
+    Its crashes must be stored first, so that they count for the next leader too.
+    """
+    return task.step_run.live.stored_version >= task.crash_record_version
+
+
 def _start_gang(
     state: SchedulerState,
     step_run: StepRun,
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -6,6 +6,7 @@
 
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.submission import actions
+from cranberrywheel.submission.crash_attribution import must_give_up, record_crash
 from cranberrywheel.submission.duration_estimates import DurationEstimates
 from cranberrywheel.submission.executor import Executor, compute_lease_expiry_delay
 from cranberrywheel.submission.live import (
@@ -238,6 +239,23 @@
             log_lost_run(run, executor)
             self.discard_run(run)
 
+    def hold_crash_against_tasks(self, executor: Executor, now_ms: int) -> None:
+        """Count the end of an executor's process against the tasks that may cause it.
+
+        A submission with a task that crashes its executors fails.
+        """
+        for task in record_crash(executor):
+            live = task.step_run.live
+            self.mark_changed(live)
+            task.crash_record_version = live.version
+            if must_give_up(task) and not live.final_state:
+                _log.warning(
+                    "submission given up, since a task crashes its executors",
+                    request=task.name,
+                    executors=",".join(crash.executor_id for crash in task.crashes),
+                )
+                self.fail(live, now_ms)
+
     def restart_executor(self, executor: Executor, boot: int, now_ms: int) -> None:
         """Apply the restart of an executor, which ended the runs of its earlier boot.
 
@@ -253,6 +271,7 @@
         )
         for run in executor.runs.values():
             log_lost_run(run, executor)
+        self.hold_crash_against_tasks(executor, now_ms)
         executor.restart(boot)
         if any(
             run.state in (RunState.STARTING, RunState.UNCONFIRMED)
@@ -319,7 +338,8 @@
         if live.is_complete:
             self.finish(live, SubmissionState.COMPLETED)
         elif any(
-            len(task.failed_runs) >= live.queue.attempts and not task.done
+            (len(task.failed_runs) >= live.queue.attempts and not task.done)
+            or must_give_up(task)
             for task in live.tasks()
         ):
             self.finish(live, SubmissionState.FAILED)
--- a/src/cranberrywheel_standin/virtual_fleet.py
+++ b/src/cranberrywheel_standin/virtual_fleet.py
@@ -337,6 +337,10 @@
     """One executor: its runs, lease, fencing token and unacknowledged completions.
 
     :ivar isolated: no call reaches the executor and no answer leaves it.
+    :ivar crashed: its process has ended and refuses connections.
+    :ivar replaced: another executor answers at its address.
+    :ivar guards: it refuses runs beyond its capacity; otherwise it starts them, which
+        the fleet records as a violation.
     :ivar unanswered_start_share: share of the starts, from 0 to 1, that get no answer
         and take effect late.
     :ivar start_delay_ms: additional time that a start takes to arrive.
@@ -354,6 +358,9 @@
         self.entry = entry
         self._fleet = fleet
         self.isolated = False
+        self.crashed = False
+        self.replaced = False
+        self.guards = True
         self.unanswered_start_share = 0.0
         self.start_delay_ms = 0
         self.fails_all_runs = False
@@ -409,15 +416,30 @@
         :param registers: writes the new boot to its entry in the store at once;
             otherwise only its answers name it.
         """
-        self._fleet.record_restart(self)
+        self._end_process()
+        self.crashed = False
         self.boot = self._clock.now_ms()
-        self.runs.clear()
-        self.completions.clear()
         self.sequence = self.fence = self.deadline_ms = 0
         self.highest_ended_by_task.clear()
         if registers:
             self._fleet.register(dataclasses.replace(self.entry, boot=self.boot))
 
+    def _end_process(self) -> None:
+        self._fleet.record_restart(self)
+        self.runs.clear()
+        self.completions.clear()
+
+    def crash(self) -> None:
+        """End the process, which refuses connections until it is restarted."""
+        self._end_process()
+        self.crashed = True
+
+    def set_capacity(self, cpu: int) -> None:
+        """Change the capacity, in thousandths of a core, and register it."""
+        capacity = dataclasses.replace(self.entry.capacity, cpu=cpu)
+        self.entry = dataclasses.replace(self.entry, capacity=capacity)
+        self._fleet.register(self.entry)
+
     def start(self, order: StartOrder) -> OrderReply:
         """Start a run.
 
@@ -440,8 +462,12 @@
             self.compute_used_cpu() + self._fleet.get_cpu(order.task)
             > self.entry.capacity.cpu
         ):
-            self._fleet.rejections += 1
-            return OrderReply(OrderVerdict.NO_CAPACITY, self.read_clock_ms())
+            if self.guards:
+                self._fleet.rejections += 1
+                return OrderReply(OrderVerdict.NO_CAPACITY, self.read_clock_ms())
+            self._fleet.violations.append(
+                f"{order.task} started beyond the capacity of {self.entry.id}"
+            )
         now_ms = self._clock.now_ms()
         run = VirtualRun(
             order.task,
@@ -531,6 +557,16 @@
         self._store = store
         self._random = random.Random(seed)
         self.executors_by_id: dict[str, VirtualExecutor] = {}
+        #: Delay from a start of a task to the crash that it causes, by task.
+        self.crash_delay_ms_by_task: dict[str, int] = {}
+        #: Times of the crashes that a task has caused, by task.
+        self.crashes_by_task: dict[str, list[int]] = {}
+        #: Times of all starts, by task.
+        self.start_times_by_task: dict[str, list[int]] = {}
+        #: Time for which a crashed executor is down.
+        self.downtime_ms = 3_000
+        #: A crashed executor comes back under another id.
+        self.changes_id = False
         self.violations: list[str] = []
         self.rejections = 0
         self.starts = 0
@@ -612,6 +648,11 @@
         """Record the start of a run and check the invariants."""
         self.starts += 1
         self.started_tasks.add(run.task)
+        now_ms = self._loop.clock.now_ms()
+        self.start_times_by_task.setdefault(run.task, []).append(now_ms)
+        delay_ms = self.crash_delay_ms_by_task.get(run.task)
+        if delay_ms is not None:
+            self._loop.after(delay_ms, lambda: self._crash(executor, run))
         for other in self.executors_by_id.values():
             other.end_due_runs()
         running = self._running_by_task.setdefault(run.task, [])
@@ -623,6 +664,35 @@
             )
         running.append((executor.entry.id, run.number))
 
+    def _crash(self, executor: VirtualExecutor, run: VirtualRun) -> None:
+        if executor.runs.get((run.task, run.number)) is not run:
+            return  # the run has ended before
+        now_ms = self._loop.clock.now_ms()
+        self.crashes_by_task.setdefault(run.task, []).append(now_ms)
+        self.crash_and_return(executor)
+
+    def crash_and_return(self, executor: VirtualExecutor) -> None:
+        """Crash an executor, which is back after the downtime."""
+        executor.crash()
+
+        def come_back() -> None:
+            if not self.changes_id:
+                executor.restart(registers=True)
+                return
+            entry = executor.entry
+            self._store.delete(EXECUTOR_PREFIX + entry.id)
+            self.add(
+                f"{entry.id}+",
+                entry.service,
+                entry.capacity.cpu,
+                entry.rack,
+                entry.machine,
+                entry.zone,
+            )
+            executor.replaced = True
+
+        self._loop.after(self.downtime_ms, come_back)
+
     def record_end(
         self, executor: VirtualExecutor, run: VirtualRun, outcome: RunOutcome
     ) -> None:
@@ -658,6 +728,12 @@
             if executor.isolated:
                 self._loop.after(700, lambda: done(unanswered_reply))
                 return
+            if executor.crashed:
+                verdict = OrderVerdict.REFUSED
+                if executor.replaced:
+                    verdict = OrderVerdict.OTHER_BOOT
+                self._loop.after(NETWORK_DELAY_MS, lambda: done(OrderReply(verdict)))
+                return
             if is_start and self._random.random() < executor.unanswered_start_share:
                 extra_delay_ms = self._random.randint(2_000, 6_000)
                 self._loop.after(extra_delay_ms, lambda: operation(executor))
@@ -733,6 +809,12 @@
                     700 + wait_ms, lambda: done(PollReply(OrderVerdict.UNKNOWN))
                 )
                 return
+            if executor.crashed:
+                reply = PollReply(OrderVerdict.REFUSED, refused=True)
+                if executor.replaced:
+                    reply = PollReply(OrderVerdict.OTHER_BOOT)
+                self._loop.after(NETWORK_DELAY_MS, lambda: done(reply))
+                return
             verdict = executor.apply_poll_parameters(fence, acknowledged, deadline_ms)
             if verdict is OrderVerdict.OK:
                 poll()
@@ -743,6 +825,10 @@
             if executor.isolated:
                 self._loop.after(700, lambda: done(PollReply(OrderVerdict.UNKNOWN)))
                 return
+            if executor.crashed:
+                lost = PollReply(OrderVerdict.UNKNOWN, connection_lost=True)
+                self._loop.after(NETWORK_DELAY_MS, lambda: done(lost))
+                return
             executor.end_due_runs()
             if executor.completions or self._loop.clock.now_ms() >= wait_end_ms:
                 reply = executor.build_poll_reply(OrderVerdict.OK)
--- /dev/null
+++ b/tests/test_crash_attribution.py
@@ -0,0 +1,238 @@
+"""Tasks that crash the executors that start them, and executors without guard."""
+
+import pytest
+from leader_harness import LeaderHarness, make_step, make_submission
+
+from cranberrywheel.submission.model import SubmissionState
+from cranberrywheel.submission.record import (
+    Progress,
+    decode_progress,
+    encode_progress,
+)
+
+#: Delay from the start of a crashing task to the crash, as on the day deadly.
+CRASH_DELAY_MS = 10
+#: Starts after three crashes that the pages forbid.
+FORBIDDEN_STARTS = 3
+
+
+@pytest.fixture
+def harness(monkeypatch):
+    """A leader with a pool of six executors in three racks."""
+    harness = LeaderHarness(monkeypatch)
+    for number in range(6):
+        harness.fleet.add(
+            f"x{number}", "pool", cpu=16_000, rack=f"r{number % 3}", zone="z"
+        )
+    harness.start_leader()
+    harness.run_for(300)
+    return harness
+
+
+def submit_crashing(harness, submission_id, count=3, **fields):
+    """Submit a step of which the first task crashes its executors."""
+    task = f"{submission_id}.0.0.0"
+    harness.fleet.crash_delay_ms_by_task[task] = CRASH_DELAY_MS
+    harness.submit(make_submission(submission_id, make_step(count, **fields)))
+    return task
+
+
+def submit_innocents(harness, count, duration_ms=800):
+    """Submit work of four tasks each, spread over time; return the ids."""
+    ids = []
+    for number in range(count):
+        ids.append(f"innocent{number}")
+        harness.submit(make_submission(ids[-1], make_step(4, cpu=1_500)), duration_ms)
+        harness.run_for(100)
+    return ids
+
+
+def count_starts_after_third_crash(harness, task):
+    crashes = harness.fleet.crashes_by_task.get(task, [])
+    if len(crashes) < 3:
+        return 0
+    starts = harness.fleet.start_times_by_task[task]
+    return sum(start > crashes[2] for start in starts)
+
+
+def states_of(harness, ids):
+    return {harness.scheduler.get_state(submission_id) for submission_id in ids}
+
+
+@pytest.mark.parametrize("changes_id", [False, True])
+def test_task_that_crashed_two_executors_is_given_up_and_failed(harness, changes_id):
+    """Guards against one task that takes executor after executor out of its pool.
+
+    On sites/kayis-ortak, day deadly, seed 1, one task was started 26 times.
+    """
+    harness.fleet.changes_id = changes_id
+    submit_innocents(harness, 6)
+    task = submit_crashing(harness, "deadly")
+    harness.run_for(20_000)
+    assert harness.scheduler.get_state("deadly") is SubmissionState.FAILED
+    assert len(harness.fleet.crashes_by_task[task]) == 2
+    assert len(harness.fleet.start_times_by_task[task]) == 2
+    assert harness.fleet.violations == []
+
+
+@pytest.mark.parametrize("speculative", [False, True])
+@pytest.mark.parametrize("offset_ms", range(0, 800, 100))
+def test_no_task_is_started_three_times_after_three_crashes(
+    harness, offset_ms, speculative
+):
+    """Guards against copies and restarts that go on after the third crash."""
+    ids = [f"deadly{number}" for number in range(4)]
+    submit_innocents(harness, 4)
+    harness.run_for(offset_ms)
+    for submission_id in ids:
+        submit_crashing(harness, submission_id, speculative=speculative)
+        harness.fleet.speculative_submissions.add(submission_id)
+        harness.run_for(130)
+    submit_innocents(harness, 4)
+    harness.run_for(40_000)
+    for submission_id in ids:
+        task = f"{submission_id}.0.0.0"
+        starts = count_starts_after_third_crash(harness, task)
+        assert starts < FORBIDDEN_STARTS
+    assert states_of(harness, ids) == {SubmissionState.FAILED}
+    assert harness.fleet.violations == []
+
+
+@pytest.mark.parametrize("offset_ms", range(0, 800, 100))
+def test_tasks_beside_a_crashing_one_are_not_blamed(harness, offset_ms):
+    """Guards against submissions that are shown as failed because of another's task.
+
+    Each is lost with an executor, some of them more than once.
+    """
+    before = submit_innocents(harness, 6)
+    harness.run_for(offset_ms)
+    for number in range(4):
+        submit_crashing(harness, f"deadly{number}")
+        before += submit_innocents(harness, 1)
+        harness.run_for(70)
+        before = list(dict.fromkeys(before))
+    after = [f"late{number}" for number in range(6)]
+    for submission_id in after:
+        harness.submit(make_submission(submission_id, make_step(4, cpu=1_500)), 800)
+        harness.run_for(200)
+    harness.run_for(40_000)
+    assert states_of(harness, before + after) == {SubmissionState.COMPLETED}
+    assert harness.fleet.violations == []
+
+
+@pytest.mark.parametrize("executors", [1, 2, 3])
+def test_tasks_that_begin_together_with_a_crashing_one_are_not_blamed(
+    monkeypatch, executors
+):
+    """Guards against blame by company: the same tasks are lost in each crash.
+
+    On the day deadly, four tasks were lost with the same executor twelve times.
+    """
+    harness = LeaderHarness(monkeypatch)
+    for number in range(executors):
+        harness.fleet.add(f"x{number}", "pool", cpu=16_000, rack=f"r{number}")
+    harness.start_leader()
+    harness.run_for(300)
+    ids = [f"s{number}" for number in range(4)]
+    for submission_id in ids:
+        harness.submit(make_submission(submission_id, make_step(2)), 800)
+    submit_crashing(harness, "deadly", 2)
+    harness.run_for(60_000)
+    assert states_of(harness, ids) == {SubmissionState.COMPLETED}
+    assert harness.scheduler.get_state("deadly") is SubmissionState.FAILED
+    assert harness.fleet.violations == []
+
+
+def test_isolated_task_waits_until_others_have_begun_for_a_while(harness):
+    """Guards against a crash that cannot be attributed, in a pool with many starts."""
+    task = submit_crashing(harness, "deadly")
+    for number in range(80):
+        submission_id = f"stream{number}"
+        harness.submit(make_submission(submission_id, make_step(3, cpu=1_500)), 700)
+        harness.run_for(100)
+    harness.run_for(20_000)
+    ids = [f"stream{number}" for number in range(80)]
+    assert harness.scheduler.get_state("deadly") is SubmissionState.FAILED
+    assert len(harness.fleet.crashes_by_task[task]) <= 3
+    assert states_of(harness, ids) == {SubmissionState.COMPLETED}
+
+
+@pytest.mark.parametrize("planned", [False, True])
+@pytest.mark.parametrize("takeover_ms", range(0, 8_000, 500))
+def test_crashes_count_across_a_takeover(harness, takeover_ms, planned):
+    """Guards against a new leader that starts a crashing task from the first again."""
+    ids = submit_innocents(harness, 3)
+    task = submit_crashing(harness, "deadly")
+    harness.run_for(takeover_ms)
+    if planned:
+        harness.hand_over()
+    else:
+        harness.start_leader()
+    harness.run_for(30_000)
+    assert harness.scheduler.get_state("deadly") is SubmissionState.FAILED
+    assert len(harness.fleet.crashes_by_task[task]) <= 3
+    assert states_of(harness, ids) == {SubmissionState.COMPLETED}
+
+
+def test_crash_is_stored_before_the_task_starts_again(harness):
+    """Guards against a leader that dies between a restart and the record of a crash."""
+    task = submit_crashing(harness, "deadly", count=1)
+    harness.run_for(CRASH_DELAY_MS + 50)
+    harness.store.unreachable = True
+    harness.run_for(10_000)
+    assert len(harness.fleet.start_times_by_task[task]) == 1
+
+
+def test_crash_survives_the_progress_record():
+    """Guards against a record that loses the crashes, or one of an earlier version."""
+    progress = Progress(crashes_by_task={"0.0.3": [("x1", 5, "m", True)]})
+    rows = decode_progress(encode_progress(progress)).crashes_by_task
+    assert rows == {"0.0.3": [["x1", 5, "m", True]]}
+    assert b"crashes" not in encode_progress(Progress(begun_steps=["0.0"]))
+
+
+@pytest.mark.parametrize("silent_ms", [1_500, 6_000])
+def test_silent_executor_is_no_crash(harness, silent_ms):
+    """Guards against tasks that are blamed for a partition of their executor."""
+    for number in range(6):
+        harness.submit(make_submission(f"s{number}", make_step(4, cpu=1_500)), 600)
+    harness.run_for(30)
+    for _ in range(3):
+        busy = [x for x in harness.fleet.executors_by_id.values() if x.runs]
+        for executor in busy[:2]:
+            executor.isolated = True
+        harness.run_for(silent_ms)
+        for executor in busy:
+            executor.isolated = False
+        harness.run_for(500)
+    harness.run_for(20_000)
+    ids = [f"s{number}" for number in range(6)]
+    assert states_of(harness, ids) == {SubmissionState.COMPLETED}
+
+
+def test_executors_that_crash_by_themselves_fail_no_submission(harness):
+    """Guards against submissions that fail because their executors flap."""
+    ids = []
+    harness.fleet.downtime_ms = 1_500
+    for number in range(40):
+        ids.append(f"s{number}")
+        harness.submit(make_submission(ids[-1], make_step(3, cpu=1_500)), 600)
+        harness.run_for(150)
+        if number % 5 == 4:
+            executor = harness.fleet.executors_by_id[f"x{number % 2}"]
+            if not executor.crashed:
+                harness.fleet.crash_and_return(executor)
+    harness.run_for(20_000)
+    assert states_of(harness, ids) == {SubmissionState.COMPLETED}
+
+
+def test_lasting_task_that_crashes_executors_is_given_up(harness):
+    """Guards against a long-running task that is restarted for ever."""
+    task = "deadly.0.0.0"
+    harness.fleet.crash_delay_ms_by_task[task] = CRASH_DELAY_MS
+    harness.submit(
+        make_submission("deadly", make_step(3, long_running=True)), long_running=True
+    )
+    harness.run_for(20_000)
+    assert len(harness.fleet.crashes_by_task[task]) == 2
+    assert harness.scheduler.get_state("deadly") is SubmissionState.FAILED
