Start nothing beside runs that a new leader does not track

What operators see: an executor without a guard runs more than its capacity after a takeover (LIMIT: what is being stopped still counts). Cause: a run of a submission that has ended is stopped by the new leader without being tracked, so its capacity counted as free until the stop took effect. Class: capacity counted from the leader's own starts in place of what the executor lists. Change: an executor that lists a run that is not tracked accepts no starts until a poll no longer lists it; such polls are held open like others.

--- a/src/cranberrywheel/node/leader.py
+++ b/src/cranberrywheel/node/leader.py
@@ -548,7 +548,9 @@
             deadline_ms = executor.extend_lease(RUN_LEASE_MS, now_ms)
         was_reachable = executor.reachable
         holds_open = (
-            bool(executor.runs) and executor.fence_confirmed and executor.reachable
+            bool(executor.runs or executor.untracked_runs)
+            and executor.fence_confirmed
+            and executor.reachable
         )
 
         def on_poll_reply(reply: PollReply) -> None:
--- a/src/cranberrywheel/submission/executor.py
+++ b/src/cranberrywheel/submission/executor.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import typing as t
 
 from cranberrywheel.submission.executor_orders import ExecutorEntry
 from cranberrywheel.submission.live import LiveSubmission, Run, StepRun
@@ -73,6 +74,9 @@
     :ivar suspect_until_ms: until when other executors are preferred.
     :ivar ended_visibly: its process has closed its connections or its port, and has
         not answered since.
+    :ivar untracked_runs: runs that it listed last and that the leader does not track,
+        such as those of ended submissions after a takeover; they are being stopped.
+        Their size may be unknown, so nothing starts beside them.
     :ivar isolated_for: only this submission may begin runs on it, because it may crash
         its executors; ``None`` for all, see :mod:`.crash_attribution`.
     :ivar isolated_until_ms: until when it is kept free for that submission.
@@ -107,6 +111,7 @@
         self.fault_counted_ms = 0
         self.suspect_until_ms = 0
         self.ended_visibly = False
+        self.untracked_runs: frozenset[tuple[str, int]] = frozenset()
         self.isolated_for: LiveSubmission | None = None
         self.isolated_until_ms = 0
         self.background_count = 0
@@ -129,10 +134,20 @@
             self.registered
             and self.fence_confirmed
             and self.reachable
+            and not self.untracked_runs
             and not self.entry.draining
             and not self.cordoned
         )
 
+    def set_untracked(self, runs: t.Iterable[tuple[str, int]]) -> bool:
+        """Replace the runs that it executes and that are not tracked.
+
+        :returns: whether it had some before and has none now.
+        """
+        had_some = bool(self.untracked_runs)
+        self.untracked_runs = frozenset(runs)
+        return had_some and not self.untracked_runs
+
     def isolate(self, live: LiveSubmission | None, until_ms: int) -> None:
         """Keep it free for a submission, or open it to all with ``None``."""
         self.isolated_for = live
@@ -193,6 +208,7 @@
         """Reset what was learned from an earlier boot."""
         self.boot = boot
         self.fence_confirmed = False
+        self.untracked_runs = frozenset()
         self.clock_offset_ms = None
         self.received_sequence = 0
         self.acknowledged_sequence = 0
@@ -211,7 +227,7 @@
     @property
     def needs_poll(self) -> bool:
         """Whether a poll can bring news, renew a lease or acknowledge a completion."""
-        if self.runs or not self.fence_confirmed:
+        if self.runs or self.untracked_runs or not self.fence_confirmed:
             return True
         return (
             bool(self.pending_completions)
--- a/src/cranberrywheel/submission/reports.py
+++ b/src/cranberrywheel/submission/reports.py
@@ -72,6 +72,8 @@
     running = {(report.task, report.number): report for report in reply.running}
     for key, report in running.items():
         _apply_running_report(state, executor, key, report, now_ms)
+    if executor.set_untracked(running.keys() - executor.runs.keys()):
+        state.dirty_services.add(executor.entry.service)
     for key, run in list(executor.runs.items()):
         if key not in running:
             _handle_missing_run(state, executor, run, sent_ms, now_ms)
--- a/src/cranberrywheel_standin/virtual_fleet.py
+++ b/src/cranberrywheel_standin/virtual_fleet.py
@@ -29,7 +29,7 @@
 
 #: Delay of a message in one direction between a node and the platform.
 NETWORK_DELAY_MS = 2
-#: Time from an accepted stop to the end of the run.
+#: Default time from an accepted stop to the end of the run.
 STOP_DURATION_MS = 100
 #: Interval at which a long poll checks for news.
 POLL_INTERVAL_MS = 5
@@ -496,7 +496,8 @@
             )
         else:
             run.stopping = True
-            run.end_ms = min(run.end_ms, self._clock.now_ms() + STOP_DURATION_MS)
+            stop_end_ms = self._clock.now_ms() + self._fleet.stop_duration_ms
+            run.end_ms = min(run.end_ms, stop_end_ms)
         return OrderReply(OrderVerdict.OK, self.read_clock_ms())
 
     def apply_poll_parameters(
@@ -557,6 +558,8 @@
         self._store = store
         self._random = random.Random(seed)
         self.executors_by_id: dict[str, VirtualExecutor] = {}
+        #: Time from an accepted stop to the end of the run.
+        self.stop_duration_ms = STOP_DURATION_MS
         #: Delay from a start of a task to the crash that it causes, by task.
         self.crash_delay_ms_by_task: dict[str, int] = {}
         #: Times of the crashes that a task has caused, by task.
