Ignore a lost executor that was kept free for a suspect task

What callers see: a submission that may have crashed an executor waits for seconds although others of the pool are free. Cause: an executor that was kept free for a task counted as its own, and as one of those that may be isolated, also while it was unreachable. Evidence: test_reserved_executor_that_is_lost_does_not_hold_back_its_task failed before and passes.

--- a/src/cranberrywheel/submission/crash_attribution.py
+++ b/src/cranberrywheel/submission/crash_attribution.py
@@ -113,12 +113,15 @@
     """
     live = task.step_run.live
     claim = task.step_run.step.claim
-    isolated = [executor for executor in pool if executor.isolated_for is not None]
+    isolated = [
+        executor
+        for executor in pool
+        if executor.isolated_for is not None and executor.accepts_isolated
+    ]
     own = [executor for executor in isolated if executor.isolated_for is live]
     for executor in own:
         if (
-            executor.accepts_isolated
-            and is_settled(executor, now_ms, live)
+            is_settled(executor, now_ms, live)
             and claim.fits_in(executor.free)
             and meets_constraints(executor, task, now_ms)
         ):
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -9,6 +9,7 @@
     decode_progress,
     encode_progress,
 )
+from cranberrywheel.submission.state import RUN_LEASE_MS
 
 #: Delay from the start of a crashing task to the crash, as on the day deadly.
 CRASH_DELAY_MS = 10
@@ -157,6 +158,28 @@
     assert states_of(harness, ids) == {SubmissionState.COMPLETED}
 
 
+def test_reserved_executor_that_is_lost_does_not_hold_back_its_task(harness):
+    """Guards against a task that waits for an executor that was kept free for it."""
+    harness.submit(make_submission("s1", make_step(1)), 800)
+    harness.run_for(50)
+    fleet = harness.fleet
+    crashed = next(x for x in fleet.executors_by_id.values() if x.runs)
+    fleet.crash_and_return(crashed)
+    harness.run_for(100)
+    reserved = next(
+        executor
+        for executor in harness.scheduler.executors_by_id.values()
+        if executor.id != crashed.entry.id
+    )
+    reserved.isolate(
+        harness.scheduler.live_by_id["s1"], harness.loop.clock.now_ms() + 2_000
+    )
+    reserved.reachable = False
+    fleet.executors_by_id[reserved.id].isolated = True
+    harness.run_for(RUN_LEASE_MS + 2_500)
+    assert harness.scheduler.get_state("s1") is SubmissionState.COMPLETED
+
+
 @pytest.mark.parametrize("planned", [False, True])
 @pytest.mark.parametrize("takeover_ms", range(0, 8_000, 500))
 def test_crashes_count_across_a_takeover(harness, takeover_ms, planned):
