Pass stored submissions and cancellations on to the leader

What callers see: submissions that start up to 1.7 s late, and tasks that go on after their cancellation was accepted, while the leader's watch is silent. Change: an entry passes the records that it has stored, with their revision, to the leader, which takes them like items of its watch. A record up to the revision of the watch's last answer is ignored, so a late notice of an ended submission starts nothing.

--- a/src/cranberrywheel/node/intake.py
+++ b/src/cranberrywheel/node/intake.py
@@ -9,7 +9,7 @@
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.node.keys import FINAL_SUFFIX, submission_key
 from cranberrywheel.platform.store import Store
-from cranberrywheel.store_messages import Outcome, StoreReply, Write
+from cranberrywheel.store_messages import Item, Outcome, StoreReply, Write
 from cranberrywheel.submission.model import Submission
 from cranberrywheel.submission.record import encode_submission
 
@@ -47,6 +47,7 @@
     """Stores submissions; all methods run on the loop's thread.
 
     :param can_write: returns whether calls can reach the store at this moment.
+    :param on_stored: called with the records of each write.
     """
 
     def __init__(
@@ -54,8 +55,10 @@
         loop: HttpLoop,
         store: Store,
         can_write: t.Callable[[], bool] = lambda: True,
+        on_stored: t.Callable[[t.Sequence[Item]], None] = lambda items: None,
     ) -> None:
         self._loop = loop
+        self._on_stored = on_stored
         self._store = store
         self._can_write = can_write
         self._pending: collections.deque[_PendingSubmission] = collections.deque()
@@ -102,6 +105,10 @@
 
         def on_reply(reply: StoreReply) -> None:
             self._active_writes -= 1
+            if reply.outcome is Outcome.OK:
+                self._on_stored(
+                    [Item(key, value, reply.revision) for key, value, _ in puts]
+                )
             self._on_written(pending, reply)
             self._start_writes()
 
--- a/src/cranberrywheel/node/leader.py
+++ b/src/cranberrywheel/node/leader.py
@@ -291,6 +291,14 @@
         # executor.
         self._store.write(Write(conditions, (), deletes), lambda reply: None)
 
+    def offer(self, items: t.Iterable[Item]) -> None:
+        """Take records of submissions that an entry process has just stored.
+
+        They arrive before those of the watch, which may be silent for seconds.
+        """
+        for item in items:
+            self._submission_watch.offer(item)
+
     def _on_submission_item(self, item: Item) -> None:
         submission_id, suffix = split_submission_key(item.key)
         if item.value is None:
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -83,6 +83,8 @@
 METRICS_PORT = 9464
 #: Time until a relayed call is answered: longer than the store holds a watch call open.
 RELAY_TIMEOUT_MS = 1_600
+#: Path on which peers tell the leader what they have stored.
+STORED_PATH = "/peer/stored"
 #: Concurrent connections of peers; each watch call relayed for a peer occupies one.
 PEER_THREADS = 48
 #: Interval at which the main thread checks for SIGTERM.
@@ -128,7 +130,10 @@
             ),
         )
         self._intake = Intake(
-            self._loop, self._store, lambda: self._store_route.has_route
+            self._loop,
+            self._store,
+            lambda: self._store_route.has_route,
+            self._notify_leader,
         )
         self._executor_client = ExecutorClient(self._loop)
         self._leader: Leader | None = None
@@ -520,12 +525,33 @@
 
         def on_written(reply: StoreReply) -> None:
             if reply.outcome is Outcome.OK:
+                self._notify_leader([Item(key + CANCEL_SUFFIX, b"{}", reply.revision)])
                 future.set_result(True)
             else:
                 retry()
 
         self._store.read_all(key, on_items)
 
+    def _notify_leader(self, items: t.Sequence[Item]) -> None:
+        """Pass records that were just stored on to the leader, ahead of its watch.
+
+        A lost notice has no consequence but the delay of the watch.
+        """
+        if self._leader:
+            self._leader.offer(items)
+            return
+        holder = self._leadership.holder
+        if holder is None or holder.address == self._peer_address:
+            return
+        request = HttpRequest(
+            "POST",
+            holder.address,
+            STORED_PATH,
+            encode_items(items),
+            timeout_ms=PEER_TIMEOUT_MS,
+        )
+        self._loop.call(request, lambda reply: None)
+
     def count_waiting(self, queue: Queue) -> "Future[int]":
         """Count the submissions of a queue without a started task."""
         return self._run_on_loop(lambda future: self._count_waiting(queue, future))
@@ -603,6 +629,16 @@
         status = reply.status or (504 if reply.sent else 503)
         return Response(reply.body, status=status, content_type="application/json")
 
+    def _take_stored(self, body: bytes) -> dict[str, t.Any]:
+        try:
+            items = decode_items(body)
+        except ValueError as error:
+            _log.warning("notice of a peer cannot be decoded", error=str(error)[:200])
+            return {}
+        if self._leader:
+            self._leader.offer(items)
+        return {"received": len(items)}
+
     def _build_peer_response(self, request: Request) -> dict[str, t.Any]:
         leader = self._leader
         if request.path == STATUS_PATH:
@@ -614,6 +650,8 @@
             }
         if request.path == CONFIGURATION_PATH:
             return self._configuration_sync.encode_for_peer()
+        if request.path == STORED_PATH:
+            return self._take_stored(request.get_data())
         if request.path == ANNOUNCEMENT_PATH:
             return self._configuration_sync.answer_announcement(request.get_data())
         if leader is None or not leader.is_loaded:
@@ -630,6 +668,26 @@
         return {}
 
 
+def encode_items(items: t.Iterable[Item]) -> bytes:
+    """Encode records of submissions, which are text, for a peer."""
+    rows = [[item.key, (item.value or b"").decode(), item.revision] for item in items]
+    return json.dumps({"items": rows}).encode()
+
+
+def decode_items(body: bytes) -> list[Item]:
+    """Decode records that a peer has stored.
+
+    :raises ValueError: if the body has another format.
+    """
+    try:
+        return [
+            Item(str(key), str(value).encode(), int(revision))
+            for key, value, revision in decode_object(body)["items"]
+        ]
+    except FIELD_ERRORS as error:
+        raise ValueError(f"not a list of records: {error!r}") from None
+
+
 def _state_from_records(
     key: str, value_by_key: dict[str, bytes]
 ) -> SubmissionState | None:
--- a/src/cranberrywheel/node/watch.py
+++ b/src/cranberrywheel/node/watch.py
@@ -69,6 +69,15 @@
         """
         self._store.read_all(self._prefix, self._on_read_beside, self._on_data)
 
+    def offer(self, item: Item) -> None:
+        """Report an item that its writer passed on, ahead of the watch.
+
+        An item up to the revision of the last answer is ignored, since it was reported
+        or has been deleted meanwhile.
+        """
+        if self._ready and not self._stopped and item.revision > self._last_revision:
+            self._report(item)
+
     def _on_data(self) -> None:
         self.last_data_ms = self._loop.clock.now_ms()
 
--- a/tests/leader_harness.py
+++ b/tests/leader_harness.py
@@ -88,6 +88,7 @@
 class LeaderHarness:
     """A simulated store and fleet with at most one leader at a time.
 
+    :ivar notifies: entry processes tell the leader what they have stored.
     :ivar has_valid_lease: the leader's lease in the store is valid.
     :ivar stepped_down: reasons for which a leader has stepped down.
     """
@@ -99,6 +100,7 @@
         self.leader: Leader | None = None
         self.configuration = make_configuration()
         self.has_valid_lease = True
+        self.notifies = False
         self._term = -1
         self.stepped_down: list[str] = []
         monkeypatch.setattr(leader_module, "unix_ms", self.unix_ms)
@@ -133,9 +135,10 @@
         )
         scheduler.trusts_records = True
         scheduler.set_configuration(self.configuration)
+        self.leader_client = self.store.build_client()
         self.leader = Leader(
             t.cast(t.Any, self.loop),
-            self.store.build_client(),
+            self.leader_client,
             t.cast(ExecutorClient, self.fleet),
             None,
             None,
@@ -161,11 +164,19 @@
         """
         cpu = submission.steps[0].size.cpu
         self.fleet.set_task_profile(submission.id, cpu, duration_ms, long_running)
-        self.store.put(submission_key(submission.id), encode_submission(submission))
+        key = submission_key(submission.id)
+        self.store.put(key, encode_submission(submission))
+        self._notify(key)
 
     def cancel(self, submission_id: str) -> None:
         """Store a cancellation as the entry process does."""
-        self.store.put(submission_key(submission_id) + CANCEL_SUFFIX, b"{}")
+        key = submission_key(submission_id) + CANCEL_SUFFIX
+        self.store.put(key, b"{}")
+        self._notify(key)
+
+    def _notify(self, key: str) -> None:
+        if self.notifies and self.leader:
+            self.leader.offer([self.store.item_by_key[key]])
 
     def run_for(self, duration_ms: int) -> None:
         """Advance the simulated time."""
