Free the threads of idle peer connections after half a second

What callers see: on a deployment with more processes than the leader has threads for peers, notices, state queries and relayed calls to the leader get no answer in time. Cause: each open connection of a peer holds a thread of the leader for up to 10 s after its last request, and all entries now send notices to the leader. Class: a bounded pool held by idle holders. Change: the server for peers closes a connection that is idle for 0.5 s and has 96 threads; a request that is being answered is not cut off. An idle connection that is closed is no longer logged. Evidence: test_idle_connections_hold_up_other_callers_only_for_the_idle_timeout fails with the former timeout (5 s without an answer) and passes.

--- a/src/cranberrywheel/connection/http_server.py
+++ b/src/cranberrywheel/connection/http_server.py
@@ -11,7 +11,7 @@
 
 from cranberrywheel.logs import ComponentLogger
 
-#: A connection that sends nothing for this time is closed, which frees its thread.
+#: A connection on which nothing moves for this time is closed, which frees its thread.
 IDLE_TIMEOUT_S = 10
 #: Connections that may wait for a thread, as a multiple of the number of threads.
 QUEUED_CONNECTIONS_PER_THREAD = 2
@@ -102,6 +102,14 @@
 
         The handler of werkzeug closes the connection after each answer.
         """
+        self.connection.settimeout(IDLE_TIMEOUT_S)
+        try:
+            self._answer_request()
+        finally:
+            # From here on the thread waits for the next request of the connection.
+            self.connection.settimeout(t.cast(HttpServer, self.server).idle_timeout_s)
+
+    def _answer_request(self) -> None:
         environ = self.make_environ()
         length = self.headers.get("Content-Length") or "0"
         if not length.isdecimal():
@@ -146,6 +154,8 @@
         """Do nothing: requests are logged where their outcome is decided."""
 
     def log(self, type: str, message: str, *args: t.Any) -> None:
+        if message.startswith("Request timed out"):
+            return  # an idle connection is closed
         _log.warning("connection error", detail=message % args if args else message)
 
 
@@ -160,15 +170,25 @@
     :param threads: number of connections served at once.
     :param max_body_bytes: largest request body in bytes that is read before the
         application runs.
+    :param idle_timeout_s: time for which a thread waits for the next request of a
+        connection, in seconds. If more callers than threads keep connections open,
+        the others wait for this long.
     """
 
     request_queue_size = 512
 
     def __init__(
-        self, host: str, port: int, app: t.Any, threads: int, max_body_bytes: int
+        self,
+        host: str,
+        port: int,
+        app: t.Any,
+        threads: int,
+        max_body_bytes: int,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
     ) -> None:
         super().__init__(host, port, app, handler=_Handler)
         self.max_body_bytes = max_body_bytes
+        self.idle_timeout_s = idle_timeout_s
         self._pool = ThreadPoolExecutor(threads, thread_name_prefix="http")
         self._connection_slots = threading.BoundedSemaphore(
             threads * (1 + QUEUED_CONNECTIONS_PER_THREAD)
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -86,7 +86,10 @@
 #: Path on which peers tell the leader what they have stored.
 STORED_PATH = "/peer/stored"
 #: Concurrent connections of peers; each watch call relayed for a peer occupies one.
-PEER_THREADS = 48
+PEER_THREADS = 96
+#: Time for which a peer's connection may be idle. All other processes send notices to
+#: the leader now and then, and may be more than it has threads.
+PEER_IDLE_TIMEOUT_S = 0.5
 #: Interval at which the main thread checks for SIGTERM.
 SIGNAL_POLL_S = 0.2
 
@@ -206,6 +209,7 @@
             self._serve_peer,
             PEER_THREADS,
             MAX_BODY_BYTES,
+            PEER_IDLE_TIMEOUT_S,
         )
         self._metrics_server = HttpServer(
             settings.ip, metrics_port, self._serve_metrics, 2, MAX_BODY_BYTES
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -4,7 +4,11 @@
 
 import testtools
 
-from cranberrywheel.connection.http_server import DisconnectWatcher, HttpServer
+from cranberrywheel.connection.http_server import (
+    IDLE_TIMEOUT_S,
+    DisconnectWatcher,
+    HttpServer,
+)
 
 WAIT_S = 20
 
@@ -16,8 +20,8 @@
 
 
 class HttpServerTest(testtools.TestCase):
-    def start(self, app=echo, threads=2):
-        server = HttpServer("127.0.0.1", 0, app, threads, 1_000)
+    def start(self, app=echo, threads=2, **options):
+        server = HttpServer("127.0.0.1", 0, app, threads, 1_000, **options)
         server.start()
         self.addCleanup(server.stop)
         self.addCleanup(server.close_listener)
@@ -87,6 +91,32 @@
         release.set()
         self.assertEqual(b"x", waiting[0].getresponse().read())
 
+    def test_idle_connections_hold_up_other_callers_only_for_the_idle_timeout(self):
+        """Peers that keep connections to the leader open must not shut others out.
+
+        On the large deployment there are more peers than the leader has threads.
+        """
+        server = self.start(idle_timeout_s=0.2)
+        idle = [self.connect(server) for _ in range(2)]
+        for connection in idle:
+            self.assertEqual(b"x", self.send_request(connection, b"x"))
+        other = http.client.HTTPConnection(
+            "127.0.0.1", server.server_port, timeout=IDLE_TIMEOUT_S / 2
+        )
+        self.addCleanup(other.close)
+        self.assertEqual(b"y", self.send_request(other, b"y"))
+
+    def test_slow_request_is_not_cut_off_by_the_idle_timeout(self):
+        """A request that takes longer than the idle timeout must be answered."""
+
+        def delay(environ, start_response):
+            threading.Event().wait(0.5)
+            return echo(environ, start_response)
+
+        connection = self.connect(self.start(delay, idle_timeout_s=0.1))
+        for body in (b"first", b"second"):
+            self.assertEqual(body, self.send_request(connection, body))
+
     def test_stop_finishes_running_answers_and_ends_idle_connections(self):
         """A shutdown must not cut off an answer, nor wait for idle callers."""
         release, entered = threading.Event(), threading.Event()
