Count an isolated executor as capacity of its pool

What operators see: machine moves that a crashed executor's suspects cause. Cause: an executor that is isolated for a submission counted as unusable, so its pool looked too small for up to two seconds. Evidence: test_isolated_executor_counts_as_capacity_of_its_pool failed before and passes.

--- a/src/cranberrywheel/submission/crash_attribution.py
+++ b/src/cranberrywheel/submission/crash_attribution.py
@@ -116,7 +116,7 @@
     isolated = [
         executor
         for executor in pool
-        if executor.isolated_for is not None and executor.accepts_isolated
+        if executor.isolated_for is not None and executor.is_available
     ]
     own = [executor for executor in isolated if executor.isolated_for is live]
     for executor in own:
--- a/src/cranberrywheel/submission/demand.py
+++ b/src/cranberrywheel/submission/demand.py
@@ -62,7 +62,7 @@
     for executor in state.executors_by_id.values():
         service = executor.entry.service
         executors[service] = executors.get(service, 0) + executor.registered
-        if executor.is_usable:
+        if executor.is_available:
             cpu = executor.entry.capacity.cpu
             capacity[service] = capacity.get(service, 0) + cpu
             machine_cpu[service] = max(machine_cpu.get(service, 0), cpu)
--- a/src/cranberrywheel/submission/executor.py
+++ b/src/cranberrywheel/submission/executor.py
@@ -125,10 +125,10 @@
     @property
     def is_usable(self) -> bool:
         """Whether new runs of any submission may start on it."""
-        return self.accepts_isolated and self.isolated_for is None
+        return self.is_available and self.isolated_for is None
 
     @property
-    def accepts_isolated(self) -> bool:
+    def is_available(self) -> bool:
         """Whether new runs may start on it, at least of :attr:`isolated_for`."""
         return (
             self.registered
--- a/src/cranberrywheel/submission/placement.py
+++ b/src/cranberrywheel/submission/placement.py
@@ -49,7 +49,7 @@
         self._isolated = [
             executor
             for executor in executors
-            if executor.isolated_for is not None and executor.accepts_isolated
+            if executor.isolated_for is not None and executor.is_available
         ]
         self.total_cpu = sum(executor.entry.capacity.cpu for executor in self.usable)
         self._largest_free = NO_RESOURCES
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -3,6 +3,7 @@
 import pytest
 from leader_harness import LeaderHarness, make_step, make_submission
 
+from cranberrywheel.submission.demand import compute_demand_by_service
 from cranberrywheel.submission.model import SubmissionState
 from cranberrywheel.submission.record import (
     Progress,
@@ -180,6 +181,18 @@
     assert harness.scheduler.get_state("s1") is SubmissionState.COMPLETED
 
 
+def test_isolated_executor_counts_as_capacity_of_its_pool(harness):
+    """Guards against machines that are ordered because an executor is isolated."""
+    harness.submit(make_submission("s1"), 5_000)
+    harness.run_for(100)
+    now_ms = harness.loop.clock.now_ms()
+    before = compute_demand_by_service(harness.scheduler, now_ms)["pool"].capacity
+    executor = next(iter(harness.scheduler.executors_by_id.values()))
+    executor.isolate(harness.scheduler.live_by_id["s1"], now_ms + 2_000)
+    after = compute_demand_by_service(harness.scheduler, now_ms)["pool"].capacity
+    assert before == after == 6 * 16_000
+
+
 @pytest.mark.parametrize("planned", [False, True])
 @pytest.mark.parametrize("takeover_ms", range(0, 8_000, 500))
 def test_crashes_count_across_a_takeover(harness, takeover_ms, planned):
