--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -10,22 +10,13 @@
 from werkzeug.wrappers import Request, Response
 
 from cranberrywheel.clock import Clock
-from cranberrywheel.connection.http_loop import (
-    MAX_TRANSFER_MS,
-    HttpLoop,
-    HttpReply,
-    HttpRequest,
-)
+from cranberrywheel.connection.http_loop import HttpLoop, HttpReply, HttpRequest
 from cranberrywheel.connection.http_server import HttpServer
 from cranberrywheel.json_body import FIELD_ERRORS, decode_object
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.node.call_timeout import CallTimeout
 from cranberrywheel.node.caller_api import CallerApi
-from cranberrywheel.node.configuration_sync import (
-    ANNOUNCEMENT_PATH,
-    CONFIGURATION_PATH,
-    ConfigurationSync,
-)
+from cranberrywheel.node.configuration_sync import ConfigurationSync
 from cranberrywheel.node.intake import Acceptance, Intake
 from cranberrywheel.node.keys import (
     CANCEL_SUFFIX,
@@ -37,10 +28,16 @@
 from cranberrywheel.node.leader import Leader
 from cranberrywheel.node.leadership import Candidate, Leadership, scheduling_capacity
 from cranberrywheel.node.metrics import Metrics
+from cranberrywheel.node.peer_api import (
+    QUEUE_PATH,
+    STORED_PATH,
+    SUBMISSION_PATH,
+    PeerApi,
+    encode_items,
+)
 from cranberrywheel.node.store_route import (
     PEER_TIMEOUT_MS,
     RELAY_PREFIX,
-    STATUS_PATH,
     StoreRoute,
 )
 from cranberrywheel.node.watch import PrefixWatch
@@ -81,10 +78,6 @@
 EXIT_MARGIN_MS = 1_000
 #: Default port of the metrics.
 METRICS_PORT = 9464
-#: Time until a relayed call is answered: longer than the store holds a watch call open.
-RELAY_TIMEOUT_MS = 1_600
-#: Path on which peers tell the leader what they have stored.
-STORED_PATH = "/peer/stored"
 #: Concurrent connections of peers; each watch call relayed for a peer occupies one.
 PEER_THREADS = 96
 #: Time for which a peer's connection may be idle. All other processes send notices to
@@ -206,7 +199,14 @@
         self._peer_server = HttpServer(
             settings.ip,
             settings.peer_port,
-            self._serve_peer,
+            PeerApi(
+                self._loop,
+                self._store,
+                self._store_route,
+                self._configuration_sync,
+                lambda: self._leader,
+                lambda: self._leadership.holder.fence if self._leadership.holder else 0,
+            ),
             PEER_THREADS,
             MAX_BODY_BYTES,
             PEER_IDLE_TIMEOUT_S,
@@ -482,7 +482,7 @@
             except FIELD_ERRORS:
                 self._loop.after(RETRY_MS, retry)
 
-        path = f"/peer/submission/{submission_id}"
+        path = SUBMISSION_PATH + submission_id
         request = HttpRequest("GET", holder.address, path, timeout_ms=PEER_TIMEOUT_MS)
         self._loop.call(request, on_reply)
         return True
@@ -578,11 +578,11 @@
 
         body = json.dumps({"queue": queue.key}).encode()
         request = HttpRequest(
-            "POST", holder.address, "/peer/queue", body, timeout_ms=PEER_TIMEOUT_MS
+            "POST", holder.address, QUEUE_PATH, body, timeout_ms=PEER_TIMEOUT_MS
         )
         self._loop.call(request, on_reply)
 
-    # Readiness check, metrics and peers
+    # Readiness check and metrics
 
     def _serve_readiness(self, environ: t.Any, start_response: t.Any) -> t.Any:
         request = Request(environ)
@@ -598,99 +598,6 @@
         response = Response(self._metrics.render(), content_type="text/plain")
         return response(environ, start_response)
 
-    def _serve_peer(self, environ: t.Any, start_response: t.Any) -> t.Any:
-        request = Request(environ)
-        if request.path.startswith(RELAY_PREFIX + "/"):
-            return self._relay_call(request)(environ, start_response)
-        answer: Future[dict[str, t.Any]] = Future()
-        self._loop.post(lambda: answer.set_result(self._build_peer_response(request)))
-        try:
-            body = answer.result(PEER_TIMEOUT_MS / 1000)
-        except TimeoutError:
-            body = {}
-        response = Response(
-            json.dumps(body),
-            status=200 if body else 404,
-            content_type="application/json",
-        )
-        return response(environ, start_response)
-
-    def _relay_call(self, request: Request) -> Response:
-        """Send a call to the store on behalf of a peer."""
-        path = request.full_path.rstrip("?")[len(RELAY_PREFIX) :]
-        body = request.get_data() if request.method == "POST" else None
-        answer: Future[HttpReply] = Future()
-        self._loop.post(
-            lambda: self._store.relay(
-                request.method, path, body, RELAY_TIMEOUT_MS, answer.set_result
-            )
-        )
-        try:
-            reply = answer.result(MAX_TRANSFER_MS / 1000 + 1)
-        except TimeoutError:
-            reply = HttpReply(0)
-        # 503: the call had no effect; 504: it may have taken effect.
-        status = reply.status or (504 if reply.sent else 503)
-        return Response(reply.body, status=status, content_type="application/json")
-
-    def _take_stored(self, body: bytes) -> dict[str, t.Any]:
-        try:
-            items = decode_items(body)
-        except ValueError as error:
-            _log.warning("notice of a peer cannot be decoded", error=str(error)[:200])
-            return {}
-        if self._leader:
-            self._leader.offer(items)
-        return {"received": len(items)}
-
-    def _build_peer_response(self, request: Request) -> dict[str, t.Any]:
-        leader = self._leader
-        if request.path == STATUS_PATH:
-            holder = self._leadership.holder
-            return {
-                "store_away": self._store_route.is_unreachable,
-                "fence": holder.fence if holder else 0,
-                "version": self._configuration_sync.version,
-            }
-        if request.path == CONFIGURATION_PATH:
-            return self._configuration_sync.encode_for_peer()
-        if request.path == STORED_PATH:
-            return self._take_stored(request.get_data())
-        if request.path == ANNOUNCEMENT_PATH:
-            return self._configuration_sync.answer_announcement(request.get_data())
-        if leader is None or not leader.is_loaded:
-            return {}
-        if request.path == "/peer/queue":
-            try:
-                queue = str(decode_object(request.get_data())["queue"])
-            except FIELD_ERRORS:
-                return {}
-            return {"count": count_waiting_submissions(leader.scheduler, queue)}
-        if request.path.startswith("/peer/submission/"):
-            state = leader.scheduler.get_state(request.path.rpartition("/")[2])
-            return {"state": state.value} if state else {}
-        return {}
-
-
-def encode_items(items: t.Iterable[Item]) -> bytes:
-    """Encode records of submissions, which are text, for a peer."""
-    rows = [[item.key, (item.value or b"").decode(), item.revision] for item in items]
-    return json.dumps({"items": rows}).encode()
-
-
-def decode_items(body: bytes) -> list[Item]:
-    """Decode records that a peer has stored.
-
-    :raises ValueError: if the body has another format.
-    """
-    try:
-        return [
-            Item(str(key), str(value).encode(), int(revision))
-            for key, value, revision in decode_object(body)["items"]
-        ]
-    except FIELD_ERRORS as error:
-        raise ValueError(f"not a list of records: {error!r}") from None
-
 
 def _state_from_records(
     key: str, value_by_key: dict[str, bytes]
--- a/tests/test_leader_notices.py
+++ b/tests/test_leader_notices.py
@@ -3,7 +3,7 @@
 import pytest
 from leader_harness import LeaderHarness, make_step, make_submission
 
-from cranberrywheel.node.node import decode_items, encode_items
+from cranberrywheel.node.peer_api import decode_items, encode_items
 from cranberrywheel.store_messages import Item
 from cranberrywheel.submission.model import SubmissionState
 
