Attribute no crash beside a run that is being stopped

What callers see: a submission may be shown as failed for the crashes that another one caused while it was being cancelled. Cause: only tasks that may start again were looked at when a crash was attributed to the only submission that had begun something. Evidence: test_crash_is_not_attributed_beside_a_run_that_is_being_stopped failed before and passes.

--- a/src/cranberrywheel/submission/crash_attribution.py
+++ b/src/cranberrywheel/submission/crash_attribution.py
@@ -53,14 +53,17 @@
     """
     if executor.entry.draining or executor.cordoned:
         return []
+    # Runs that are being stopped may be the cause, too.
+    tasks = [
+        run.task for run in executor.runs.values() if may_have_crashed(run, executor)
+    ]
+    is_attributed = (
+        len({id(task.step_run.live) for task in tasks}) == 1
+        and not executor.untracked_runs
+    )
     suspects = [
-        run.task
-        for run in executor.runs.values()
-        if not run.task.done
-        and not run.task.step_run.live.final_state
-        and may_have_crashed(run, executor)
+        task for task in tasks if not task.done and not task.step_run.live.final_state
     ]
-    is_attributed = len({id(task.step_run.live) for task in suspects}) == 1
     crash = Crash(executor.id, executor.boot, executor.entry.machine, is_attributed)
     changed = []
     for task in suspects:
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -181,6 +181,24 @@
     assert harness.scheduler.get_state("s1") is SubmissionState.COMPLETED
 
 
+def test_crash_is_not_attributed_beside_a_run_that_is_being_stopped(monkeypatch):
+    """Guards against blame for the crash that a cancelled submission has caused."""
+    harness = LeaderHarness(monkeypatch)
+    harness.fleet.add("x0", "pool", cpu=16_000)
+    harness.fleet.stop_duration_ms = 1_000
+    harness.start_leader()
+    harness.run_for(300)
+    harness.submit(make_submission("cancelled"), 5_000)
+    harness.submit(make_submission("beside"), 5_000)
+    harness.run_for(60)
+    harness.cancel("cancelled")
+    harness.run_for(20)
+    harness.fleet.crash_and_return(harness.fleet.executors_by_id["x0"])
+    harness.run_for(5_000)
+    task = harness.scheduler.live_by_id["beside"].find_task(0, 0, 0)
+    assert [crash.is_attributed for crash in task.crashes] == [False]
+
+
 def test_isolated_executor_counts_as_capacity_of_its_pool(harness):
     """Guards against machines that are ordered because an executor is isolated."""
     harness.submit(make_submission("s1"), 5_000)
