--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -1,9 +1,9 @@
 """Connections that go silent without a reset while new ones work, over sockets."""
 
-import socket
 import threading
 
 import pytest
+from socket_server import SocketServer
 
 from cranberrywheel.clock import Clock
 from cranberrywheel.connection.http_loop import HttpLoop, HttpRequest
@@ -12,45 +12,24 @@
 CALL_TIMEOUT_MS = 150
 
 
-class Server:
+class Server(SocketServer):
     """Answers requests on connections that were not silenced.
 
     :ivar release: requests are answered once this is set.
     """
 
     def __init__(self):
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self.release = threading.Event()
         self._silent = set()
-        self._connections = []
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            self._connections.append(connection)
-            threading.Thread(
-                target=self._serve, args=(connection,), daemon=True
-            ).start()
-
-    def _serve(self, connection):
-        try:
-            while connection.recv(65_536):
-                self.release.wait()
-                if connection not in self._silent:
-                    connection.sendall(ANSWER)
-        except OSError:
-            pass  # the client closed the connection
+        super().__init__()
 
-    def silence_open_connections(self):
-        self._silent = set(self._connections)
+    def answer(self, connection, request):
+        self.release.wait()
+        if connection not in self._silent:
+            connection.sendall(ANSWER)
 
-    def close(self):
-        self._listener.close()
+    def silence_open_connections(self):
+        self._silent = set(self.connections)
 
 
 class Client:
--- a/tests/test_slow_transfer.py
+++ b/tests/test_slow_transfer.py
@@ -2,11 +2,11 @@
 
 import base64
 import json
-import socket
 import threading
 import time
 
 import pytest
+from socket_server import SocketServer
 
 from cranberrywheel.clock import Clock
 from cranberrywheel.connection.http_loop import HttpLoop
@@ -20,7 +20,7 @@
 CHUNK_INTERVAL_S = 0.06
 
 
-class SlowServer:
+class SlowServer(SocketServer):
     """Answers each request with the same body, chunk by chunk.
 
     :ivar sent_chunks: chunks after which an answer stalls; ``None`` to send all.
@@ -28,44 +28,22 @@
     """
 
     def __init__(self, body):
-        self._body = body
+        self.body = body
         self.sent_chunks = None
         self.paths = []
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(
-                target=self._serve, args=(connection,), daemon=True
-            ).start()
-
-    def _serve(self, connection):
-        try:
-            while request := connection.recv(65_536):
-                self.paths.append(request.split()[1].decode())
-                self._answer(connection)
-        except OSError:
-            pass  # the client closed the connection
-
-    def _answer(self, connection):
-        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(self._body)}\r\n\r\n"
+        super().__init__()
+
+    def answer(self, connection, request):
+        self.paths.append(request.split()[1].decode())
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(self.body)}\r\n\r\n"
         connection.sendall(head.encode())
-        for number, start in enumerate(range(0, len(self._body), CHUNK_BYTES)):
+        for number, start in enumerate(range(0, len(self.body), CHUNK_BYTES)):
             if number == self.sent_chunks:
                 connection.recv(1)  # stalls until the client closes the connection
                 return
-            connection.sendall(self._body[start : start + CHUNK_BYTES])
+            connection.sendall(self.body[start : start + CHUNK_BYTES])
             time.sleep(CHUNK_INTERVAL_S)
 
-    def close(self):
-        self._listener.close()
-
 
 @pytest.fixture
 def server():
@@ -89,7 +67,7 @@
     On mlr-clyde-grown, processes with links of 10 Mbit/s had a confirmed configuration
     in force more than 3 s late.
     """
-    assert len(server._body) / CHUNK_BYTES * CHUNK_INTERVAL_S * 1000 > CALL_TIMEOUT_MS
+    assert len(server.body) / CHUNK_BYTES * CHUNK_INTERVAL_S * 1000 > CALL_TIMEOUT_MS
     store = Store(loop, server.address, lambda result: None, timeout=lambda: 200)
     values = []
     arrived = threading.Event()
