Give up after two crashes only if both follow the start at once

What callers see: a submission is shown as failed although its tasks crash nothing, when executors crash by themselves twice within 0.4 s of its starts. Cause: a crash counted as attributed if only one submission had begun just before, however long before. Change: two crashes suffice if both were noticed within 0.1 s of the start; otherwise the third decides. After its third crash a task is started once more at most, if that crash could not be attributed.

--- a/src/cranberrywheel/submission/crash_attribution.py
+++ b/src/cranberrywheel/submission/crash_attribution.py
@@ -20,9 +20,15 @@
 #: crashes its executor does so when it starts; the time covers an executor that is
 #: slow.
 SUSPECT_MS = 400
+#: Time after its start within which a crash is prompt. A crash by chance is prompt in
+#: a tenth of the cases.
+PROMPT_MS = 100
+#: Crashes after which a task is given up, if all are prompt and the last one can only
+#: be caused by its submission.
+MAX_PROMPT_CRASHES = 2
 #: Crashes after which a task is given up, if the last one can only be caused by its
-#: submission.
-MAX_ATTRIBUTED_CRASHES = 2
+#: submission. Executors that crash by themselves may hit a task twice.
+MAX_ATTRIBUTED_CRASHES = 3
 #: Crashes after which a task is given up in any case.
 MAX_CRASHES = 4
 #: Time for which an executor is kept free for a submission that is to start there.
@@ -43,7 +49,7 @@
     return executor.last_alive_ms - run.confirmed_ms < SUSPECT_MS
 
 
-def record_crash(executor: Executor) -> list[Task]:
+def record_crash(executor: Executor, now_ms: int) -> list[Task]:
     """Hold the crash of an executor against the tasks that may have caused it.
 
     A planned end of its process is no crash. One process crashes once, however often
@@ -54,19 +60,27 @@
     if executor.entry.draining or executor.cordoned:
         return []
     # Runs that are being stopped may be the cause, too.
-    tasks = [
-        run.task for run in executor.runs.values() if may_have_crashed(run, executor)
-    ]
+    runs = [run for run in executor.runs.values() if may_have_crashed(run, executor)]
     is_attributed = (
-        len({id(task.step_run.live) for task in tasks}) == 1
+        len({id(run.task.step_run.live) for run in runs}) == 1
         and not executor.untracked_runs
     )
     suspects = [
-        task for task in tasks if not task.done and not task.step_run.live.final_state
+        run
+        for run in runs
+        if not run.task.done and not run.task.step_run.live.final_state
     ]
-    crash = Crash(executor.id, executor.boot, executor.entry.machine, is_attributed)
+    ended_ms = executor.ended_ms if executor.ended_visibly else now_ms
     changed = []
-    for task in suspects:
+    for run in suspects:
+        task = run.task
+        crash = Crash(
+            executor.id,
+            executor.boot,
+            executor.entry.machine,
+            is_attributed,
+            ended_ms - (run.confirmed_ms or run.started_ms) < PROMPT_MS,
+        )
         if not any(crash.is_same_process(other) for other in task.crashes):
             task.crashes.append(crash)
             changed.append(task)
@@ -78,6 +92,7 @@
                 crashes=len(task.crashes),
                 suspects=len(suspects),
                 attributed=is_attributed,
+                prompt=crash.is_prompt,
             )
     return changed
 
@@ -85,9 +100,14 @@
 def must_give_up(task: Task) -> bool:
     """Tell whether a task may not be started again, because it crashes executors."""
     crashes = task.crashes
-    if task.done or len(crashes) < MAX_ATTRIBUTED_CRASHES:
+    if task.done or not crashes:
         return False
-    return crashes[-1].is_attributed or len(crashes) >= MAX_CRASHES
+    if not crashes[-1].is_attributed:
+        return len(crashes) >= MAX_CRASHES
+    are_prompt = all(crash.is_prompt for crash in crashes)
+    return len(crashes) >= (
+        MAX_PROMPT_CRASHES if are_prompt else MAX_ATTRIBUTED_CRASHES
+    )
 
 
 def is_settled(
--- a/src/cranberrywheel/submission/executor.py
+++ b/src/cranberrywheel/submission/executor.py
@@ -74,6 +74,7 @@
     :ivar suspect_until_ms: until when other executors are preferred.
     :ivar ended_visibly: its process has closed its connections or its port, and has
         not answered since.
+    :ivar ended_ms: when that was first noticed.
     :ivar untracked_runs: runs that it listed last and that the leader does not track,
         such as those of ended submissions after a takeover; they are being stopped.
         Their size may be unknown, so nothing starts beside them.
@@ -111,6 +112,7 @@
         self.fault_counted_ms = 0
         self.suspect_until_ms = 0
         self.ended_visibly = False
+        self.ended_ms = 0
         self.untracked_runs: frozenset[tuple[str, int]] = frozenset()
         self.isolated_for: LiveSubmission | None = None
         self.isolated_until_ms = 0
@@ -204,6 +206,12 @@
         drift_ms = int((now_ms - self.clock_read_ms) * (MAX_CLOCK_DRIFT_FACTOR - 1))
         return now_ms + self.clock_offset_ms - drift_ms + lease_ms
 
+    def note_visible_end(self, now_ms: int) -> None:
+        """Record that its process has closed its connections or its port."""
+        if not self.ended_visibly:
+            self.ended_visibly = True
+            self.ended_ms = now_ms
+
     def restart(self, boot: int) -> None:
         """Reset what was learned from an earlier boot."""
         self.boot = boot
--- a/src/cranberrywheel/submission/live.py
+++ b/src/cranberrywheel/submission/live.py
@@ -28,12 +28,15 @@
     :param boot: start of the process that crashed.
     :param machine: id of its machine.
     :param is_attributed: only tasks of one submission can have caused it.
+    :param is_prompt: it was noticed right after the task's start, which seldom happens
+        by chance.
     """
 
     executor_id: str
     boot: int
     machine: str
     is_attributed: bool
+    is_prompt: bool
 
     def is_same_process(self, other: "Crash") -> bool:
         """Tell whether both are the crash of one process."""
--- a/src/cranberrywheel/submission/reports.py
+++ b/src/cranberrywheel/submission/reports.py
@@ -48,7 +48,7 @@
         if reply.connection_lost and executor.reachable:
             executor.last_alive_ms = now_ms
         if reply.connection_lost or reply.refused:
-            executor.ended_visibly = True
+            executor.note_visible_end(now_ms)
         _mark_unreachable(state, executor, reply.error)
         return True
     if reply.boot and executor.boot and reply.boot != executor.boot:
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -180,6 +180,7 @@
     2,
     3,
     4,
+    405,  # two restarts of executors by chance failed a submission
 ]
 
 
