--- a/src/cranberrywheel/submission/crash_attribution.py
+++ b/src/cranberrywheel/submission/crash_attribution.py
@@ -20,8 +20,8 @@
 #: crashes its executor does so when it starts; the time covers an executor that is
 #: slow.
 SUSPECT_MS = 400
-#: Time after its start within which a crash is prompt. A crash by chance is prompt in
-#: a tenth of the cases.
+#: Time after its start within which a crash is prompt: an executor that crashes by
+#: chance seldom does so just then.
 PROMPT_MS = 100
 #: Crashes after which a task is given up, if all are prompt and the last one can only
 #: be caused by its submission.
