--- a/src/cranberrywheel_load/report.py
+++ b/src/cranberrywheel_load/report.py
@@ -6,29 +6,27 @@
 import pathlib
 import typing as t
 
-from hdrh.histogram import HdrHistogram
+from ddsketch import DDSketch
 
 from cranberrywheel_load.driver import CallResult
 
-#: Upper bound of the latency histograms: one hour.
-MAX_LATENCY_MS = 3_600_000
-SIGNIFICANT_DIGITS = 3
+#: Largest relative error of a percentile.
+RELATIVE_ACCURACY = 0.001
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 
 def compute_percentiles(values_ms: t.Iterable[float]) -> dict[str, float]:
     """Return count, percentiles and maximum of durations in milliseconds."""
-    histogram = HdrHistogram(1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
+    sketch = DDSketch(RELATIVE_ACCURACY)
+    highest_ms = 0
     for value in values_ms:
-        histogram.record_value(min(max(round(value), 1), MAX_LATENCY_MS))
+        rounded_ms = max(round(value), 1)
+        highest_ms = max(highest_ms, rounded_ms)
+        sketch.add(rounded_ms)
     by_percentile = {
-        f"p{p:g}": histogram.get_value_at_percentile(p) for p in PERCENTILES
-    }
-    return {
-        "count": histogram.get_total_count(),
-        **by_percentile,
-        "max": histogram.get_max_value(),
+        f"p{p:g}": round(sketch.get_quantile_value(p / 100) or 0) for p in PERCENTILES
     }
+    return {"count": round(sketch.count), **by_percentile, "max": highest_ms}
 
 
 def compute_useful_fraction(results: t.Sequence[CallResult]) -> float:
