--- a/src/cranberrywheel/node/caller_api.py
+++ b/src/cranberrywheel/node/caller_api.py
@@ -36,12 +36,19 @@
 _log = ComponentLogger("front")
 
 
-class Backend(t.Protocol):
-    """Interface of the node to this API; all futures complete on other threads."""
+class Process(t.Protocol):
+    """State of the process that answers depend on."""
 
-    configuration: Configuration | None
     stopping: bool
 
+    @property
+    def configuration(self) -> Configuration | None:
+        """Configuration in force; ``None`` before the first."""
+
+
+class Backend(t.Protocol):
+    """Interface of the process to this API; all futures complete on other threads."""
+
     def submit(self, submission: Submission, wait_ms: int) -> "Future[Acceptance]":
         """Store a submission.
 
@@ -84,11 +91,13 @@
 class CallerApi:
     """WSGI application for callers.
 
-    :param backend: node that stores and reads submissions.
+    :param process: the process that serves the API.
+    :param backend: stores and reads submissions.
     :param metrics: metrics in which each answer is recorded.
     """
 
-    def __init__(self, backend: Backend, metrics: Metrics) -> None:
+    def __init__(self, process: Process, backend: Backend, metrics: Metrics) -> None:
+        self._process = process
         self._backend = backend
         self._metrics = metrics
 
@@ -126,7 +135,7 @@
                 request=request.path.rpartition("/")[2],
                 method=request.method,
             )
-        if self._backend.stopping:
+        if self._process.stopping:
             response.headers["Connection"] = "close"
         self._metrics.record_answer(
             request.method, response.status_code, time.monotonic() - started_s
@@ -134,11 +143,11 @@
         return response(environ, start_response)
 
     def _configuration_version(self) -> int:
-        configuration = self._backend.configuration
+        configuration = self._process.configuration
         return configuration.version if configuration else 0
 
     def _authenticate(self, request: Request) -> tuple[Queue, str, str]:
-        configuration = self._backend.configuration
+        configuration = self._process.configuration
         if configuration is None:
             raise _Rejection(503, "no-configuration", "not-run")
         host = request.host.rpartition(":")[0] or request.host
@@ -187,7 +196,7 @@
         organisation: str,
         wait_ms: int,
     ) -> Response:
-        configuration = self._backend.configuration
+        configuration = self._process.configuration
         limit = configuration.max_body_bytes if configuration else 0
         if (request.content_length or 0) > limit:
             raise _Rejection(413, "body-too-large", "not-run")
--- /dev/null
+++ b/src/cranberrywheel/node/progress_writer.py
@@ -0,0 +1,132 @@
+"""Writes the progress and the final states of submissions for the leader."""
+
+import typing as t
+
+from cranberrywheel.connection.http_loop import HttpLoop
+from cranberrywheel.node.keys import (
+    CANCEL_SUFFIX,
+    FINAL_SUFFIX,
+    LEADER_KEY,
+    PROGRESS_SUFFIX,
+    submission_key,
+)
+from cranberrywheel.platform.store import Store
+from cranberrywheel.store_messages import Outcome, StoreReply, Write
+from cranberrywheel.submission.live import LiveSubmission
+from cranberrywheel.submission.record import encode_final_state, encode_progress
+from cranberrywheel.submission.scheduler import Scheduler
+
+#: Submissions in one write. Each takes a condition and a put, or a condition, a put and
+#: three deletions. With the condition on the leader record, six submissions take at
+#: most 31 entries; the store accepts 32 in one write.
+SUBMISSIONS_PER_WRITE = 6
+#: Concurrent progress writes.
+MAX_CONCURRENT_WRITES = 3
+#: Delay before a failed write is repeated.
+RETRY_MS = 300
+
+
+class ProgressWriter:
+    """Progress records of one leadership. All methods run on the loop's thread.
+
+    :param request_pass: requests a scheduling pass, which also writes what changed.
+    :param step_down: called with a reason when there is a newer leader.
+    :ivar active_writes: writes that are not answered yet.
+    """
+
+    def __init__(
+        self,
+        loop: HttpLoop,
+        store: Store,
+        scheduler: Scheduler,
+        request_pass: t.Callable[[], None],
+        step_down: t.Callable[[str], None],
+    ) -> None:
+        self._loop = loop
+        self._store = store
+        self._scheduler = scheduler
+        self._request_pass = request_pass
+        self._step_down = step_down
+        self._stopped = False
+        self._ids_in_write: set[str] = set()
+        self.active_writes = 0
+
+    def stop(self) -> None:
+        """Ignore answers that are still outstanding."""
+        self._stopped = True
+
+    def write_changes(self) -> None:
+        """Write the changed submissions, as far as the limit of writes allows."""
+        unsaved = self._scheduler.unsaved_by_id
+        while unsaved and self.active_writes < MAX_CONCURRENT_WRITES:
+            batch = [
+                live for key, live in unsaved.items() if key not in self._ids_in_write
+            ]
+            if not batch:
+                return
+            self._write_batch(batch[:SUBMISSIONS_PER_WRITE])
+
+    def _write_batch(self, batch: list[LiveSubmission]) -> None:
+        conditions: list[tuple[str, int]] = [(LEADER_KEY, self._scheduler.fence)]
+        # Key, value and lease id; 0 means no lease.
+        puts: list[tuple[str, bytes, int]] = []
+        deletes: list[str] = []
+        versions: list[tuple[LiveSubmission, int]] = []
+        for live in batch:
+            submission_id = live.submission.id
+            key = submission_key(submission_id)
+            self._scheduler.unsaved_by_id.pop(submission_id, None)
+            self._ids_in_write.add(submission_id)
+            versions.append((live, live.version))
+            conditions.append((key + PROGRESS_SUFFIX, live.progress_revision))
+            if live.final_state:
+                value = encode_final_state(live.final_state, live.submission.queue)
+                puts.append((key + FINAL_SUFFIX, value, 0))
+                deletes += [key, key + CANCEL_SUFFIX]
+                if live.progress_revision:
+                    deletes.append(key + PROGRESS_SUFFIX)
+            else:
+                value = encode_progress(live.build_progress())
+                puts.append((key + PROGRESS_SUFFIX, value, 0))
+        self.active_writes += 1
+        self._store.write(
+            Write(tuple(conditions), tuple(puts), tuple(deletes)),
+            lambda reply: self._on_written(versions, reply),
+        )
+
+    def _on_written(
+        self, versions: list[tuple[LiveSubmission, int]], reply: StoreReply
+    ) -> None:
+        self.active_writes -= 1
+        for live, _ in versions:
+            self._ids_in_write.discard(live.submission.id)
+        if self._stopped:
+            return
+        if reply.outcome is Outcome.OK:
+            for live, version in versions:
+                live.progress_revision = reply.revision
+                self._scheduler.on_stored(live, version)
+            for executor in self._scheduler.executors_by_id.values():
+                executor.advance_acknowledged()
+            self._request_pass()
+            return
+        for live, _ in versions:
+            if not live.final_stored:
+                self._scheduler.unsaved_by_id[live.submission.id] = live
+        if reply.outcome is Outcome.CONFLICT:
+            self._on_conflict(versions, reply)
+        else:
+            self._loop.after(RETRY_MS, self._request_pass)
+
+    def _on_conflict(
+        self, versions: list[tuple[LiveSubmission, int]], reply: StoreReply
+    ) -> None:
+        """Adopt the current revisions, since an earlier write may have arrived late."""
+        revision_by_key = {item.key: item.revision for item in reply.items}
+        if revision_by_key.get(LEADER_KEY, 0) != self._scheduler.fence:
+            self._step_down("the leader record has changed")
+            return
+        for live, _ in versions:
+            key = submission_key(live.submission.id) + PROGRESS_SUFFIX
+            live.progress_revision = revision_by_key.get(key, 0)
+        self._request_pass()
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -3,7 +3,7 @@
 import pytest
 from leader_harness import LeaderHarness, make_step, make_submission
 
-from cranberrywheel.node import leader as leader_module
+from cranberrywheel.node import executor_calls
 from cranberrywheel.submission.maintenance import choose_runs_to_move
 from cranberrywheel.submission.model import SubmissionState
 
@@ -196,7 +196,7 @@
     harness.run_for(100)
     harness.has_valid_lease = False
     harness.run_for(5_000)
-    assert harness.fleet.starts == leader_module.MAX_CONCURRENT_STARTS
+    assert harness.fleet.starts == executor_calls.MAX_CONCURRENT_STARTS
 
 
 def test_cancelled_submission_stops_and_stays_cancelled_after_takeover(monkeypatch):
@@ -390,7 +390,7 @@
     harness.start_leader()
     harness.submit(make_submission("s1", make_step(2)), 300)
     harness.run_for(100)
-    harness.leader._write_changes = lambda: None
+    harness.leader._progress_writer.write_changes = lambda: None
     harness.run_for(400)
     assert len(harness.fleet.done_ms_by_task) == 2
     harness.fleet.executors_by_id["a"].isolated = True
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -237,7 +237,7 @@
     backend = SimpleNamespace(
         configuration=make_configuration(), stopping=False, **methods
     )
-    return Client(CallerApi(backend, Metrics()))
+    return Client(CallerApi(backend, backend, Metrics()))
 
 
 def send(client, headers, path="00000000000000a1"):
