Give the scheduler's coming parts switches

Cause: what is new must take effect only where a deployment asks for it, and its effect must be measurable with the part off and on.

Change: submission/features.py derives which parts are on from the node's INI file (deploy/node.ini, each key auto, on or off), the configuration in force and the platform's settings. No part exists yet, so nothing behaves differently.

--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -32,6 +32,7 @@
 from cranberrywheel.platform.settings import NodeSettings
 from cranberrywheel.platform.store import CALL_TIMEOUT_MS, Store
 from cranberrywheel.store_messages import CallResult
+from cranberrywheel.submission.features import FeatureSettings
 from cranberrywheel.submission.model import (
     Configuration,
 )
@@ -67,13 +68,18 @@
     """One process: caller API, leader election and, while it leads, the scheduler.
 
     :param settings: settings that the platform gives the process.
+    :param feature_settings: switches of the scheduler's parts.
     :param metrics_port: port of the metrics; nodes that share an IP address need
         different ports.
     """
 
     def __init__(
-        self, settings: NodeSettings, metrics_port: int = METRICS_PORT
+        self,
+        settings: NodeSettings,
+        feature_settings: FeatureSettings,
+        metrics_port: int = METRICS_PORT,
     ) -> None:
+        self._feature_settings = feature_settings
         self._settings = settings
         self.stopping = False
         self._stop_requested = threading.Event()
@@ -283,7 +289,13 @@
     def _on_leadership_acquired(
         self, fence: int, term: int, previous_fence: int
     ) -> None:
-        scheduler = Scheduler(fence, term, self._settings.timing, self._clock.now_ms())
+        scheduler = Scheduler(
+            fence,
+            term,
+            self._settings.timing,
+            self._clock.now_ms(),
+            self._feature_settings,
+        )
         scheduler.trusts_records = not self._store_route.was_recently_unreachable()
         if self.configuration:
             scheduler.set_configuration(self.configuration)
--- a/src/cranberrywheel/platform/settings.py
+++ b/src/cranberrywheel/platform/settings.py
@@ -21,6 +21,8 @@
     upkeep_s: float = pydantic.Field(2, alias="maintenanceS")
     # Longest lease of a run.
     hold_max_ms: int = pydantic.Field(10_000, alias="holdMaxMs")
+    # Missing where operators cannot evacuate an availability zone.
+    evacuation_ms: int = pydantic.Field(0, alias="evacuationMs")
 
 
 class _Listen(WireModel):
@@ -139,5 +141,6 @@
             order_lease_ms=timing.duty_lease_ms,
             maintenance_ms=int(timing.upkeep_s * 1000),
             max_run_lease_ms=timing.hold_max_ms,
+            evacuation_ms=timing.evacuation_ms,
         ),
     )
--- a/src/cranberrywheel/settings.py
+++ b/src/cranberrywheel/settings.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from cranberrywheel.errors import SettingsError
+from cranberrywheel.submission.features import FeatureSettings, Switch
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -137,6 +138,11 @@
     try:
         value = value_type(text)
     except ValueError:
+        if value_type is Switch:
+            raise SettingsError(
+                f"{setting} is not a switch.",
+                f"Use one of: {', '.join(switch.value for switch in Switch)}.",
+            ) from None
         raise SettingsError(
             f"{setting} is not {'a number' if value_type is not str else 'text'}.",
             f"Use a value of type {value_type.__name__}.",
@@ -239,3 +245,13 @@
     :raises SettingsError: if the file is invalid; names file, section, key and remedy.
     """
     return _load_settings(path, "planner", PlannerSettings)
+
+
+def load_feature_settings(path: str) -> FeatureSettings:
+    """Read and validate the switches of a node.
+
+    :param path: path of an INI file with the section ``[scheduling]``.
+    :returns: the switches; ``auto`` for missing keys.
+    :raises SettingsError: if the file is invalid; names file, section, key and remedy.
+    """
+    return _load_settings(path, "scheduling", FeatureSettings)
--- a/src/cranberrywheel/submission/platform_timing.py
+++ b/src/cranberrywheel/submission/platform_timing.py
@@ -12,9 +12,12 @@
     :param maintenance_ms: how long the maintenance of a machine takes.
     :param max_run_lease_ms: longest lease that an executor grants to a run, whatever
         deadline an order carries.
+    :param evacuation_ms: time within which the evacuation of an availability zone must
+        take effect; 0 if operators cannot ask for one.
     """
 
     grace_ms: int = 6_000
     order_lease_ms: int = 3_000
     maintenance_ms: int = 2_000
     max_run_lease_ms: int = 10_000
+    evacuation_ms: int = 0
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -16,6 +16,7 @@
     PollReply,
 )
 from cranberrywheel.submission.fault_detection import is_stalled, record_fault
+from cranberrywheel.submission.features import select_features
 from cranberrywheel.submission.live import LiveSubmission, Run, RunState
 from cranberrywheel.submission.model import (
     Configuration,
@@ -45,11 +46,15 @@
     :param term: number of this leadership, from 0.
     :param timing: timing of the platform.
     :param now_ms: steady time of the takeover.
+    :param feature_settings: switches of the parts; by default all are off.
     """
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Apply a newer configuration; submissions follow their queues."""
         self.configuration = configuration
+        self.features = select_features(
+            self.feature_settings, configuration, self.timing
+        )
         for live in self.live_by_id.values():
             queue = configuration.queues_by_key.get(live.submission.queue)
             if queue is not None:
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -9,6 +9,11 @@
 from cranberrywheel.submission.crash_attribution import must_give_up, record_crash
 from cranberrywheel.submission.duration_estimates import DurationEstimates
 from cranberrywheel.submission.executor import Executor, compute_lease_expiry_delay
+from cranberrywheel.submission.features import (
+    ALL_OFF,
+    NO_FEATURES,
+    FeatureSettings,
+)
 from cranberrywheel.submission.live import (
     LiveSubmission,
     Run,
@@ -92,16 +97,24 @@
         arrived, and its expected work in core-milliseconds.
     :ivar shares: use of the organisations' shares. A takeover forgets it, so the
         submissions that it recovers count as within their share.
+    :ivar features: parts that are on under the configuration in force.
     :ivar actions: decided actions that the leader has not taken yet.
     """
 
     def __init__(
-        self, fence: int, term: int, timing: PlatformTiming, now_ms: int
+        self,
+        fence: int,
+        term: int,
+        timing: PlatformTiming,
+        now_ms: int,
+        feature_settings: FeatureSettings = ALL_OFF,
     ) -> None:
         self.fence = fence
         self.term = term
         self.timing = timing
         self.configuration: Configuration | None = None
+        self.feature_settings = feature_settings
+        self.features = NO_FEATURES
         self.handed_over = False
         self.held_back_ids: set[str] = set()
         self.unpolled_until_ms: dict[str, int] = {}
