Reset the connections of machine orders when they are closed

Change: connections to the machine interface are closed with a reset (SO_LINGER with no time), so that a timed-out call, and the end of the process, discard what is held up.

--- a/src/cranberrywheel/connection/http_loop.py
+++ b/src/cranberrywheel/connection/http_loop.py
@@ -7,6 +7,7 @@
 import queue
 import selectors
 import socket
+import struct
 import threading
 import typing as t
 
@@ -53,6 +54,10 @@
     :param progress_timeout_ms: longest time in milliseconds without a further byte of
         the body; 0 for none. It keeps a large reply over a slow link from being
         abandoned while it arrives.
+    :param resets_connection: close the connection with a reset, so that the system
+        discards what it has not delivered. Without it, a request that a partition holds
+        up is delivered after the end of the partition, although its call has timed out
+        or its process has ended.
     """
 
     method: str
@@ -62,6 +67,15 @@
     headers: tuple[str, ...] = ()
     timeout_ms: int = 1_000
     progress_timeout_ms: int = 0
+    resets_connection: bool = False
+
+
+def _open_resetting_socket(purpose: int, address: t.Any) -> socket.socket:
+    """Open a socket that sends a reset when it is closed; a callback of the library."""
+    opened = socket.socket(address.family, address.socktype, address.protocol)
+    # On, with no time for the delivery of what is left.
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    return opened
 
 
 @dataclasses.dataclass(frozen=True)
@@ -283,6 +297,8 @@
         curl.setopt(pycurl.WRITEFUNCTION, call.write)
         if request.address in self._timeout_ms_by_address:
             self._exclude_old_connections(curl, request.address)
+        if request.resets_connection:
+            curl.setopt(pycurl.OPENSOCKETFUNCTION, _open_resetting_socket)
         headers = list(request.headers)
         if request.method == "POST":
             curl.setopt(pycurl.POSTFIELDS, request.body or b"")
--- a/src/cranberrywheel/platform/machines.py
+++ b/src/cranberrywheel/platform/machines.py
@@ -101,15 +101,32 @@
         self._address = address
         self._holder = holder
 
+    def _build_request(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: tuple[str, ...] = (),
+    ) -> HttpRequest:
+        # An order that a partition holds up must not arrive once another process may
+        # lead. Reads share the connections of the orders.
+        return HttpRequest(
+            method,
+            self._address,
+            path,
+            body,
+            headers,
+            CALL_TIMEOUT_MS,
+            resets_connection=True,
+        )
+
     def read_all(self, done: t.Callable[[list[Machine] | None], None]) -> None:
         """Read all machines; ``done`` gets ``None`` if the answer is unusable."""
         machines: list[Machine] = []
 
         def read_page(token: str) -> None:
             path = "/api/machines" + (f"?pageToken={token}" if token else "")
-            request = HttpRequest(
-                "GET", self._address, path, timeout_ms=CALL_TIMEOUT_MS
-            )
+            request = self._build_request("GET", path)
             self._loop.call(request, on_page)
 
         def on_page(reply: HttpReply) -> None:
@@ -160,10 +177,7 @@
             f"Cranberrywheel-Fencing-Token: {fence}",
         )
         data = json.dumps(body).encode()
-        request = HttpRequest(
-            "POST", self._address, path, data, headers, CALL_TIMEOUT_MS
-        )
-        self._loop.call(request, decode)
+        self._loop.call(self._build_request("POST", path, data, headers), decode)
 
     def begin_maintenance(
         self,
