Replace machines of an availability zone that cannot be reached

Ruled out: the takeover, which took 1.25 s.

Change: submission/failure_domains.py names the zones most of whose executors do not answer. Their machines are not moved and count neither as present nor as arriving for a pool that has a burst; idle pools do not replace them.

The new tests fail on the old code.

--- a/src/cranberrywheel/node/pool_moves.py
+++ b/src/cranberrywheel/node/pool_moves.py
@@ -13,6 +13,7 @@
 from cranberrywheel.store_messages import Outcome, StoreReply, Write
 from cranberrywheel.submission.demand import compute_demand_by_service
 from cranberrywheel.submission.executor import Executor
+from cranberrywheel.submission.failure_domains import find_unreachable_zones
 from cranberrywheel.submission.machines import Machine, MachineOrderVerdict
 from cranberrywheel.submission.maintenance import choose_runs_to_move
 from cranberrywheel.submission.pool_sizing import (
@@ -120,6 +121,7 @@
             waiting.union(reserved),
             is_idle,
             now_ms,
+            find_unreachable_zones(self._scheduler.executors_by_id.values()),
         )
         self._store_home_pools()
         borrowed = {machine.id for machine in machines if is_borrowed(state, machine)}
--- a/src/cranberrywheel/submission/demand.py
+++ b/src/cranberrywheel/submission/demand.py
@@ -6,6 +6,7 @@
 import collections
 import math
 
+from cranberrywheel.submission.failure_domains import find_unreachable_zones
 from cranberrywheel.submission.live import LiveSubmission
 from cranberrywheel.submission.pool_sizing import PoolDemand
 from cranberrywheel.submission.queue_order import estimate_remaining_work
@@ -56,12 +57,15 @@
     capacity: dict[str, int] = {}
     machine_cpu: dict[str, int] = {}
     executors: dict[str, int] = {}
+    unreachable_zones = find_unreachable_zones(state.executors_by_id.values())
     used: dict[str, int] = {}
     long_running: dict[str, int] = {}
     waiting: dict[str, int] = {}
     for executor in state.executors_by_id.values():
         service = executor.entry.service
-        executors[service] = executors.get(service, 0) + executor.registered
+        executors[service] = executors.get(service, 0) + (
+            executor.registered and executor.entry.zone not in unreachable_zones
+        )
         if executor.is_available:
             cpu = executor.entry.capacity.cpu
             capacity[service] = capacity.get(service, 0) + cpu
--- a/src/cranberrywheel/submission/pool_sizing.py
+++ b/src/cranberrywheel/submission/pool_sizing.py
@@ -56,8 +56,8 @@
     :param machine_cpu: cpu of the pool's largest machine.
     :param offered: cpu that the work which arrives keeps busy.
     :param long_running: cpu that long-running tasks reserve.
-    :param executors: registered executors, also those that are not usable; ``None`` if
-        it is not known.
+    :param executors: registered executors in reachable zones, also those that are not
+        usable; ``None`` if it is not known.
     """
 
     used: int = 0
@@ -137,6 +137,7 @@
     reserved: t.Container[str],
     is_empty: t.Callable[[Machine], bool],
     now_ms: int,
+    unreachable_zones: t.Container[str] = frozenset(),
 ) -> PoolDecision:
     """Decide which machines move, and record the moves as under way.
 
@@ -146,6 +147,8 @@
     :param reserved: machines that a maintenance wave still needs where they are.
     :param is_empty: tells whether nothing runs on a machine.
     :param now_ms: steady time in milliseconds.
+    :param unreachable_zones: availability zones in which machines do not help: they are
+        not moved, and a pool in a burst gets others in their place.
     """
     for machine in machines:
         state.home_pool_by_machine.setdefault(machine.id, machine.pool)
@@ -157,7 +160,7 @@
     for pool, demand in demand_by_pool.items():
         _record_pressure(state, pool, demand.pressure, now_ms)
     missing_by_pool = _count_missing_machines(
-        state, machines, demand_by_pool, standby_pools, now_ms
+        state, machines, demand_by_pool, standby_pools, now_ms, unreachable_zones
     )
     surplus_by_pool = _count_surplus_machines(
         state, machines, demand_by_pool, standby_pools, missing_by_pool, now_ms
@@ -189,7 +192,11 @@
     }
     # Machines without runs leave a pool first, since they need no drain.
     for machine in sorted(machines, key=lambda machine: not is_empty(machine)):
-        if machine.id in state.destination_by_machine or machine.id in reserved:
+        if (
+            machine.id in state.destination_by_machine
+            or machine.id in reserved
+            or machine.zone in unreachable_zones
+        ):
             continue
         destination = pool_missing_most()
         if machine.pool in standby_pools:
@@ -276,7 +283,7 @@
 ) -> int:
     """Count the machines that move to a pool or are up without an executor yet."""
     moving_count = sum(
-        destination == pool for destination in state.destination_by_machine.values()
+        state.destination_by_machine.get(machine.id) == pool for machine in machines
     )
     if demand.executors is None:
         return moving_count
@@ -290,9 +297,17 @@
     demand_by_pool: t.Mapping[str, PoolDemand],
     standby_pools: t.Container[str],
     now_ms: int,
+    unreachable_zones: t.Container[str],
 ) -> dict[str, int]:
-    """Return how many machines each pool is missing; no entry means none."""
+    """Return how many machines each pool is missing; no entry means none.
+
+    An idle pool does not replace the machines of an unreachable zone, which would take
+    them from the pool that has a burst.
+    """
     missing_by_pool: dict[str, int] = {}
+    reachable = [
+        machine for machine in machines if machine.zone not in unreachable_zones
+    ]
     for pool, demand in demand_by_pool.items():
         if pool in standby_pools or not demand.machine_cpu:
             continue
@@ -302,10 +317,10 @@
         if demand.pressure >= RESTORE_PRESSURE or is_burst_expected(
             state, pool, now_ms
         ):
-            missing_count = home_count - present_count
+            missing_count = home_count - _count_present(state, reachable, pool)
         borrow_count = math.ceil(demand.missing_cpu / demand.machine_cpu)
         if borrow_count > 0:
-            borrow_count -= _count_arriving(state, machines, pool, demand)
+            borrow_count -= _count_arriving(state, reachable, pool, demand)
             missing_count = max(missing_count, borrow_count)
         if missing_count > 0:
             missing_by_pool[pool] = missing_count
--- a/src/cranberrywheel_load/burst_replay.py
+++ b/src/cranberrywheel_load/burst_replay.py
@@ -22,6 +22,7 @@
     RunningReport,
     RunOutcome,
 )
+from cranberrywheel.submission.failure_domains import find_unreachable_zones
 from cranberrywheel.submission.live import Run
 from cranberrywheel.submission.machines import Machine, MachineState
 from cranberrywheel.submission.maintenance import choose_runs_to_move
@@ -297,6 +298,7 @@
             set(),
             is_empty,
             self._now_ms,
+            find_unreachable_zones(executors.values()),
         )
         borrowed = {machine.id for machine in machines if is_borrowed(state, machine)}
         self.scheduler.borrowed_machines = borrowed | set(state.destination_by_machine)
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -243,3 +243,52 @@
     decision = decide(state, machines, demand, 5_000)
     assert decision.moves == () and decision.drain == ()
     assert decision.keep == ("s0",)
+
+
+def make_zone_machines(name: str, pool: str, zones: str) -> list[Machine]:
+    return [
+        Machine(f"{name}{i}", pool, MachineState.UP, zone, "")
+        for i, zone in enumerate(zones)
+    ]
+
+
+def test_machines_of_an_unreachable_zone_are_not_borrowed():
+    """Guards against a pool that waits for machines whose executors nobody reaches."""
+    machines = make_zone_machines("a", "a", "xyz") + make_zone_machines(
+        "s", "spare", "xyzxyz"
+    )
+    demand = {"a": PoolDemand(2_000, 3_000, 2_000, 1_000, executors=2)}
+    decision = decide_moves(
+        PoolSizingState(), machines, STANDBY, demand, (), lambda machine: True, 0, {"x"}
+    )
+    zone_by_machine = {machine.id: machine.zone for machine in machines}
+    assert sorted(zone_by_machine[machine] for machine, _ in decision.moves) == [
+        "y",
+        "z",
+    ]
+
+
+def test_machines_moving_to_an_unreachable_zone_are_replaced():
+    """Guards against a burst that waits six seconds for the timeout of a move: the
+    machines that were under way when the zone was cut off counted as arriving."""
+    machines = make_zone_machines("a", "a", "xyz") + make_zone_machines(
+        "s", "spare", "xyzxyz"
+    )
+    state = PoolSizingState(destination_by_machine={"s0": "a", "s3": "a"})
+    demand = {"a": PoolDemand(2_000, 3_000, 2_000, 1_000, executors=2)}
+    decision = decide_moves(
+        state, machines, STANDBY, demand, (), lambda machine: True, 0, {"x"}
+    )
+    assert len(decision.moves) == 2
+
+
+def test_idle_pool_does_not_replace_the_machines_of_an_unreachable_zone():
+    """Guards against idle pools that take the machines which a burst needs."""
+    machines = make_zone_machines("a", "a", "xxyyzz") + make_zone_machines(
+        "s", "spare", "yzyz"
+    )
+    demand = {"a": PoolDemand(0, 0, 4_000, 1_000, executors=4)}
+    decision = decide_moves(
+        PoolSizingState(), machines, STANDBY, demand, (), lambda machine: True, 0, {"x"}
+    )
+    assert decision.moves == ()
