Start nothing in an evacuated availability zone

Cause: operators could not keep new work out of a zone; the first start came 5.0 s after the acknowledgement, and starts continued.

Change: each process follows op/evacuate/ by its own watch and by announcements that carry the whole set with its store revision. The leader starts nothing in the zones, also not what waits in its queues, and orders starts only while the zones were confirmed within 1.5 s of the bound of 5 s. Long-running runs leave within may_miss once there is a place elsewhere. Executors that come back cold get work at the rate at which they warm up, and a slow run there is no fault. All of it takes effect only where zone_evacuation is on; otherwise no watch is started.

--- a/src/cranberrywheel/node/executor_calls.py
+++ b/src/cranberrywheel/node/executor_calls.py
@@ -106,8 +106,8 @@
     def _send_starts(self, executor_id: str) -> None:
         queue = self._start_queue_by_executor.get(executor_id)
         if queue:
-            # A start may have waited here since the pass, and the lease may have
-            # expired meanwhile.
+            # A start may have waited here since the pass. Meanwhile the lease may have
+            # expired, or the zone may have been evacuated.
             self._update_permissions()
         while (
             queue
@@ -122,7 +122,9 @@
             if (
                 run.state is not RunState.STARTING
                 or not executor.reachable
+                or executor.evacuated
                 or not self._scheduler.may_start
+                or not self._scheduler.zones_current
             ):
                 self._scheduler.discard_run(run)
                 continue
--- a/src/cranberrywheel/node/leader.py
+++ b/src/cranberrywheel/node/leader.py
@@ -6,6 +6,7 @@
 from cranberrywheel.connection.http_loop import HttpLoop
 from cranberrywheel.json_body import FIELD_ERRORS
 from cranberrywheel.logs import ComponentLogger
+from cranberrywheel.node.evacuation_sync import EvacuationSync
 from cranberrywheel.node.executor_calls import ExecutorCalls
 from cranberrywheel.node.keys import (
     CANCEL_SUFFIX,
@@ -21,11 +22,13 @@
 from cranberrywheel.node.progress_writer import ProgressWriter
 from cranberrywheel.node.watch import PrefixWatch
 from cranberrywheel.platform import executors as wire
+from cranberrywheel.platform.evacuations import EVACUATION_PREFIX
 from cranberrywheel.platform.machines import MachineClient
 from cranberrywheel.platform.store import Store
 from cranberrywheel.store_messages import Item, Outcome, StoreReply, Write
 from cranberrywheel.submission import actions
 from cranberrywheel.submission.demand import compute_demand_by_service
+from cranberrywheel.submission.evacuation import count_remaining_runs
 from cranberrywheel.submission.handover import (
     EMPTY_HANDOVER_RECORD,
     apply_handover_record,
@@ -71,6 +74,8 @@
     :param step_down: called with a reason when there is a newer leader.
     :param previous_fence: fencing token of the previous leadership; only a handover
         record with this token is used.
+    :param evacuation_sync: the evacuated zones; ``None`` if there are no evacuations.
+    :ivar evacuated_zone_runs: runs in evacuated zones when they were last counted.
     """
 
     def __init__(
@@ -85,10 +90,14 @@
         may_continue_without_store: t.Callable[[], bool],
         step_down: t.Callable[[str], None],
         previous_fence: int = 0,
+        evacuation_sync: EvacuationSync | None = None,
     ) -> None:
         self._loop = loop
         self._store = store
         self._previous_fence = previous_fence
+        self._evacuation_sync = evacuation_sync
+        self.evacuated_zone_runs = 0
+        self._unknown_zones: frozenset[str] = frozenset()
         self._handover_record = EMPTY_HANDOVER_RECORD
         self._has_valid_lease = has_valid_lease
         self._may_continue_without_store = may_continue_without_store
@@ -136,6 +145,9 @@
 
     def start(self) -> None:
         """Load the recorded state, then start scheduling."""
+        if self._evacuation_sync is not None:
+            self._evacuation_sync.require_read()
+            self.apply_evacuations()
         self._store.read(HANDOVER_KEY, self._on_handover)
 
     def _on_handover(self, reply: StoreReply) -> None:
@@ -232,6 +244,11 @@
         self.scheduler.set_configuration(configuration)
         self.request_pass()
 
+    def apply_evacuations(self) -> None:
+        """Apply the evacuated zones after they or their confirmation have changed."""
+        self._update_permissions()
+        self.request_pass()
+
     def _on_executor_item(self, item: Item) -> None:
         executor_id = item.key[len(wire.EXECUTOR_PREFIX) :]
         now_ms = self._loop.clock.now_ms()
@@ -330,6 +347,8 @@
         if self._stopped:
             return
         self._loop.after(TICK_INTERVAL_MS, self._tick)
+        if self._evacuation_sync is not None:
+            self._evacuation_sync.refresh_if_old()
         self._update_permissions()
         now_ms = self._loop.clock.now_ms()
         self.scheduler.tick(now_ms, unix_ms())
@@ -337,6 +356,7 @@
         if now_ms - self._load_logged_ms >= LOAD_LOG_INTERVAL_MS:
             self._load_logged_ms = now_ms
             self._log_load()
+            self._log_evacuations()
         self._executor_calls.poll_all()
 
     def _log_load(self) -> None:
@@ -359,6 +379,26 @@
                 writes=self._progress_writer.active_writes,
             )
 
+    def _log_evacuations(self) -> None:
+        """Count and log what is still in each evacuated zone."""
+        self.evacuated_zone_runs = 0
+        zones = {
+            executor.entry.zone for executor in self.scheduler.executors_by_id.values()
+        }
+        for zone in self.scheduler.evacuated_zones - zones - self._unknown_zones:
+            _log.warning(
+                "evacuation of a zone without executors", key=EVACUATION_PREFIX + zone
+            )
+        self._unknown_zones = self.scheduler.evacuated_zones - zones
+        for zone, remaining in count_remaining_runs(self.scheduler).items():
+            self.evacuated_zone_runs += remaining.long_running + remaining.short
+            _log.event(
+                "evacuated zone",
+                zone=zone,
+                long_running=remaining.long_running,
+                short=remaining.short,
+            )
+
     def _run_pass(self) -> None:
         self._pass_requested = False
         if self._stopped:
@@ -378,6 +418,12 @@
     def _update_permissions(self) -> None:
         self.scheduler.store_unreachable = self._may_continue_without_store()
         self.scheduler.may_start = self._may_renew_leases() and self._executors_loaded
+        if self._evacuation_sync is not None:
+            self.scheduler.set_evacuated_zones(self._evacuation_sync.known.zones)
+            # While no process reaches the store, no operator gets an acknowledgement.
+            self.scheduler.zones_current = (
+                self._evacuation_sync.is_current or self.scheduler.store_unreachable
+            )
 
     def _may_renew_leases(self) -> bool:
         """Tell whether no other process can lead at this moment."""
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -1,5 +1,6 @@
 """Composition of one process on the platform: components, start and stop."""
 
+import random
 import signal
 import threading
 import typing as t
@@ -14,6 +15,7 @@
 from cranberrywheel.node.call_timeout import CallTimeout
 from cranberrywheel.node.caller_api import CallerApi
 from cranberrywheel.node.configuration_sync import ConfigurationSync
+from cranberrywheel.node.evacuation_sync import EvacuationSync
 from cranberrywheel.node.leader import Leader
 from cranberrywheel.node.leadership import Candidate, Leadership, scheduling_capacity
 from cranberrywheel.node.membership import Membership
@@ -32,7 +34,7 @@
 from cranberrywheel.platform.settings import NodeSettings
 from cranberrywheel.platform.store import CALL_TIMEOUT_MS, Store
 from cranberrywheel.store_messages import CallResult
-from cranberrywheel.submission.features import FeatureSettings
+from cranberrywheel.submission.features import FeatureSettings, has_zone_evacuation
 from cranberrywheel.submission.model import (
     Configuration,
 )
@@ -129,6 +131,7 @@
             lambda: not self._store_route.is_unreachable,
             self._on_configuration,
         )
+        self._evacuation_sync = self._build_evacuation_sync()
         self._submission_calls = SubmissionCalls(
             self._loop,
             self._store,
@@ -161,6 +164,8 @@
             "Time since the store last answered a call for the configuration",
             lambda: self._configuration_sync.silent_ms / 1000,
         )
+        if self._evacuation_sync is not None:
+            self._add_evacuation_metrics(self._evacuation_sync)
         self._caller_server = HttpServer(
             host,
             int(port),
@@ -182,6 +187,7 @@
                 self._configuration_sync,
                 lambda: self._leader,
                 lambda: self._leadership.holder.fence if self._leadership.holder else 0,
+                self._evacuation_sync,
             ),
             PEER_THREADS,
             MAX_BODY_BYTES,
@@ -219,6 +225,8 @@
 
     def _start(self) -> None:
         self._configuration_sync.start()
+        if self._evacuation_sync is not None:
+            self._evacuation_sync.start()
         self._membership.start()
         self._leadership.start()
         self._store_route.start()
@@ -277,6 +285,49 @@
         if self._leader:
             self._leader.set_configuration(configuration)
 
+    # Evacuation of availability zones
+
+    def _build_evacuation_sync(self) -> EvacuationSync | None:
+        timing = self._settings.timing
+        if not has_zone_evacuation(self._feature_settings, timing):
+            return None
+
+        def choose_relay() -> tuple[str, str] | None:
+            peers = list(self._membership.peer_capacities())
+            return (random.choice(peers), RELAY_PREFIX) if peers else None
+
+        return EvacuationSync(
+            self._loop,
+            self._store,
+            Store(
+                self._loop,
+                self._settings.store_address,
+                lambda result: None,
+                choose_relay,
+            ),
+            self._membership.peer_capacities,
+            self._peer_address,
+            timing.evacuation_ms,
+            lambda: self._leader.apply_evacuations() if self._leader else None,
+        )
+
+    def _add_evacuation_metrics(self, sync: EvacuationSync) -> None:
+        self._metrics.gauge(
+            "cranberrywheel_evacuated_zones",
+            "Availability zones in which nothing may start",
+            lambda: float(len(sync.known.zones)),
+        )
+        self._metrics.gauge(
+            "cranberrywheel_evacuated_zone_runs",
+            "Runs that are still in evacuated zones, at the leader",
+            lambda: float(self._leader.evacuated_zone_runs if self._leader else 0),
+        )
+        self._metrics.gauge(
+            "cranberrywheel_evacuation_age_seconds",
+            "Time since the evacuated zones were last confirmed by the store",
+            lambda: sync.age_ms / 1000,
+        )
+
     # Leader election
 
     def _may_compete(self) -> bool:
@@ -315,6 +366,7 @@
             self._may_continue_without_store,
             self._leadership.step_down,
             previous_fence,
+            self._evacuation_sync,
         )
         self._leader.start()
 
--- a/src/cranberrywheel/node/peer_api.py
+++ b/src/cranberrywheel/node/peer_api.py
@@ -14,6 +14,7 @@
     CONFIGURATION_PATH,
     ConfigurationSync,
 )
+from cranberrywheel.node.evacuation_sync import EVACUATIONS_PATH, EvacuationSync
 from cranberrywheel.node.leader import Leader
 from cranberrywheel.node.store_route import (
     PEER_TIMEOUT_MS,
@@ -42,6 +43,7 @@
 
     :param find_leader: returns the leader if this process leads.
     :param find_fence: returns the fencing token of the newest known leader; 0 for none.
+    :param evacuation_sync: the evacuated zones; ``None`` if there are no evacuations.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         configuration_sync: ConfigurationSync,
         find_leader: t.Callable[[], Leader | None],
         find_fence: t.Callable[[], int],
+        evacuation_sync: EvacuationSync | None = None,
     ) -> None:
         self._loop = loop
         self._store = store
@@ -59,6 +62,7 @@
         self._configuration_sync = configuration_sync
         self._find_leader = find_leader
         self._find_fence = find_fence
+        self._evacuation_sync = evacuation_sync
 
     def __call__(self, environ: t.Any, start_response: t.Any) -> t.Any:
         request = Request(environ)
@@ -107,6 +111,8 @@
             return self._configuration_sync.encode_for_peer()
         if request.path == ANNOUNCEMENT_PATH:
             return self._configuration_sync.answer_announcement(request.get_data())
+        if request.path == EVACUATIONS_PATH and self._evacuation_sync is not None:
+            return self._evacuation_sync.answer_announcement(request.get_data())
         if request.path == STORED_PATH:
             return self._take_stored(request.get_data())
         leader = self._find_leader()
--- a/src/cranberrywheel/platform/executors.py
+++ b/src/cranberrywheel/platform/executors.py
@@ -30,6 +30,9 @@
 #: Time added to the wait of a poll before it counts as unanswered. It is short because
 #: completions stay unknown until a lost poll has timed out.
 POLL_MARGIN_MS = 350
+#: Longest time for which an executor may call itself cold. It bounds the effect of an
+#: absurd entry; days last about a minute.
+MAX_COLD_MS = 60_000
 #: Largest number of executors in one call to the advisor.
 MAX_EXECUTORS_PER_ADVICE = 100
 
@@ -52,6 +55,20 @@
     machine: str = ""
     # Start of the process in Unix milliseconds; a different value means a restart.
     born: int = 0
+    # How much longer the executor is slow.
+    cold_ms: int = pydantic.Field(0, alias="coldRemainingMs")
+
+    @pydantic.field_validator("cold_ms", mode="before")
+    @classmethod
+    def _read_cold_ms(cls, value: t.Any) -> int:
+        """Read the time, or 0 if it is invalid: the executor is usable without it."""
+        try:
+            return min(max(0, int(value)), MAX_COLD_MS)
+        except (OverflowError, TypeError, ValueError):
+            _log.warning(
+                "time of a cold executor cannot be read", value=repr(value)[:40]
+            )
+            return 0
 
 
 def decode_executor(executor_id: str, value: bytes) -> ExecutorEntry | None:
@@ -79,6 +96,7 @@
         rack=racks[0] if racks else "",
         machine=wire.machine,
         boot=wire.born,
+        cold_remaining_ms=wire.cold_ms,
     )
 
 
@@ -354,5 +372,6 @@
         labels=sorted(entry.labels),
         machine=entry.machine,
         born=entry.boot,
+        cold_ms=entry.cold_remaining_ms,
     )
     return wire.model_dump_json(by_alias=True).encode()
--- a/src/cranberrywheel/submission/executor.py
+++ b/src/cranberrywheel/submission/executor.py
@@ -60,6 +60,12 @@
     :ivar count_by_step: number of runs of each step.
     :ivar cordoned: accepts no new runs, because its machine is due for maintenance or
         a move.
+    :ivar evacuated: accepts no new runs, because its availability zone is evacuated.
+    :ivar cold_until_ms: until when it is slow, because it has just come back; 0 if it
+        never was, see :mod:`.cold_executors`.
+    :ivar cold_since_ms: when its present or last cold time was first known.
+    :ivar cold_started_cpu: cpu of the runs that have begun since then, in thousandths
+        of a core.
     :ivar clock_offset_ms: its clock minus the leader's; ``None`` until it is known.
     :ivar clock_read_ms: when its clock was last read.
     :ivar last_alive_ms: last sign of life of its process: an answer, or the loss of a
@@ -99,6 +105,10 @@
         self.free: Resources = entry.capacity
         self.count_by_step: dict[StepRun, int] = {}
         self.cordoned = False
+        self.evacuated = False
+        self.cold_until_ms = 0
+        self.cold_since_ms = 0
+        self.cold_started_cpu = 0
         self.clock_offset_ms: int | None = None
         self.clock_read_ms = 0
         self.last_alive_ms = 0
@@ -139,6 +149,7 @@
             and not self.untracked_runs
             and not self.entry.draining
             and not self.cordoned
+            and not self.evacuated
         )
 
     def set_untracked(self, runs: t.Iterable[tuple[str, int]]) -> bool:
--- a/src/cranberrywheel/submission/executor_orders.py
+++ b/src/cranberrywheel/submission/executor_orders.py
@@ -16,6 +16,8 @@
     :param machine: id of the machine that it runs on.
     :param boot: start of its process, in Unix milliseconds; a later value means that
         it has restarted.
+    :param cold_remaining_ms: how much longer it is slow after it has come back, in
+        milliseconds.
     """
 
     id: str
@@ -28,6 +30,7 @@
     rack: str
     machine: str
     boot: int
+    cold_remaining_ms: int = 0
 
 
 class RunOutcome(enum.Enum):
--- a/src/cranberrywheel/submission/features.py
+++ b/src/cranberrywheel/submission/features.py
@@ -75,6 +75,11 @@
 NO_FEATURES = Features()
 
 
+def has_zone_evacuation(settings: FeatureSettings, timing: PlatformTiming) -> bool:
+    """Tell whether operators may evacuate zones, whatever the configuration holds."""
+    return settings.zone_evacuation.resolve(timing.evacuation_ms > 0)
+
+
 def select_features(
     settings: FeatureSettings, configuration: Configuration, timing: PlatformTiming
 ) -> Features:
@@ -89,7 +94,7 @@
     for queue in queues:
         priorities_by_service.setdefault(queue.service, set()).add(queue.priority)
     return Features(
-        zone_evacuation=settings.zone_evacuation.resolve(timing.evacuation_ms > 0),
+        zone_evacuation=has_zone_evacuation(settings, timing),
         fair_shares=settings.fair_shares.resolve(len(organisations) > 1),
         admission=settings.admission.resolve(has_objectives),
         preemption=settings.preemption.resolve(
--- a/src/cranberrywheel/submission/placement.py
+++ b/src/cranberrywheel/submission/placement.py
@@ -7,6 +7,7 @@
 
 import typing as t
 
+from cranberrywheel.submission.cold_executors import COLD_PENALTY, may_start_cold
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.live import StepRun, Task
 from cranberrywheel.submission.model import NO_RESOURCES, Resources
@@ -94,6 +95,8 @@
         return False
     if task.avoid_until_ms_by_executor.get(executor.id, 0) > now_ms:
         return False
+    if executor.cold_until_ms > now_ms and not may_start_cold(executor, step, now_ms):
+        return False
     return not step.anti_affinity or (
         executor.count_by_step.get(step_run, 0) < step.anti_affinity
     )
@@ -137,6 +140,8 @@
         score -= INTERFERENCE_PENALTY * executor.background_count
     if executor.suspect_until_ms > now_ms:
         score -= SUSPECT_PENALTY
+    if executor.cold_until_ms > now_ms:
+        score -= COLD_PENALTY
     return score
 
 
@@ -170,9 +175,13 @@
     return max(0, min(limits))
 
 
-def choose_zone(pool_capacity: PoolCapacity, step_run: StepRun) -> str | None:
+def choose_zone(
+    pool_capacity: PoolCapacity, step_run: StepRun, now_ms: int
+) -> str | None:
     """Return the availability zone in which a submission's next step should start.
 
+    Cold executors have no slots, since an empty zone of them would attract every step.
+
     :returns: the zone with the most free slots if all waiting tasks fit there, or
         ``None`` if they fit in no single zone, if the submission has runs already, or
         if it is long-running.
@@ -181,6 +190,8 @@
         return None
     slots_by_zone: dict[str, int] = {}
     for executor in pool_capacity.usable:
+        if executor.cold_until_ms > now_ms:
+            continue
         zone = executor.entry.zone
         slots = count_slots(executor, step_run)
         slots_by_zone[zone] = slots_by_zone.get(zone, 0) + slots
--- a/src/cranberrywheel/submission/reports.py
+++ b/src/cranberrywheel/submission/reports.py
@@ -2,6 +2,7 @@
 
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.submission import actions
+from cranberrywheel.submission.cold_executors import ran_cold
 from cranberrywheel.submission.crash_attribution import may_have_crashed
 from cranberrywheel.submission.executor import Executor, PendingCompletion
 from cranberrywheel.submission.executor_orders import (
@@ -241,7 +242,7 @@
         ran_ms=now_ms - run.started_ms if run else -1,
     )
     if completion.outcome is RunOutcome.DONE and not long_running:
-        if run is not None:
+        if run is not None and not ran_cold(executor, run):
             state.duration_estimates.record_run(
                 live, step_run.step, now_ms - run.started_ms
             )
@@ -324,9 +325,9 @@
     A task with checkpoints is stopped and resumes elsewhere; a speculative one gets
     another run.
     """
-    if run.state is not RunState.RUNNING or not is_slow(
-        run, state.duration_estimates, now_ms
-    ):
+    if run.state is not RunState.RUNNING or ran_cold(executor, run):
+        return
+    if not is_slow(run, state.duration_estimates, now_ms):
         return
     if not run.slowness_recorded:
         run.slowness_recorded = True
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -7,8 +7,10 @@
 """
 
 from cranberrywheel.submission import actions, reports, scheduling_pass
+from cranberrywheel.submission.cold_executors import note_cold
 from cranberrywheel.submission.crash_attribution import end_isolation
 from cranberrywheel.submission.demand import record_arrival
+from cranberrywheel.submission.evacuation import choose_runs_to_evacuate
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.executor_orders import (
     ExecutorEntry,
@@ -83,6 +85,7 @@
             executor = Executor(entry, registered, lease_expiry_ms)
             executor.boot = entry.boot
             self.add_executor(executor)
+            self._note_cold(executor, now_ms)
             return
         if entry.boot and executor.boot and entry.boot > executor.boot:
             self.restart_executor(executor, entry.boot, now_ms)
@@ -92,6 +95,12 @@
         if registered:
             executor.registered = True
             executor.unregistered_ms = 0
+        self._note_cold(executor, now_ms)
+
+    def _note_cold(self, executor: Executor, now_ms: int) -> None:
+        # The stored record of an executor is older than its entry.
+        if self.features.zone_evacuation and executor.registered:
+            note_cold(executor, executor.entry.cold_remaining_ms, now_ms)
 
     def remove_executor(self, executor_id: str, now_ms: int) -> None:
         """Record that an executor's entry was removed.
@@ -207,12 +216,15 @@
         """Act on the passage of time.
 
         Requeues tasks of unreachable executors whose lease has expired, repeats stops,
-        stops stalled runs, throttles background runs and begins due occurrences.
+        stops stalled runs, moves runs out of evacuated zones, throttles background runs
+        and begins due occurrences.
         """
         self.mark_all_dirty()
         for executor in list(self.executors_by_id.values()):
             self._check_executor(executor, now_ms)
         if self.may_start:
+            for run in choose_runs_to_evacuate(self, now_ms):
+                self.stop_run(run, now_ms, "its availability zone is evacuated")
             self.actions.extend(
                 decide_throttling(self.executors_by_id.values(), now_ms)
             )
--- a/src/cranberrywheel/submission/scheduling_pass.py
+++ b/src/cranberrywheel/submission/scheduling_pass.py
@@ -39,7 +39,7 @@
     :param now_ms: steady time in milliseconds.
     :param unix_ms: time of day in Unix milliseconds.
     """
-    if not state.may_start or state.configuration is None:
+    if not state.may_start or not state.zones_current or state.configuration is None:
         return
     services, state.dirty_services = state.dirty_services, set()
     for service in sorted(services):
@@ -147,7 +147,7 @@
         pool_capacity.refresh()
         return
     leaving_machines = state.maintenance_due | state.borrowed_machines
-    zone = choose_zone(pool_capacity, step_run)
+    zone = choose_zone(pool_capacity, step_run, now_ms)
     for task in list(step_run.waiting.values()):
         if not pool_capacity.may_fit(step.claim) or not _is_within_quota(
             state, live, step.size
@@ -238,6 +238,8 @@
     task.last_run_number = number
     run = Run(task, number, executor.id, now_ms)
     state.track_run(run, executor)
+    if executor.cold_until_ms > now_ms:
+        executor.cold_started_cpu += task.step_run.step.size.cpu
     _log.event(
         "starting a run",
         request=task.name,
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -91,6 +91,9 @@
     :ivar quota_limited_services: services in which a step waits for an organisation's
         quota.
     :ivar maintenance_due: machines of a wave whose maintenance has not begun.
+    :ivar evacuated_zones: availability zones in which nothing may start.
+    :ivar zones_current: nothing starts while this is false, since a zone may have been
+        evacuated without the leader's knowledge.
     :ivar borrowed_machines: machines that will return to another pool.
     :ivar used_by_organisation: resources in use by the runs of each organisation.
     :ivar arrivals_by_service: for each recent submission with short work only, when it
@@ -131,6 +134,8 @@
         self.dirty_services: set[str] = set()
         self.quota_limited_services: set[str] = set()
         self.maintenance_due: set[str] = set()
+        self.evacuated_zones: frozenset[str] = frozenset()
+        self.zones_current = True
         self.borrowed_machines: set[str] = set()
         self.duration_estimates = DurationEstimates()
         self.advice_by_step: dict[str, Advice] = {}
@@ -151,6 +156,7 @@
 
     def _index_by_service(self, executor: Executor) -> None:
         service = executor.entry.service
+        executor.evacuated = executor.entry.zone in self.evacuated_zones
         self.executors_by_service.setdefault(service, {})[executor.id] = executor
         self.dirty_services.add(service)
 
@@ -161,6 +167,15 @@
         executor.set_entry(entry)
         self._index_by_service(executor)
 
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Set the availability zones in which nothing may start."""
+        if not self.features.zone_evacuation or zones == self.evacuated_zones:
+            return
+        self.evacuated_zones = zones
+        for executor in self.executors_by_id.values():
+            executor.evacuated = executor.entry.zone in zones
+        self.mark_all_dirty()
+
     def add_waiting_submission(self, live: LiveSubmission) -> None:
         """Include a submission in the next scheduling pass."""
         service = live.queue.service
