Leave machines of an evacuated zone out of the size of pools

Cause: a pool counted machines as present on which nothing may start.

Change: pools replace them with machines of other zones and keep these while their own are missing. Empty machines of the zone move to the standby pool and stay there. Without an evacuated zone every decision is as before.

An idle pool of 12 replaces 4 lost machines by 1, to its 9, and then rests.

--- a/src/cranberrywheel/node/pool_moves.py
+++ b/src/cranberrywheel/node/pool_moves.py
@@ -120,6 +120,7 @@
             waiting.union(reserved),
             is_idle,
             now_ms,
+            self._scheduler.evacuated_zones,
         )
         self._store_home_pools()
         borrowed = {machine.id for machine in machines if is_borrowed(state, machine)}
--- a/src/cranberrywheel/submission/maintenance.py
+++ b/src/cranberrywheel/submission/maintenance.py
@@ -138,9 +138,10 @@
             remaining_by_pool.setdefault(machine.pool, []).append(machine_id)
     chosen: list[str] = []
 
-    def used_cpu(machine_id: str) -> int:
+    def used_cpu(machine_id: str) -> tuple[int, bool]:
+        """Order the machines by use; an evacuated one is missed less."""
         executor = executors_by_machine.get(machine_id)
-        return executor.used.cpu if executor else 0
+        return (executor.used.cpu, not executor.evacuated) if executor else (0, True)
 
     for pool in sorted(
         remaining_by_pool, key=lambda name: pressure_by_pool.get(name, 0.0)
--- a/src/cranberrywheel/submission/pool_sizing.py
+++ b/src/cranberrywheel/submission/pool_sizing.py
@@ -137,6 +137,7 @@
     reserved: t.Container[str],
     is_empty: t.Callable[[Machine], bool],
     now_ms: int,
+    evacuated_zones: t.Container[str] = frozenset(),
 ) -> PoolDecision:
     """Decide which machines move, and record the moves as under way.
 
@@ -146,6 +147,8 @@
     :param reserved: machines that a maintenance wave still needs where they are.
     :param is_empty: tells whether nothing runs on a machine.
     :param now_ms: steady time in milliseconds.
+    :param evacuated_zones: availability zones whose machines no pool can use. They
+        move to the standby pool once they are empty.
     """
     for machine in machines:
         state.home_pool_by_machine.setdefault(machine.id, machine.pool)
@@ -156,12 +159,19 @@
             state.destination_by_machine.pop(machine.id)
     for pool, demand in demand_by_pool.items():
         _record_pressure(state, pool, demand.pressure, now_ms)
+    evacuated = {machine.id for machine in machines if machine.zone in evacuated_zones}
+    usable = [machine for machine in machines if machine.id not in evacuated]
     missing_by_pool = _count_missing_machines(
-        state, machines, demand_by_pool, standby_pools, now_ms
+        state, machines, evacuated, demand_by_pool, standby_pools, now_ms
     )
     surplus_by_pool = _count_surplus_machines(
-        state, machines, demand_by_pool, standby_pools, missing_by_pool, now_ms
+        state, usable, demand_by_pool, standby_pools, missing_by_pool, now_ms
     )
+    replacements_by_pool: dict[str, int] = {}
+    if evacuated:
+        replacements_by_pool = _count_replacements(
+            state, usable, demand_by_pool, standby_pools
+        )
     standby_pool = next(
         (machine.pool for machine in machines if machine.pool in standby_pools), None
     )
@@ -191,6 +201,15 @@
     for machine in sorted(machines, key=lambda machine: not is_empty(machine)):
         if machine.id in state.destination_by_machine or machine.id in reserved:
             continue
+        if machine.id in evacuated:
+            if (
+                standby_pool is not None
+                and machine.pool not in standby_pools
+                and machine.is_up
+                and is_empty(machine)
+            ):
+                order_move(machine, standby_pool)
+            continue
         destination = pool_missing_most()
         if machine.pool in standby_pools:
             home_pool = state.home_pool_by_machine[machine.id]
@@ -206,6 +225,11 @@
                 if destination is not None or standby_pool is not None:
                     surplus_by_pool[machine.pool] -= 1
                     order_move(machine, destination or t.cast(str, standby_pool))
+        elif replacements_by_pool.get(machine.pool, 0) > 0:
+            replacements_by_pool[machine.pool] -= 1
+            if machine.id in state.returning:
+                state.returning.discard(machine.id)
+                keep.append(machine.id)
         elif is_borrowed(state, machine) and machine.is_up:
             low_pressure_ms = now_ms - state.low_pressure_since_ms.get(
                 machine.pool, now_ms
@@ -272,11 +296,16 @@
 
 
 def _count_arriving(
-    state: PoolSizingState, machines: t.Sequence[Machine], pool: str, demand: PoolDemand
+    state: PoolSizingState,
+    machines: t.Sequence[Machine],
+    evacuated: t.Container[str],
+    pool: str,
+    demand: PoolDemand,
 ) -> int:
     """Count the machines that move to a pool or are up without an executor yet."""
     moving_count = sum(
-        destination == pool for destination in state.destination_by_machine.values()
+        destination == pool and machine_id not in evacuated
+        for machine_id, destination in state.destination_by_machine.items()
     )
     if demand.executors is None:
         return moving_count
@@ -284,19 +313,48 @@
     return moving_count + max(0, up_count - demand.executors)
 
 
+def _count_replacements(
+    state: PoolSizingState,
+    usable: t.Sequence[Machine],
+    demand_by_pool: t.Mapping[str, PoolDemand],
+    standby_pools: t.Container[str],
+) -> dict[str, int]:
+    """Return how many borrowed machines each pool keeps for those of its own.
+
+    An idle pool would return them and order others for its missing machines at once.
+
+    :param usable: machines outside the evacuated zones.
+    """
+    own_by_pool: dict[str, int] = {}
+    for machine in usable:
+        if not is_borrowed(state, machine):
+            own_by_pool[machine.pool] = own_by_pool.get(machine.pool, 0) + 1
+    return {
+        pool: math.ceil(IDLE_KEEP_FRACTION * _count_home_machines(state, pool))
+        - own_by_pool.get(pool, 0)
+        for pool in demand_by_pool
+        if pool not in standby_pools
+    }
+
+
 def _count_missing_machines(
     state: PoolSizingState,
     machines: t.Sequence[Machine],
+    evacuated: t.Container[str],
     demand_by_pool: t.Mapping[str, PoolDemand],
     standby_pools: t.Container[str],
     now_ms: int,
 ) -> dict[str, int]:
-    """Return how many machines each pool is missing; no entry means none."""
+    """Return how many machines each pool is missing; no entry means none.
+
+    :param evacuated: ids of the machines in evacuated zones.
+    """
+    usable = [machine for machine in machines if machine.id not in evacuated]
     missing_by_pool: dict[str, int] = {}
     for pool, demand in demand_by_pool.items():
         if pool in standby_pools or not demand.machine_cpu:
             continue
-        present_count = _count_present(state, machines, pool)
+        present_count = _count_present(state, usable, pool)
         home_count = _count_home_machines(state, pool)
         missing_count = math.ceil(IDLE_KEEP_FRACTION * home_count) - present_count
         if demand.pressure >= RESTORE_PRESSURE or is_burst_expected(
@@ -305,7 +363,7 @@
             missing_count = home_count - present_count
         borrow_count = math.ceil(demand.missing_cpu / demand.machine_cpu)
         if borrow_count > 0:
-            borrow_count -= _count_arriving(state, machines, pool, demand)
+            borrow_count -= _count_arriving(state, machines, evacuated, pool, demand)
             missing_count = max(missing_count, borrow_count)
         if missing_count > 0:
             missing_by_pool[pool] = missing_count
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -1,11 +1,14 @@
 """Order and completion of a maintenance wave, decided without I/O."""
 
+import types
+
 from cranberrywheel.submission.machines import Machine, MachineState, Wave
 from cranberrywheel.submission.maintenance import (
     REMOVED_AFTER_MS,
     WaveState,
     choose_machines_to_drain,
 )
+from cranberrywheel.submission.model import NO_RESOURCES
 
 MAINTENANCE_MS = 2_000
 
@@ -55,6 +58,19 @@
     assert len(choose(state, machines, {})) == 1
 
 
+def test_empty_machine_of_an_evacuated_zone_is_drained_first():
+    """Guards against a wave that takes usable machines while others serve nobody."""
+    up = MachineState.UP
+    machines = make_machines(*((f"a{i}", "a", up) for i in range(4)))
+    state = make_state(*machines, at_once=1)
+    executors = {
+        name: types.SimpleNamespace(used=NO_RESOURCES, evacuated=name == "a2")
+        for name in machines
+    }
+    chosen = choose_machines_to_drain(state, machines, executors, {}, 2_000, 0)
+    assert chosen == ["a2"]
+
+
 def test_wave_completes_without_a_removed_machine():
     """Guards against a wave that never completes once a machine was removed."""
     state = make_state("a1", "a2")
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -16,17 +16,117 @@
 STANDBY = {"spare"}
 
 
-def make_machine(name: str, pool: str) -> Machine:
+def make_machine(name: str, pool: str, zone: str = "z") -> Machine:
     executor_id = f"i-{name}" if pool != "spare" else ""
-    return Machine(name, pool, MachineState.UP, "z", executor_id)
+    return Machine(name, pool, MachineState.UP, zone, executor_id)
 
 
-def decide(state, machines, demand, now_ms, reserved=(), empty=True):
+def decide(state, machines, demand, now_ms, reserved=(), empty=True, evacuated=()):
     return decide_moves(
-        state, machines, STANDBY, demand, set(reserved), lambda machine: empty, now_ms
+        state,
+        machines,
+        STANDBY,
+        demand,
+        set(reserved),
+        lambda machine: empty,
+        now_ms,
+        set(evacuated),
     )
 
 
+def play_rounds(machines, demand, evacuated, occupied=(), rounds=40):
+    """Carry out the decided moves for some rounds, and return those of each round."""
+    state = PoolSizingState()
+    machine_by_id = {machine.id: machine for machine in machines}
+    moves = []
+    for number in range(rounds):
+        decision = decide_moves(
+            state,
+            list(machine_by_id.values()),
+            STANDBY,
+            demand,
+            set(),
+            lambda machine: machine.id not in occupied,
+            400 * number,
+            evacuated,
+        )
+        moves.append(decision.moves)
+        for machine_id, pool in decision.moves:
+            zone = machine_by_id[machine_id].zone
+            machine_by_id[machine_id] = make_machine(machine_id, pool, zone)
+    return moves, machine_by_id
+
+
+def test_machines_of_an_evacuated_zone_are_replaced_once():
+    """Guards against a pool that stays short of the machines it cannot use.
+
+    An idle pool must not return the replacements and order them again in turns either.
+    """
+    machines = [make_machine(f"a{i}", "a", f"z{i % 3}") for i in range(12)]
+    machines += [make_machine(f"s{i}", "spare", f"z{i % 3}") for i in range(12)]
+    demand = {"a": PoolDemand(100, 0, 8_000, 1_000)}
+    moves, machine_by_id = play_rounds(machines, demand, {"z0"})
+    usable = [m for m in machine_by_id.values() if m.pool == "a" and m.zone != "z0"]
+    assert len(usable) == 9
+    assert sum(len(row) for row in moves) == 4 + 1
+    assert all(row == () for row in moves[5:])
+
+
+def test_occupied_machines_of_an_evacuated_zone_are_no_surplus():
+    """Guards against a pool that switches off what it can use for what it cannot."""
+    machines = [make_machine(f"a{i}", "a", f"z{i % 3}") for i in range(12)]
+    machines += [make_machine(f"s{i}", "spare", f"z{i % 3}") for i in range(12)]
+    demand = {"a": PoolDemand(100, 0, 8_000, 1_000)}
+    occupied = {f"a{i}" for i in range(0, 12, 3)}
+    moves, machine_by_id = play_rounds(machines, demand, {"z0"}, occupied)
+    usable = [m for m in machine_by_id.values() if m.pool == "a" and m.zone != "z0"]
+    assert len(usable) == 9 and sum(len(row) for row in moves) == 1
+
+
+def test_no_machine_joins_a_pool_in_an_evacuated_zone():
+    """Guards against a burst that borrows machines which cannot be used."""
+    machines = [make_machine(f"a{i}", "a", f"z{i % 3}") for i in range(12)]
+    machines += [make_machine(f"s{i}", "spare", f"z{i % 3}") for i in range(12)]
+    demand = {"a": PoolDemand(8_000, 20_000, 8_000, 1_000, 8_000)}
+    state = PoolSizingState()
+    moves = decide(state, machines, demand, 0, evacuated={"z0"}).moves
+    zone_by_id = {machine.id: machine.zone for machine in machines}
+    joined = [machine for machine, pool in moves if pool == "a"]
+    assert len(joined) == 8 and all(zone_by_id[name] != "z0" for name in joined)
+
+
+def test_machine_of_an_evacuated_zone_leaves_only_when_it_is_empty():
+    """Guards against moves of machines on which tasks still run."""
+    machines = [make_machine("a0", "a", "z0"), make_machine("s0", "spare", "z1")]
+    demand = {"a": PoolDemand(100, 0, 8_000, 1_000)}
+    state = PoolSizingState()
+    occupied = decide(state, machines, demand, 0, empty=False, evacuated={"z0"})
+    assert ("a0", "spare") not in occupied.moves
+    assert ("a0", "spare") in decide(state, machines, demand, 9, evacuated={"z0"}).moves
+
+
+def test_machines_return_once_the_zone_is_taken_back():
+    """Guards against a pool that stays on its replacements after an evacuation."""
+    machines = [make_machine(f"a{i}", "a", f"z{i % 3}") for i in range(12)]
+    machines += [make_machine(f"s{i}", "spare", f"z{i % 3}") for i in range(12)]
+    idle = {"a": PoolDemand(100, 0, 8_000, 1_000)}
+    _, machine_by_id = play_rounds(machines, idle, {"z0"})
+    state = PoolSizingState(
+        home_pool_by_machine={
+            name: "a" if name[0] == "a" else "spare" for name in machine_by_id
+        }
+    )
+    busy = {"a": PoolDemand(3_000, 0, 8_000, 1_000, 3_000)}
+    moves = decide(state, list(machine_by_id.values()), busy, 0).moves
+    assert {machine for machine, pool in moves if pool == "a"} <= {
+        "a0",
+        "a3",
+        "a6",
+        "a9",
+    }
+    assert moves
+
+
 def test_standby_machines_join_the_pool_with_a_burst():
     """Guards against a pool that stays overloaded while standby machines are unused."""
     machines = [make_machine(f"a{i}", "a") for i in range(4)]
