--- a/src/cranberrywheel/node/pool_moves.py
+++ b/src/cranberrywheel/node/pool_moves.py
@@ -121,6 +121,7 @@
             waiting.union(reserved),
             is_idle,
             now_ms,
+            self._scheduler.evacuated_zones,
             find_unreachable_zones(self._scheduler.executors_by_id.values()),
         )
         self._store_home_pools()
--- a/src/cranberrywheel_load/burst_replay.py
+++ b/src/cranberrywheel_load/burst_replay.py
@@ -298,7 +298,7 @@
             set(),
             is_empty,
             self._now_ms,
-            find_unreachable_zones(executors.values()),
+            unreachable_zones=find_unreachable_zones(executors.values()),
         )
         borrowed = {machine.id for machine in machines if is_borrowed(state, machine)}
         self.scheduler.borrowed_machines = borrowed | set(state.destination_by_machine)
