Let pools follow the turns of their queues

Cause: long-running tasks are spread over whole pools, so that every machine stays switched on, and a burst meets its pool without its borrowed machines.

Change: with turn_forecast on, the times of the turns are learned from the arrivals and their size from the use. Long-running tasks are packed on the fewest machines that their steps allow, spread over zones and racks; an idle pool keeps those and releases the others; the machines of a turn are ordered one move ahead of it. Off, plan_pools returns nothing and decisions are as before.

--- a/src/cranberrywheel/node/pool_moves.py
+++ b/src/cranberrywheel/node/pool_moves.py
@@ -15,6 +15,7 @@
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.machines import Machine, MachineOrderVerdict
 from cranberrywheel.submission.maintenance import choose_runs_to_move
+from cranberrywheel.submission.pool_plans import list_drain_targets, plan_pools
 from cranberrywheel.submission.pool_sizing import (
     PoolSizingState,
     decide_moves,
@@ -112,14 +113,19 @@
         waiting = {
             machine.id for machine in machines if not self._orders.may_order(machine.id)
         }
+        demand = compute_demand_by_service(self._scheduler, now_ms)
+        plans = plan_pools(
+            self._scheduler, state, machines, standby_services, demand, now_ms
+        )
         decision = decide_moves(
             state,
             machines,
             standby_services,
-            compute_demand_by_service(self._scheduler, now_ms),
+            demand,
             waiting.union(reserved),
             is_idle,
             now_ms,
+            plans,
         )
         self._store_home_pools()
         borrowed = {machine.id for machine in machines if is_borrowed(state, machine)}
@@ -137,12 +143,7 @@
         if executor is None:
             return
         executor.cordoned = True
-        # A pool serves the service of the same name.
-        pool = [
-            other
-            for other in self._scheduler.executors_by_id.values()
-            if other.entry.service == executor.entry.service
-        ]
+        pool = list_drain_targets(self._scheduler, executor.entry.service)
         for run in choose_runs_to_move(executor, pool, now_ms):
             self._scheduler.stop_run(run, now_ms, "its machine moves to another pool")
 
--- a/src/cranberrywheel/submission/demand.py
+++ b/src/cranberrywheel/submission/demand.py
@@ -10,10 +10,16 @@
 from cranberrywheel.submission.pool_sizing import PoolDemand
 from cranberrywheel.submission.queue_order import estimate_remaining_work
 from cranberrywheel.submission.state import SchedulerState
+from cranberrywheel.submission.turn_forecast import ArrivalLoad
 
 #: Time over which arriving work is averaged. A burst shows within it, and a single
 #: large submission does not look like one for long.
 OFFERED_WINDOW_MS = 1_000
+#: Time within which the first submissions of a burst are looked for.
+FIRST_SIGN_WINDOW_MS = 300
+#: Submissions within it that are no coincidence between two bursts, when a pool of the
+#: larger deployments gets less than one in a second.
+FIRST_SIGN_COUNT = 4
 
 
 def record_arrival(state: SchedulerState, live: LiveSubmission, now_ms: int) -> None:
@@ -46,6 +52,40 @@
     return round(1_000 * certainty * core_ms / OFFERED_WINDOW_MS)
 
 
+def compute_arrival_load(
+    state: SchedulerState, service: str, used: int, own_cpu: int, now_ms: int
+) -> ArrivalLoad:
+    """Return the work that arrives for a pool.
+
+    :param used: cpu that runs of short tasks reserve, in thousandths of a core.
+    :param own_cpu: cpu of the pool's own machines, in thousandths of a core.
+    :param now_ms: steady time in milliseconds.
+    """
+    certain = _compute_offered(state, service, now_ms)
+    arrivals = state.arrivals_by_service.get(service) or ()
+    core_ms = sum(core_ms for _, core_ms in arrivals)
+    since_ms, seen_core_ms = now_ms, 0.0
+    for at_ms, arrived_core_ms in arrivals:
+        seen_core_ms += arrived_core_ms
+        if seen_core_ms >= core_ms / 10:
+            since_ms = at_ms
+            break
+    recent = [
+        core_ms for at_ms, core_ms in arrivals if at_ms >= now_ms - FIRST_SIGN_WINDOW_MS
+    ]
+    first_sign = 0
+    if len(recent) >= FIRST_SIGN_COUNT:
+        first_sign = round(1_000 * sum(recent) / FIRST_SIGN_WINDOW_MS)
+    return ArrivalLoad(
+        arriving=round(1_000 * core_ms / OFFERED_WINDOW_MS),
+        certain=certain,
+        first_sign=first_sign,
+        since_ms=since_ms,
+        used=used,
+        own_cpu=own_cpu,
+    )
+
+
 def compute_demand_by_service(
     state: SchedulerState, now_ms: int
 ) -> dict[str, PoolDemand]:
--- a/src/cranberrywheel/submission/placement.py
+++ b/src/cranberrywheel/submission/placement.py
@@ -10,6 +10,7 @@
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.live import StepRun, Task
 from cranberrywheel.submission.model import NO_RESOURCES, Resources
+from cranberrywheel.submission.packing import compute_packing_score
 
 #: Added to the score of an executor for a short task, if tasks of its submission run
 #: there. A submission is late if one of its tasks is, so the loss of a zone, a rack or
@@ -109,11 +110,17 @@
 
 
 def compute_score(
-    executor: Executor, task: Task, now_ms: int, leaving_machines: t.Container[str]
+    executor: Executor,
+    task: Task,
+    now_ms: int,
+    leaving_machines: t.Container[str],
+    packed_machines: t.Container[str] | None = None,
 ) -> float:
     """Compute how well an executor suits a task; higher is better.
 
     :param leaving_machines: ids of machines due for maintenance or a move.
+    :param packed_machines: ids of the machines on which the pool packs its long-running
+        tasks; ``None`` if it does not pack them.
     """
     step = task.step_run.step
     entry = executor.entry
@@ -122,6 +129,8 @@
         score -= CROWDING_PENALTY * executor.latency_sensitive_count
         if entry.machine in leaving_machines:
             score -= LEAVING_PENALTY
+        if packed_machines is not None:
+            score += compute_packing_score(executor, task.step_run, packed_machines)
     else:
         score = executor.free.cpu / max(1, entry.capacity.cpu)
         score += _compute_domain_bonus(executor, task.step_run)
@@ -196,18 +205,22 @@
     now_ms: int,
     leaving_machines: t.Container[str],
     zone: str | None = None,
+    packed_machines: t.Container[str] | None = None,
 ) -> Executor | None:
     """Return the executor with the highest score, or ``None`` if the task fits none.
 
     :param zone: availability zone in which its submission should begin, from
         :func:`choose_zone`.
+    :param packed_machines: see :func:`compute_score`.
     """
     claim = task.step_run.step.claim
     best: Executor | None = None
     best_score = 0.0
     for executor in pool_capacity.usable:
         if claim.fits_in(executor.free) and meets_constraints(executor, task, now_ms):
-            score = compute_score(executor, task, now_ms, leaving_machines)
+            score = compute_score(
+                executor, task, now_ms, leaving_machines, packed_machines
+            )
             if zone == executor.entry.zone and not task.step_run.live.run_count:
                 score += SAME_ZONE_BONUS
             if best is None or score > best_score:
--- a/src/cranberrywheel/submission/pool_sizing.py
+++ b/src/cranberrywheel/submission/pool_sizing.py
@@ -101,6 +101,7 @@
     :ivar returning: borrowed machines that are drained for their return.
     :ivar destination_by_machine: new pool of each machine that is moving.
     :ivar burst_starts_ms: when the last two bursts of each pool began.
+    :ivar phase_by_pool: last logged phase of each pool's plan.
     """
 
     home_pool_by_machine: dict[str, str] = dataclasses.field(default_factory=dict)
@@ -108,6 +109,26 @@
     returning: set[str] = dataclasses.field(default_factory=set)
     destination_by_machine: dict[str, str] = dataclasses.field(default_factory=dict)
     burst_starts_ms: dict[str, list[int]] = dataclasses.field(default_factory=dict)
+    phase_by_pool: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolPlan:
+    """Size of a pool that follows the turns of its queue; see :mod:`.pool_plans`.
+
+    :param wanted: machines below which the pool is missing some.
+    :param keep: machines above which it releases some.
+    :param is_idle: machines are released without a pool that needs them.
+    :param rank_by_machine: machines that may leave, with their position in the order.
+    :param use_ratio: what the work of the last turn used, as a fraction of what its
+        arrivals declared.
+    """
+
+    wanted: int
+    keep: int
+    is_idle: bool
+    rank_by_machine: t.Mapping[str, int]
+    use_ratio: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,6 +158,7 @@
     reserved: t.Container[str],
     is_empty: t.Callable[[Machine], bool],
     now_ms: int,
+    plans: t.Mapping[str, PoolPlan] | None = None,
 ) -> PoolDecision:
     """Decide which machines move, and record the moves as under way.
 
@@ -146,7 +168,9 @@
     :param reserved: machines that a maintenance wave still needs where they are.
     :param is_empty: tells whether nothing runs on a machine.
     :param now_ms: steady time in milliseconds.
+    :param plans: plans of the pools that follow the turns of their queues.
     """
+    plans = plans or {}
     for machine in machines:
         state.home_pool_by_machine.setdefault(machine.id, machine.pool)
         if (
@@ -157,10 +181,10 @@
     for pool, demand in demand_by_pool.items():
         _record_pressure(state, pool, demand.pressure, now_ms)
     missing_by_pool = _count_missing_machines(
-        state, machines, demand_by_pool, standby_pools, now_ms
+        state, machines, demand_by_pool, standby_pools, now_ms, plans
     )
     surplus_by_pool = _count_surplus_machines(
-        state, machines, demand_by_pool, standby_pools, missing_by_pool, now_ms
+        state, machines, demand_by_pool, standby_pools, missing_by_pool, now_ms, plans
     )
     standby_pool = next(
         (machine.pool for machine in machines if machine.pool in standby_pools), None
@@ -187,8 +211,41 @@
     excess_by_pool = {
         pool: demand.excess_machines for pool, demand in demand_by_pool.items()
     }
-    # Machines without runs leave a pool first, since they need no drain.
-    for machine in sorted(machines, key=lambda machine: not is_empty(machine)):
+
+    def order_of_release(machine: Machine) -> tuple[bool, int]:
+        # Machines without runs leave a pool first, since they need no drain.
+        plan = plans.get(machine.pool)
+        return not is_empty(machine), (
+            plan.rank_by_machine.get(machine.id, 0) if plan else 0
+        )
+
+    def release(machine: Machine, plan: PoolPlan, destination: str | None) -> None:
+        """Release a machine of a planned pool, or end its drain."""
+        pool = machine.pool
+        if destination is None or destination == pool:
+            home_pool = state.home_pool_by_machine[machine.id]
+            destination = home_pool if home_pool != pool else standby_pool
+            low_ms = now_ms - state.low_pressure_since_ms.get(pool, now_ms)
+            may_leave = plan.is_idle or low_ms >= RETURN_DELAY_MS
+        else:
+            may_leave = True
+        if (
+            may_leave
+            and destination is not None
+            and machine.is_up
+            and surplus_by_pool.get(pool, 0) > 0
+            and machine.id in plan.rank_by_machine
+        ):
+            surplus_by_pool[pool] -= 1
+            if is_empty(machine):
+                order_move(machine, destination)
+            else:
+                state.returning.add(machine.id)
+        elif machine.id in state.returning:
+            state.returning.discard(machine.id)
+            keep.append(machine.id)
+
+    for machine in sorted(machines, key=order_of_release):
         if machine.id in state.destination_by_machine or machine.id in reserved:
             continue
         destination = pool_missing_most()
@@ -197,6 +254,8 @@
             destination = home_pool if home_pool in missing_by_pool else destination
             if destination is not None:
                 order_move(machine, destination)
+        elif machine.pool in plans:
+            release(machine, plans[machine.pool], destination)
         elif not is_borrowed(state, machine):
             if (
                 surplus_by_pool.get(machine.pool, 0) > 0
@@ -267,6 +326,14 @@
     )
 
 
+def _count_returning(
+    state: PoolSizingState, machines: t.Sequence[Machine], pool: str
+) -> int:
+    return sum(
+        machine.pool == pool and machine.id in state.returning for machine in machines
+    )
+
+
 def _count_home_machines(state: PoolSizingState, pool: str) -> int:
     return sum(home_pool == pool for home_pool in state.home_pool_by_machine.values())
 
@@ -290,6 +357,7 @@
     demand_by_pool: t.Mapping[str, PoolDemand],
     standby_pools: t.Container[str],
     now_ms: int,
+    plans: t.Mapping[str, PoolPlan],
 ) -> dict[str, int]:
     """Return how many machines each pool is missing; no entry means none."""
     missing_by_pool: dict[str, int] = {}
@@ -303,9 +371,16 @@
             state, pool, now_ms
         ):
             missing_count = home_count - present_count
+        plan = plans.get(pool)
+        if plan is not None:
+            missing_count = plan.wanted - present_count
+            offered = round(min(1.0, plan.use_ratio) * demand.offered)
+            demand = dataclasses.replace(demand, offered=offered)
         borrow_count = math.ceil(demand.missing_cpu / demand.machine_cpu)
         if borrow_count > 0:
             borrow_count -= _count_arriving(state, machines, pool, demand)
+            if plan is not None:  # the capacity does not include drained machines
+                borrow_count -= _count_returning(state, machines, pool)
             missing_count = max(missing_count, borrow_count)
         if missing_count > 0:
             missing_by_pool[pool] = missing_count
@@ -319,10 +394,19 @@
     standby_pools: t.Container[str],
     missing_by_pool: t.Mapping[str, int],
     now_ms: int,
+    plans: t.Mapping[str, PoolPlan],
 ) -> dict[str, int]:
     """Return how many machines each idle pool can switch off or pass on."""
     surplus_by_pool: dict[str, int] = {}
     for pool, demand in demand_by_pool.items():
+        plan = plans.get(pool)
+        if plan is not None:
+            if pool not in missing_by_pool:
+                surplus_by_pool[pool] = min(
+                    _count_present(state, machines, pool) - plan.keep,
+                    demand.excess_machines + _count_returning(state, machines, pool),
+                )
+            continue
         low_pressure_ms = now_ms - state.low_pressure_since_ms.get(pool, now_ms)
         if (
             pool in standby_pools
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -24,6 +24,7 @@
     Submission,
     SubmissionState,
 )
+from cranberrywheel.submission.pool_floor import pack_pool
 from cranberrywheel.submission.record import Progress
 from cranberrywheel.submission.reports import AVOID_AFTER_FAULT_MS
 from cranberrywheel.submission.state import Advice, SchedulerState
@@ -130,6 +131,8 @@
         live.begin_occurrence()
         self.live_by_id[submission.id] = live
         self.add_waiting_submission(live)
+        if live.has_long_running_step and self.features.turn_forecast:
+            pack_pool(self, live.queue.service)
         if not recovered:
             record_arrival(self, live, now_ms)
             live.beyond_share = not self._take_share(submission.organisation, now_ms)
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -29,6 +29,7 @@
 )
 from cranberrywheel.submission.organisation_shares import OrganisationShares
 from cranberrywheel.submission.platform_timing import PlatformTiming
+from cranberrywheel.submission.turn_forecast import TurnForecastState
 
 #: Lease that executors are granted for their runs: longer than a takeover, so that
 #: runs survive it, but short enough that tasks of a lost executor soon start
@@ -95,6 +96,9 @@
     :ivar used_by_organisation: resources in use by the runs of each organisation.
     :ivar arrivals_by_service: for each recent submission with short work only, when it
         arrived, and its expected work in core-milliseconds.
+    :ivar turns: what is known about the turns of the queues.
+    :ivar packed_machines_by_service: ids of the machines on which a pool packs its
+        long-running tasks, see :mod:`.pool_plans`.
     :ivar shares: use of the organisations' shares. A takeover forgets it, so the
         submissions that it recovers count as within their share.
     :ivar features: parts that are on under the configuration in force.
@@ -136,6 +140,8 @@
         self.advice_by_step: dict[str, Advice] = {}
         self.used_by_organisation: dict[str, Resources] = {}
         self.arrivals_by_service: dict[str, collections.deque[tuple[int, float]]] = {}
+        self.turns = TurnForecastState()
+        self.packed_machines_by_service: dict[str, frozenset[str]] = {}
         self.shares = OrganisationShares()
         self.actions: list[actions.Action] = []
 
--- a/src/cranberrywheel_load/burst_load.py
+++ b/src/cranberrywheel_load/burst_load.py
@@ -10,6 +10,8 @@
 UNIX_START_MS = 1_700_000_000_000
 #: Drawn submissions from which the mean work is taken.
 MEAN_SAMPLES = 400
+#: Duration of a slow task as a multiple of that of the others.
+SLOW_FACTOR = 7
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -21,6 +23,8 @@
     :param work_ms: mean duration of a task; ``work_spread`` is the sigma of its
         logarithm between submissions, ``task_spread`` the one within a submission.
     :param declared_spread: sigma of the logarithm of declared against true durations.
+    :param slow_share: fraction of the tasks that take :data:`SLOW_FACTOR` times as
+        long.
     """
 
     burst_load: float = 0.8
@@ -36,6 +40,7 @@
     declared_spread: float = 0.2
     objective_factor: float = 1.6
     objective_ms: int = 600
+    slow_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -46,8 +51,17 @@
     :param standby: machines that are off until a pool borrows them.
     :param burst_ms: length of a burst.
     :param idle_load: load between bursts, as a fraction of the mean.
-    :param long_running: long-running tasks in each pool.
+    :param machines_per_rack: machines with successive numbers in one rack; 0: the
+        machines of a zone are dealt out to ``racks`` racks.
+    :param long_running: tasks of each long-running submission.
     :param long_running_limit: largest number of them on one machine; 0 for no limit.
+    :param long_running_submissions: long-running submissions in each pool.
+    :param long_running_fills: whether the last of them is a background task, which
+        uses spare cpu.
+    :param target_ms: limit of the tail latency of the other long-running tasks; 0 for
+        none.
+    :param crowding_load: by how much each further long-running task on its machine
+        raises a task's tail latency, as a fraction of ``target_ms``.
     """
 
     pools: tuple[int, ...] = (8, 8, 8, 8)
@@ -73,6 +87,12 @@
     long_running_cpu: int = 3_300
     long_running_limit: int = 2
     may_miss: int = 1
+    machines_per_rack: int = 0
+    long_running_submissions: int = 1
+    long_running_memory_mb: int = 8_000
+    long_running_fills: bool = False
+    target_ms: int = 0
+    crowding_load: float = 0.0
 
 
 def _alternate(first: QueueLoad, second: QueueLoad) -> tuple[QueueLoad, ...]:
@@ -154,6 +174,54 @@
     long_running_cpu=4_800,
     long_running_limit=1,
 )
+CONTENDED_TURNS = dataclasses.replace(
+    FOUR_ZONES_GROWN,
+    pools=(32, 36, 39, 43),
+    standby=29,
+    zones=3,
+    machines_per_rack=8,
+    machine=Resources(64_000, 262_144, 0),
+    queues=_alternate(
+        QueueLoad(
+            burst_load=1.4,
+            width=8,
+            cpu=6_200,
+            memory_mb=16_000,
+            work_ms=700,
+            declared_spread=0.5,
+            objective_ms=610,
+        ),
+        QueueLoad(
+            burst_load=1.4,
+            width=8,
+            cpu=9_000,
+            memory_mb=24_000,
+            work_ms=1_300,
+            declared_spread=0.5,
+            objective_ms=610,
+        ),
+    ),
+    length_ms=36_000,
+    long_running_cpu=8_000,
+    long_running_memory_mb=34_000,
+    long_running_limit=1,
+    long_running_submissions=3,
+    long_running_fills=True,
+    target_ms=100,
+)
+UNEVEN_TURNS = dataclasses.replace(
+    CONTENDED_TURNS,
+    machines_per_rack=20,
+    machine=Resources(32_000, 65_536, 0),
+    queues=tuple(
+        dataclasses.replace(
+            queue, cpu=queue.cpu // 2, memory_mb=queue.memory_mb // 4, slow_share=0.03
+        )
+        for queue in CONTENDED_TURNS.queues
+    ),
+    long_running_cpu=4_000,
+    long_running_memory_mb=8_500,
+)
 #: Deployments like those of the users.
 PLANS = {
     "four-zones": FOUR_ZONES,
@@ -161,6 +229,8 @@
     "four-zones-grown": FOUR_ZONES_GROWN,
     "three-zones-grown": THREE_ZONES_GROWN,
     "six-zones-large": SIX_ZONES_LARGE,
+    "contended-turns": CONTENDED_TURNS,
+    "uneven-turns": UNEVEN_TURNS,
 }
 
 
@@ -246,6 +316,11 @@
             max(30, int(task_ms * rng.lognormvariate(0, load.task_spread)))
             for _ in range(count)
         )
+        if load.slow_share:
+            row = tuple(
+                SLOW_FACTOR * took_ms if rng.random() < load.slow_share else took_ms
+                for took_ms in row
+            )
         declared = task_ms * rng.lognormvariate(0, load.declared_spread)
         steps.append(
             Step(
--- a/src/cranberrywheel_load/burst_policies.py
+++ b/src/cranberrywheel_load/burst_policies.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from cranberrywheel.submission import placement, pool_sizing, scheduling_pass
+from cranberrywheel.submission.features import ALL_OFF, Switch
 from cranberrywheel.submission.live import LiveSubmission, RemainingWork
 from cranberrywheel.submission.queue_order import ON_TIME, compute_scheduling_key
 from cranberrywheel_load.burst_load import PLANS
@@ -41,6 +42,12 @@
         (placement, "SAME_RACK_BONUS", 0.0),
         (placement, "SAME_EXECUTOR_BONUS", 0.0),
     ),
+    "turn-forecast": (),
+}
+
+#: Switches of the policies that have a part of the scheduler on.
+FEATURES_BY_POLICY = {
+    "turn-forecast": dataclasses.replace(ALL_OFF, turn_forecast=Switch.ON),
 }
 
 
@@ -60,9 +67,14 @@
 
     :param plan: name in :data:`.burst_load.PLANS`.
     """
+    features = FEATURES_BY_POLICY.get(policy, ALL_OFF)
     with apply_policy(policy):
         rows = [
-            dataclasses.astuple(BurstReplay(PLANS[plan], seed, cuts=(CUT,)).run())
+            dataclasses.astuple(
+                BurstReplay(
+                    PLANS[plan], seed, cuts=(CUT,), feature_settings=features
+                ).run()
+            )
             for seed in seeds
         ]
     return Measures(*(sum(column) / len(rows) for column in zip(*rows, strict=True)))
--- a/src/cranberrywheel_load/burst_replay.py
+++ b/src/cranberrywheel_load/burst_replay.py
@@ -22,6 +22,7 @@
     RunningReport,
     RunOutcome,
 )
+from cranberrywheel.submission.features import ALL_OFF, FeatureSettings
 from cranberrywheel.submission.live import Run
 from cranberrywheel.submission.machines import Machine, MachineState
 from cranberrywheel.submission.maintenance import choose_runs_to_move
@@ -33,6 +34,7 @@
     Submission,
 )
 from cranberrywheel.submission.platform_timing import PlatformTiming
+from cranberrywheel.submission.pool_plans import list_drain_targets, plan_pools
 from cranberrywheel.submission.pool_sizing import (
     PoolSizingState,
     decide_moves,
@@ -68,6 +70,8 @@
 #: Time until a long-running task is available, and until a stopped run has ended.
 STARTUP_MS = 700
 STOP_MS = 100
+#: Time until the entry of a lost executor disappears from the store.
+ENTRY_LEASE_MS = 3_000
 #: Length of the windows of which the two worst are reported.
 WINDOW_MS = 2_000
 #: Benefit of a submission that completes late, as a fraction, and until which multiple
@@ -87,6 +91,18 @@
     zone: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Loss:
+    """Machines that are down for a time; their runs end.
+
+    :param place: id of an availability zone or of a rack.
+    """
+
+    at_ms: int
+    for_ms: int
+    place: str
+
+
 @dataclasses.dataclass
 class Measures:
     """Sums of one replay.
@@ -97,6 +113,7 @@
     :param available: fraction of the time that long-running tasks are available.
     :param pool_share: machine time in pools as a share of the pools' own machines.
     :param moves: machine moves.
+    :param moving_share: machine time of moves as a share of the pools' own machines.
     """
 
     served: float
@@ -105,12 +122,15 @@
     available: float
     pool_share: float
     moves: int
+    moving_share: float
 
 
 class BurstReplay:
     """One replay.
 
     :param sizes_pools: whether machines move between pools.
+    :param feature_settings: switches of the scheduler's parts.
+    :param arrivals: arrivals in place of those that are drawn from the plan.
     """
 
     def __init__(
@@ -119,16 +139,20 @@
         seed: int,
         sizes_pools: bool = True,
         cuts: t.Sequence[Cut] = (),
+        feature_settings: FeatureSettings = ALL_OFF,
+        losses: t.Sequence[Loss] = (),
+        arrivals: t.Sequence[BurstArrival] | None = None,
     ) -> None:
         self.plan = plan
-        self.arrivals = draw_arrivals(plan, seed)
+        self.arrivals = draw_arrivals(plan, seed) if arrivals is None else arrivals
         self._cuts = cuts
+        self._losses = losses
         self._sizes_pools = sizes_pools
         self._now_ms = 0
         self._heap: list[tuple[int, int, t.Callable[[], None]]] = []
         self._order = itertools.count()
         self._machine_order = itertools.count()
-        self.scheduler = Scheduler(1, 0, PlatformTiming(), -10_000)
+        self.scheduler = Scheduler(1, 0, PlatformTiming(), -10_000, feature_settings)
         queues = [build_queue(plan, number) for number in range(len(plan.pools))]
         self.scheduler.set_configuration(
             Configuration(
@@ -151,8 +175,10 @@
         self._sequence: dict[str, int] = {}
         self._ends: dict[str, list[CompletionReport]] = {}
         self._cut_zones: set[str] = set()
+        self._lost_executors: set[str] = set()
         self.ended_ms: dict[str, int] = {}
         self._machine_ms = 0.0
+        self._moving_ms = 0.0
         self._available_ms = 0.0
         self._moves = 0
         self._wake_due = False
@@ -173,7 +199,10 @@
         for number, count in enumerate(plan.pools):
             for _ in range(count):
                 self._add_machine(f"pool-{number}")
-            self._after(500, lambda n=number: self._submit_long_running(n))
+            for index in range(plan.long_running_submissions):
+                self._after(
+                    500, lambda n=number, i=index: self._submit_long_running(n, i)
+                )
         for _ in range(plan.standby):
             self._add_machine(STANDBY)
         for arrival in self.arrivals:
@@ -185,6 +214,10 @@
             self._after(plan.lead_ms + cut.at_ms, lambda c=cut: self._cut(c, True))
             end_ms = plan.lead_ms + cut.at_ms + cut.for_ms
             self._after(end_ms, lambda c=cut: self._cut(c, False))
+        for loss in self._losses:
+            at_ms = plan.lead_ms + loss.at_ms
+            self._after(at_ms, lambda x=loss: self._lose(x.place))
+            self._after(at_ms + loss.for_ms, lambda x=loss: self._return(x.place))
         self._after(TICK_MS, self._tick)
         if self._sizes_pools:
             self._after(MACHINES_MS, self._move_machines)
@@ -205,6 +238,9 @@
                 m.pool != STANDBY and m.state is MachineState.UP
                 for m in self._machines.values()
             )
+            self._moving_ms += TICK_MS * sum(
+                m.state is MachineState.MOVING for m in self._machines.values()
+            )
             self._available_ms += TICK_MS * self._count_available()
         self.scheduler.tick(self._now_ms, self._unix_ms)
         self._wake()
@@ -239,13 +275,19 @@
     def _add_machine(self, pool: str) -> None:
         number = next(self._machine_order)
         zone = number % self.plan.zones
-        rack = number // self.plan.zones % self.plan.racks
+        rack = number // self.plan.zones
+        if self.plan.machines_per_rack:
+            rack //= self.plan.machines_per_rack
+        else:
+            rack %= self.plan.racks
         name = f"m{number}"
         self._place_by_machine[name] = (f"z{zone}", f"r{zone}-{rack}")
         self._machines[name] = Machine(name, pool, MachineState.UP, f"z{zone}", "")
         self._bring_up(name)
 
     def _bring_up(self, name: str) -> None:
+        if self._machines[name].state is MachineState.DOWN:
+            return
         machine = dataclasses.replace(self._machines[name], state=MachineState.UP)
         self._machines[name] = machine
         if machine.pool == STANDBY:
@@ -289,14 +331,12 @@
             return executor is None or not executor.runs
 
         machines = list(self._machines.values())
+        demand = compute_demand_by_service(self.scheduler, self._now_ms)
+        plans = plan_pools(
+            self.scheduler, state, machines, {STANDBY}, demand, self._now_ms
+        )
         decision = decide_moves(
-            state,
-            machines,
-            {STANDBY},
-            compute_demand_by_service(self.scheduler, self._now_ms),
-            set(),
-            is_empty,
-            self._now_ms,
+            state, machines, {STANDBY}, demand, set(), is_empty, self._now_ms, plans
         )
         borrowed = {machine.id for machine in machines if is_borrowed(state, machine)}
         self.scheduler.borrowed_machines = borrowed | set(state.destination_by_machine)
@@ -310,7 +350,7 @@
                 continue
             executor.cordoned = True
             service = executor.entry.service
-            pool = list(self.scheduler.executors_by_service[service].values())
+            pool = list_drain_targets(self.scheduler, service)
             for run in choose_runs_to_move(executor, pool, self._now_ms):
                 self.scheduler.stop_run(run, self._now_ms, "its machine moves")
         for name, pool_name in decision.moves:
@@ -334,7 +374,39 @@
             self._cut_zones.discard(cut.zone)
 
     def _is_cut(self, executor: Executor) -> bool:
-        return executor.entry.zone in self._cut_zones
+        return (
+            executor.entry.zone in self._cut_zones
+            or executor.id in self._lost_executors
+        )
+
+    def _list_machines_in(self, place: str) -> list[str]:
+        return [
+            name for name, where in self._place_by_machine.items() if place in where
+        ]
+
+    def _lose(self, place: str) -> None:
+        """Take down the machines of a rack or zone with everything on them."""
+        for name in self._list_machines_in(place):
+            machine = self._machines[name]
+            self._machines[name] = dataclasses.replace(
+                machine, state=MachineState.DOWN, executor_id=""
+            )
+            if machine.executor_id in self._running:
+                self._running[machine.executor_id] = {}
+                self._lost_executors.add(machine.executor_id)
+                self._after(
+                    ENTRY_LEASE_MS,
+                    lambda x=machine.executor_id: self.scheduler.remove_executor(
+                        x, self._now_ms
+                    ),
+                )
+
+    def _return(self, place: str) -> None:
+        for name in self._list_machines_in(place):
+            self._machines[name] = dataclasses.replace(
+                self._machines[name], state=MachineState.OTHER
+            )
+            self._bring_up(name)
 
     # Work
 
@@ -343,19 +415,22 @@
         self.scheduler.add_submission(arrival.submission, self._now_ms)
         self._wake()
 
-    def _submit_long_running(self, number: int) -> None:
+    def _submit_long_running(self, number: int, index: int) -> None:
         plan = self.plan
         queue = build_queue(plan, number)
+        fills = plan.long_running_fills and index == plan.long_running_submissions - 1
         step = Step(
             count=plan.long_running,
-            size=Resources(plan.long_running_cpu, 8_000, 0),
+            size=Resources(plan.long_running_cpu, plan.long_running_memory_mb, 0),
+            target_ms=0 if fills else plan.target_ms,
+            fills=fills,
             long_running=True,
             anti_affinity=plan.long_running_limit,
             may_miss=plan.may_miss,
         )
         self.scheduler.add_submission(
             Submission(
-                f"long-running-{number}",
+                f"long-running-{number}-{index}",
                 queue.key,
                 queue.service,
                 "",
@@ -438,11 +513,16 @@
         self, rows: dict[tuple[str, int], tuple[Run, int, int]]
     ) -> tuple[RunningReport, ...]:
         found: list[RunningReport] = []
+        neighbours = (
+            sum(run.task.step_run.step.long_running for run, _, _ in rows.values()) - 1
+        )
         for run, begin_ms, end_ms in rows.values():
             percent = 100.0 * (self._now_ms - begin_ms) / max(1, end_ms - begin_ms)
             if run.task.step_run.step.long_running:
                 percent = 100.0 if self._now_ms - begin_ms >= STARTUP_MS else 0.0
-            found.append(RunningReport(*run.key, "", percent, 0.0))
+            target_ms = run.task.step_run.step.target_ms
+            load = target_ms * self.plan.crowding_load * neighbours
+            found.append(RunningReport(*run.key, "", percent, load))
         return tuple(found)
 
     # Sums
@@ -495,6 +575,7 @@
         length_ms = self.plan.length_ms
         own = sum(self.plan.pools) * length_ms
         expected_ms = self.plan.long_running * len(self.plan.pools) * length_ms
+        expected_ms *= self.plan.long_running_submissions
         return Measures(
             served=sum(earned.values()) / sum(owed.values()),
             worst_windows=sum(shares[:2]) / 2,
@@ -502,4 +583,5 @@
             available=self._available_ms / expected_ms if expected_ms else 1.0,
             pool_share=self._machine_ms / own,
             moves=self._moves,
+            moving_share=self._moving_ms / own,
         )
