Bound the size of a forecast turn by its peak use

Cause: with few arrivals a turn seems to end early, so that its use divided by its length asked for 19 machines in a pool of 6; a few large submissions between two turns raised the idle load to 30 machines.

--- a/src/cranberrywheel/submission/demand.py
+++ b/src/cranberrywheel/submission/demand.py
@@ -53,11 +53,15 @@
 
 
 def compute_arrival_load(
-    state: SchedulerState, service: str, used: int, own_cpu: int, now_ms: int
+    state: SchedulerState,
+    service: str,
+    demand: PoolDemand,
+    own_cpu: int,
+    now_ms: int,
 ) -> ArrivalLoad:
     """Return the work that arrives for a pool.
 
-    :param used: cpu that runs of short tasks reserve, in thousandths of a core.
+    :param demand: present demand of the pool.
     :param own_cpu: cpu of the pool's own machines, in thousandths of a core.
     :param now_ms: steady time in milliseconds.
     """
@@ -81,7 +85,8 @@
         certain=certain,
         first_sign=first_sign,
         since_ms=since_ms,
-        used=used,
+        used=demand.used,
+        waiting=demand.waiting,
         own_cpu=own_cpu,
     )
 
--- a/src/cranberrywheel/submission/pool_plans.py
+++ b/src/cranberrywheel/submission/pool_plans.py
@@ -109,7 +109,7 @@
         pool: compute_arrival_load(
             scheduler,
             pool,
-            demand.used,
+            demand,
             home_counts[pool] * demand.machine_cpu,
             now_ms,
         )
--- a/src/cranberrywheel/submission/turn_forecast.py
+++ b/src/cranberrywheel/submission/turn_forecast.py
@@ -55,6 +55,7 @@
         it to mean anything.
     :param since_ms: steady time by which a tenth of the last second's work had arrived.
     :param used: cpu that runs of short tasks reserve.
+    :param waiting: cpu that ready short tasks without a run will reserve.
     :param own_cpu: cpu of the pool's own machines.
     """
 
@@ -63,6 +64,7 @@
     first_sign: int
     since_ms: int
     used: int
+    waiting: int
     own_cpu: int
 
     def has_sign(self, fraction: float) -> bool:
@@ -99,6 +101,7 @@
     :ivar abandoned_until_ms: until when no forecast is made.
     :ivar used_core_ms: processor time that short tasks have used since the start of the
         last turn until its work was done; ``arrived_core_ms`` is that of the arrivals.
+    :ivar peak_cpu: largest cpu that its short tasks used and waited for.
     :ivar is_measured: a turn has ended whose work is not done yet.
     :ivar use_ratio: used processor time of the last turn against that of its arrivals.
     :ivar turn_ms: length of the last turn that has ended.
@@ -117,6 +120,7 @@
     abandoned_until_ms: int = 0
     used_core_ms: float = 0.0
     arrived_core_ms: float = 0.0
+    peak_cpu: int = 0
     is_measured: bool = False
     use_ratio: float = 1.0
     turn_ms: int = 0
@@ -190,7 +194,8 @@
             queue.counted = False
         else:
             mean, deviation = queue.idle_cpu
-            change = load.arriving - mean
+            # A few large submissions at once are not the load between turns.
+            change = min(load.arriving, END_LOAD * load.own_cpu) - mean
             queue.idle_cpu = (
                 mean + IDLE_LEARNING_RATE * change,
                 deviation + IDLE_LEARNING_RATE * (abs(change) - deviation),
@@ -214,14 +219,17 @@
     """Add up what arrives in a turn and what it uses, until its work is done."""
     if queue.began_ms is None and load.used < IDLE_USE * load.own_cpu:
         if queue.is_measured:
-            queue.turn_cpu = round(1_000 * queue.used_core_ms / queue.turn_ms)
+            mean_cpu = round(1_000 * queue.used_core_ms / queue.turn_ms)
+            queue.turn_cpu = min(mean_cpu, queue.peak_cpu)
             queue.use_ratio = queue.used_core_ms / max(1, queue.arrived_core_ms)
         queue.is_measured = False
         queue.used_core_ms = queue.arrived_core_ms = 0.0
+        queue.peak_cpu = 0
     elif state.observed_ms is not None:
         elapsed_ms = now_ms - state.observed_ms
         queue.used_core_ms += load.used * elapsed_ms / 1_000
         queue.arrived_core_ms += load.arriving * elapsed_ms / 1_000
+        queue.peak_cpu = max(queue.peak_cpu, load.used + load.waiting)
 
 
 def _record_turn(
