--- a/src/cranberrywheel_load/soak.py
+++ b/src/cranberrywheel_load/soak.py
@@ -78,11 +78,15 @@
     :param nodes: number of node processes.
     :param executors: number of simulated executors.
     :param filler_routes: routes that make the configuration large; 1,000 take 230 kB.
+    :param zones: availability zones of the executors, which belong to them in turn.
+    :param evacuation_ms: bound of an evacuation that the platform names; 0 for none.
     """
 
     nodes: int = 3
     executors: int = 4
     filler_routes: int = 600
+    zones: tuple[str, ...] = ("z1",)
+    evacuation_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -160,10 +164,12 @@
                 executor_port,
                 f"{PLATFORM_HOST}:{proxy_port}",
                 EXECUTOR_CPU_MILLICORES,
+                self._size.zones[number % len(self._size.zones)],
             )
         self.store_proxies: list[FaultProxy] = []
         self.nodes: list[ManagedProcess] = []
         self.front_addresses: list[str] = []
+        self.metrics_addresses: list[str] = []
         for number in range(node_count):
             proxy_port, front_port, ready_port, peer_port, metrics_port = (
                 next(ports) for _ in range(5)
@@ -184,6 +190,8 @@
                 "platform": {"address": f"{PLATFORM_HOST}:{proxy_port}"},
                 "cloudApi": {"address": f"{PLATFORM_HOST}:{machines_port}"},
             }
+            if self._size.evacuation_ms:
+                settings["bounds"] = {"evacuationMs": self._size.evacuation_ms}
             path = folder / f"n{number}.json"
             path.write_text(json.dumps(settings))
             environment = {
@@ -196,6 +204,7 @@
                 )
             )
             self.front_addresses.append(f"{PLATFORM_HOST}:{front_port}")
+            self.metrics_addresses.append(f"{PLATFORM_HOST}:{metrics_port}")
         self._blocked_nodes: set[int] = set()
         self._stopped = False
         #: Times at which a node was disturbed, as kind, start and end, by node.
--- a/src/cranberrywheel_standin/platform_server.py
+++ b/src/cranberrywheel_standin/platform_server.py
@@ -70,6 +70,7 @@
     :ivar store_unavailable: the store answers 503 while this is true.
     :ivar store_delay_ms: additional time that the store takes for each answer.
     :ivar watches_silent: watches get no answer while this is true.
+    :ivar watched_prefixes: key prefixes that any process has watched.
     """
 
     def __init__(self, host: str, store_port: int, machines_port: int) -> None:
@@ -81,6 +82,7 @@
         self.store_unavailable = False
         self.store_delay_ms = 0
         self.watches_silent = False
+        self.watched_prefixes: set[str] = set()
         self.host = host
         self._servers = [
             HttpServer(
@@ -101,7 +103,13 @@
             server.close_listener()
 
     def add_executor(
-        self, executor_id: str, service: str, port: int, advertised: str, cpu: int
+        self,
+        executor_id: str,
+        service: str,
+        port: int,
+        advertised: str,
+        cpu: int,
+        zone: str = "z1",
     ) -> VirtualExecutor:
         """Add an executor that listens on a port and write its entry to the store.
 
@@ -112,7 +120,7 @@
             id=executor_id,
             service=service,
             address=advertised,
-            zone="z1",
+            zone=zone,
             draining=False,
             capacity=Resources(cpu, 64_000, 0),
             labels=frozenset({"a", "r1"}),
@@ -210,6 +218,7 @@
     def _handle_watch(self, request: Request) -> Response:
         prefix, after = request.args["prefix"], int(request.args["after"])
         wait_end_ms = self.clock.now_ms() + int(request.args["waitMs"])
+        self.watched_prefixes.add(prefix)
         while True:
             if self.watches_silent:
                 time.sleep(POLL_INTERVAL_S)
