--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import random
 
 import pytest
 from leader_harness import LeaderHarness, make_step, make_submission
@@ -14,6 +15,7 @@
     compute_max_age_ms,
     count_remaining_runs,
 )
+from cranberrywheel.submission.executor_orders import OrderReply, OrderVerdict
 from cranberrywheel.submission.features import ALL_OFF
 from cranberrywheel.submission.model import SubmissionState
 
@@ -443,3 +445,88 @@
     assert value.encode() in body
     decoded = decode_executor("x00", body)
     assert decoded is not None and 0 <= decoded.cold_remaining_ms <= 60_000
+
+
+# Failures that come with evacuations
+
+
+def test_zone_that_goes_dark_and_returns_cold_loses_nothing(harness):
+    """Guards against work that fails, or runs twice, as a zone returns cold.
+
+    All its executors are silent for 2 s, longer than a poll and shorter than a lease.
+    """
+    harness.start_leader()
+    step = make_step(6, long_running=True, anti_affinity=1, may_miss=2)
+    harness.submit(make_submission("l", step), long_running=True)
+    harness.load_for(1_000)
+    zone = [e for e in harness.fleet.executors_by_id.values() if e.entry.zone == "z0"]
+    for executor in zone:
+        executor.isolated = True
+    harness.load_for(2_000)
+    for executor in zone:
+        executor.isolated = False
+    return_cold(harness, 3_000)
+    harness.load_for(4_000)
+    harness.run_for(5_000)
+    assert all_completed(harness)
+    assert len(harness.zones_of("l")) == 6
+    assert harness.fleet.violations == []
+
+
+def test_zone_whose_executors_restart_cold_fails_no_submission(harness):
+    """Guards against tasks that are blamed for the crash of a whole zone.
+
+    It happens twice, each time with runs that have just begun.
+    """
+    harness.start_leader()
+    harness.run_for(300)
+    for _ in range(2):
+        harness.load_for(1_000, 20)
+        for executor in list(harness.fleet.executors_by_id.values()):
+            if executor.entry.zone == "z0":
+                harness.fleet.crash_and_return(executor)
+        harness.load_for(3_000, 100)
+        return_cold(harness, 2_000)
+        harness.load_for(2_000, 100)
+    harness.run_for(8_000)
+    assert all_completed(harness)
+    assert harness.fleet.violations == []
+
+
+def test_lost_answer_of_an_executor_runs_nothing_twice(harness):
+    """Guards against a second run of a task whose start was answered in vain."""
+    harness.start_leader()
+    harness.run_for(300)
+    lose_answers(harness, 0.3)
+    harness.load_for(4_000)
+    harness.run_for(8_000)
+    assert all_completed(harness)
+    assert harness.fleet.violations == []
+
+
+def lose_answers(harness, share):
+    """Lose a share of the answers to starts, after these have taken effect."""
+    start = harness.fleet.start
+    drawn = random.Random(1)
+
+    def start_and_lose(entry, order, done):
+        is_lost = drawn.random() < share
+
+        def on_reply(reply):
+            if is_lost:
+                unanswered = OrderReply(OrderVerdict.UNKNOWN)
+                harness.loop.after(400, lambda: done(unanswered))
+            else:
+                done(reply)
+
+        start(entry, order, on_reply)
+
+    harness.fleet.start = start_and_lose
+
+
+def all_completed(harness):
+    """Tell whether all short submissions have completed."""
+    return all(
+        state is SubmissionState.COMPLETED
+        for state in harness.scheduler.final_state_by_id.values()
+    ) and not [name for name in harness.scheduler.live_by_id if name[0] == "s"]
