Learn which images disturb which from executors' reports

Cause: throttling and placement treat all background tasks alike, although the harm differs by pair of images and changes within seconds.

Nothing uses the estimates yet, and nothing is recorded while the part is off.

--- a/src/cranberrywheel/submission/executor.py
+++ b/src/cranberrywheel/submission/executor.py
@@ -22,6 +22,15 @@
     return int(lease_ms * MAX_CLOCK_DRIFT_FACTOR) + EXPIRY_SLACK_MS
 
 
+def _add_count(counts: dict[t.Any, int], key: t.Any, change: int) -> None:
+    """Change a count, and remove one that becomes 0."""
+    count = counts.get(key, 0) + change
+    if count:
+        counts[key] = count
+    else:
+        counts.pop(key, None)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PendingCompletion:
     """A completion that is acknowledged once its submission's record is stored.
@@ -83,6 +92,8 @@
     :ivar isolated_until_ms: until when it is kept free for that submission.
     :ivar background_count: number of background runs.
     :ivar latency_sensitive_count: number of latency-sensitive runs.
+    :ivar background_by_image: number of background runs of each image.
+    :ivar latency_sensitive_by_image: number of latency-sensitive runs of each image.
     """
 
     def __init__(
@@ -118,6 +129,8 @@
         self.isolated_until_ms = 0
         self.background_count = 0
         self.latency_sensitive_count = 0
+        self.background_by_image: dict[str, int] = {}
+        self.latency_sensitive_by_image: dict[str, int] = {}
 
     @property
     def id(self) -> str:
@@ -177,11 +190,11 @@
         self.free = self.entry.capacity - self.used
         self.background_count += sign * step.fills
         self.latency_sensitive_count += sign * (step.target_ms > 0)
-        count = self.count_by_step.get(step_run, 0) + sign
-        if count:
-            self.count_by_step[step_run] = count
-        else:
-            self.count_by_step.pop(step_run, None)
+        if step.fills:
+            _add_count(self.background_by_image, step.image, sign)
+        if step.target_ms > 0:
+            _add_count(self.latency_sensitive_by_image, step.image, sign)
+        _add_count(self.count_by_step, step_run, sign)
 
     def update_clock(self, clock_ms: int, now_ms: int) -> None:
         """Update the clock offset from an answer.
--- a/src/cranberrywheel/submission/reports.py
+++ b/src/cranberrywheel/submission/reports.py
@@ -13,6 +13,7 @@
     RunOutcome,
 )
 from cranberrywheel.submission.fault_detection import is_slow, record_fault
+from cranberrywheel.submission.interference import record_report
 from cranberrywheel.submission.live import LiveSubmission, Run, RunState, Task
 from cranberrywheel.submission.model import SubmissionState
 from cranberrywheel.submission.state import SchedulerState
@@ -77,6 +78,8 @@
     for key, run in list(executor.runs.items()):
         if key not in running:
             _handle_missing_run(state, executor, run, sent_ms, now_ms)
+    if state.features.interference:
+        record_report(state.interference, executor, running, reply.clock_ms, now_ms)
     executor.advance_acknowledged()
     return True
 
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -17,6 +17,7 @@
 )
 from cranberrywheel.submission.fault_detection import is_stalled, record_fault
 from cranberrywheel.submission.features import select_features
+from cranberrywheel.submission.interference import advance
 from cranberrywheel.submission.live import LiveSubmission, Run, RunState
 from cranberrywheel.submission.model import (
     Configuration,
@@ -212,6 +213,8 @@
         self.mark_all_dirty()
         for executor in list(self.executors_by_id.values()):
             self._check_executor(executor, now_ms)
+        if self.features.interference:
+            advance(self.interference, now_ms)
         if self.may_start:
             self.actions.extend(
                 decide_throttling(self.executors_by_id.values(), now_ms)
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -14,6 +14,7 @@
     NO_FEATURES,
     FeatureSettings,
 )
+from cranberrywheel.submission.interference import InterferenceEstimates
 from cranberrywheel.submission.live import (
     LiveSubmission,
     Run,
@@ -97,6 +98,8 @@
         arrived, and its expected work in core-milliseconds.
     :ivar shares: use of the organisations' shares. A takeover forgets it, so the
         submissions that it recovers count as within their share.
+    :ivar interference: effects of images on each other; learned only while that part is
+        on, and forgotten by a takeover.
     :ivar features: parts that are on under the configuration in force.
     :ivar actions: decided actions that the leader has not taken yet.
     """
@@ -137,6 +140,7 @@
         self.used_by_organisation: dict[str, Resources] = {}
         self.arrivals_by_service: dict[str, collections.deque[tuple[int, float]]] = {}
         self.shares = OrganisationShares()
+        self.interference = InterferenceEstimates()
         self.actions: list[actions.Action] = []
 
     def add_executor(self, executor: Executor) -> None:
