Separate the own load of runs from the effect of their neighbours

Change: comparisons between runs and changes within a run are weighted by how much a run's residuals persist (random-effects estimator). A reading in which a speed changed counts with its mean exposure rather than being dropped. Intake of reports and verdicts have their own modules; the placement term is prepared once per window.

--- a/src/cranberrywheel/submission/interference.py
+++ b/src/cranberrywheel/submission/interference.py
@@ -12,35 +12,19 @@
 
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.submission.executor import Executor
-from cranberrywheel.submission.executor_orders import RunningReport
-from cranberrywheel.submission.live import Run, RunState
+from cranberrywheel.submission.live import RunState
 from cranberrywheel.submission.model import Step
+from cranberrywheel.submission.pair_estimate import PRIOR_EFFECT, PairEstimate, Verdict
 from cranberrywheel.submission.pair_regression import (
     CROWDING,
-    PRIOR_EFFECT,
     ImageRegression,
-    PairEstimate,
     Reading,
-    Verdict,
     add_window,
 )
 
 #: Time over which readings of an image are compared: each executor answers a poll at
 #: least once in it.
 WINDOW_MS = 1_000
-#: Shortest time between two readings of one executor. A reading covers half a second,
-#: and polls are answered at each completion.
-MIN_READING_INTERVAL_MS = 400
-#: Time after a change of the neighbours or their speeds for which readings mix the old
-#: and the new state.
-SETTLE_MS = 600
-#: Multiple of its limit from which a latency is absurd.
-ABSURD_FACTOR = 100
-#: A latency that stays the same for this long, in at least this many readings, is
-#: frozen. Below the smallest latency, whole milliseconds hide the noise.
-FROZEN_MS = 1_500
-FROZEN_READINGS = 3
-MIN_FROZEN_LATENCY_MS = 10
 #: Disturbed images, and readings of each per window.
 MAX_IMAGES = 32
 MAX_READINGS = 128
@@ -71,16 +55,18 @@
     """Last reading of an executor. Times are steady milliseconds.
 
     :param clock_ms: executor's clock in its last report.
-    :param neighbours: background and latency-sensitive runs with state and speed.
+    :param neighbours: background and latency-sensitive runs with their state.
     :param neighbours_since_ms: since when these have been the same.
+    :param exposure: exposure of its serving runs at the last reading.
     :param unchanged_by_run: for each run its latency, since when it has been reported,
         and in how many readings.
     """
 
     read_ms: int
     clock_ms: int = 0
-    neighbours: tuple[tuple[RunKey, RunState, int], ...] = ()
+    neighbours: tuple[tuple[RunKey, RunState], ...] = ()
     neighbours_since_ms: int = 0
+    exposure: dict[str, float] = dataclasses.field(default_factory=dict)
     unchanged_by_run: dict[RunKey, tuple[float, int, int]] = dataclasses.field(
         default_factory=dict
     )
@@ -118,7 +104,9 @@
     :ivar ignored_by_reason: number of ignored reports.
     :ivar listed_pairs: worst pairs at the last pass; replaced as a whole, so that other
         threads may read it.
-    :ivar has_verdicts: any pair is known to be disturbing or harmless.
+    :ivar shift_by_disturbing: by disturbing and disturbed image of each pair with a
+        verdict, by how much its harm exceeds that of the prior, relative to it.
+    :ivar shift_by_disturbed: the same by disturbed and disturbing image.
     :ivar moved_ms: steady time of the last move, see :mod:`.neighbour_moves`.
     """
 
@@ -128,7 +116,8 @@
         self.view_by_executor: dict[str, ExecutorView] = {}
         self.ignored_by_reason: collections.Counter[str] = collections.Counter()
         self.listed_pairs: tuple[ListedPair, ...] = ()
-        self.has_verdicts = False
+        self.shift_by_disturbing: dict[str, dict[str, float]] = {}
+        self.shift_by_disturbed: dict[str, dict[str, float]] = {}
         self.moved_ms = -(10**9)
         self.moves_checked_ms = 0
         self.listed_ms = 0
@@ -148,119 +137,7 @@
         return pair.verdict if pair else Verdict.UNKNOWN
 
 
-def record_report(
-    estimates: InterferenceEstimates,
-    executor: Executor,
-    report_by_run: t.Mapping[RunKey, RunningReport],
-    clock_ms: int,
-    now_ms: int,
-) -> None:
-    """Take the readings of an executor's answer to a poll.
-
-    :param clock_ms: executor's clock; 0 if the answer has none.
-    :param now_ms: steady time in milliseconds.
-    """
-    if not executor.latency_sensitive_count:
-        estimates.view_by_executor.pop(executor.id, None)
-        return
-    view = estimates.view_by_executor.setdefault(
-        executor.id, ExecutorView(now_ms - MIN_READING_INTERVAL_MS)
-    )
-    if now_ms - view.read_ms < MIN_READING_INTERVAL_MS:
-        return
-    view.read_ms = now_ms
-    last_clock_ms, view.clock_ms = view.clock_ms, clock_ms
-    runs = [
-        run
-        for run in executor.runs.values()
-        if run.task.step_run.step.fills or run.task.step_run.step.target_ms
-    ]
-    neighbours = tuple((run.key, run.state, run.speed_percent) for run in runs)
-    if neighbours != view.neighbours:
-        view.neighbours, view.neighbours_since_ms = neighbours, now_ms
-    reason = ""
-    if executor.suspect_until_ms > now_ms:
-        reason = "suspect"
-    elif clock_ms and clock_ms == last_clock_ms:
-        reason = "frozen"
-    elif not all(_is_plausible(run, report_by_run) for run in runs):
-        reason = "absurd"
-    if reason:
-        estimates.ignored_by_reason[reason] += 1
-    elif now_ms - view.neighbours_since_ms >= SETTLE_MS:
-        _record_readings(estimates, executor, view, runs, report_by_run, now_ms)
-
-
-def _is_plausible(run: Run, report_by_run: t.Mapping[RunKey, RunningReport]) -> bool:
-    report = report_by_run.get(run.key)
-    if report is None:
-        return True
-    limit = run.task.step_run.step.target_ms * ABSURD_FACTOR
-    return (
-        math.isfinite(report.load)
-        and report.load >= 0
-        and (not limit or report.load <= limit)
-    )
-
-
-def _record_readings(
-    estimates: InterferenceEstimates,
-    executor: Executor,
-    view: ExecutorView,
-    runs: t.Sequence[Run],
-    report_by_run: t.Mapping[RunKey, RunningReport],
-    now_ms: int,
-) -> None:
-    """Add one reading per serving run to the present windows of their images."""
-    exposure = _sum_exposure(runs)
-    unchanged: dict[RunKey, tuple[float, int, int]] = {}
-    for run in runs:
-        step = run.task.step_run.step
-        report = report_by_run.get(run.key)
-        if not step.target_ms or not step.image or run.state is not RunState.RUNNING:
-            continue
-        if report is None or not report.load:
-            estimates.ignored_by_reason["missing"] += 1
-            continue
-        if step.long_running and report.percent < 100:
-            continue  # it is still starting up
-        load, since_ms, count = view.unchanged_by_run.get(run.key, (-1.0, 0, 0))
-        if load != report.load:
-            since_ms, count = now_ms, 0
-        unchanged[run.key] = (report.load, since_ms, count + 1)
-        if (
-            report.load >= MIN_FROZEN_LATENCY_MS
-            and now_ms - since_ms >= FROZEN_MS
-            and count + 1 >= FROZEN_READINGS
-        ):
-            estimates.ignored_by_reason["frozen"] += 1
-            continue
-        readings = _find_window(estimates, step.image, now_ms)
-        if readings is None or (
-            len(readings) >= MAX_READINGS and run.key not in readings
-        ):
-            estimates.ignored_by_reason["bounds"] += 1
-            continue
-        readings[run.key] = Reading(executor.id, math.log(report.load), exposure)
-    view.unchanged_by_run = unchanged
-
-
-def _sum_exposure(runs: t.Sequence[Run]) -> dict[str, float]:
-    exposure: dict[str, float] = {}
-    serving = 0
-    for run in runs:
-        step = run.task.step_run.step
-        if step.fills:
-            amount = run.speed_percent / 100
-            exposure[step.image] = exposure.get(step.image, 0.0) + amount
-        else:
-            serving += 1
-    if serving > 1:
-        exposure[CROWDING] = serving - 1.0
-    return exposure
-
-
-def _find_window(
+def find_window(
     estimates: InterferenceEstimates, image: str, now_ms: int
 ) -> dict[RunKey, Reading] | None:
     """Return the present readings of an image; ``None`` for one image too many."""
@@ -291,14 +168,11 @@
         _log_changes(estimates, image, before)
         if now_ms - regression.read_ms > FORGET_IMAGE_MS:
             del estimates.regression_by_image[image]
+    if due:
+        update_shifts(estimates)
     if now_ms - estimates.listed_ms >= WINDOW_MS:
         estimates.listed_ms = now_ms
         estimates.listed_pairs = tuple(list_worst_pairs(estimates, LISTED_PAIRS))
-        estimates.has_verdicts = any(
-            pair.verdict is not Verdict.UNKNOWN
-            for regression in estimates.regression_by_image.values()
-            for pair in regression.pair_by_image.values()
-        )
         estimates.view_by_executor = {
             executor_id: view
             for executor_id, view in estimates.view_by_executor.items()
@@ -346,27 +220,43 @@
 
     :param prior_penalty: penalty per neighbour that is already part of the score.
     """
-    if not estimates.has_verdicts or not step.image:
-        return 0.0
-    correction = 0.0
     if step.fills:
-        for image, count in executor.latency_sensitive_by_image.items():
-            correction += count * _compute_shift(estimates, image, step.image)
+        shifts = estimates.shift_by_disturbing.get(step.image)
+        neighbours = executor.latency_sensitive_by_image
     elif step.target_ms:
-        for image, count in executor.background_by_image.items():
-            correction += count * _compute_shift(estimates, step.image, image)
+        shifts = estimates.shift_by_disturbed.get(step.image)
+        neighbours = executor.background_by_image
+    else:
+        return 0.0
+    if not shifts or not neighbours:
+        return 0.0
+    correction = 0.0
+    for image, count in neighbours.items():
+        correction += count * shifts.get(image, 0.0)
     return min(MAX_TERM, max(-MAX_TERM, -prior_penalty * correction))
 
 
-def _compute_shift(
-    estimates: InterferenceEstimates, disturbed: str, disturbing: str
-) -> float:
-    """Return by how much a pair's harm exceeds that of the prior, relative to it."""
-    pair = estimates.find_pair(disturbed, disturbing)
-    if pair is None or pair.verdict is Verdict.UNKNOWN:
-        return 0.0
-    relative = min(MAX_RELATIVE_EFFECT, max(0.0, pair.effect / PRIOR_EFFECT))
-    return pair.confidence * (relative - 1)
+def has_term(estimates: InterferenceEstimates, step: Step) -> bool:
+    """Tell whether the placement term of any executor may differ from 0 for a step."""
+    if step.fills:
+        return step.image in estimates.shift_by_disturbing
+    return step.target_ms > 0 and step.image in estimates.shift_by_disturbed
+
+
+def update_shifts(estimates: InterferenceEstimates) -> None:
+    """Prepare the placement term, which is read for each executor and task."""
+    by_disturbing: dict[str, dict[str, float]] = {}
+    by_disturbed: dict[str, dict[str, float]] = {}
+    for disturbed, regression in estimates.regression_by_image.items():
+        for disturbing, pair in regression.pair_by_image.items():
+            if pair.verdict is Verdict.UNKNOWN or disturbing in ("", CROWDING):
+                continue
+            relative = min(MAX_RELATIVE_EFFECT, max(0.0, pair.effect / PRIOR_EFFECT))
+            shift = pair.confidence * (relative - 1)
+            by_disturbing.setdefault(disturbing, {})[disturbed] = shift
+            by_disturbed.setdefault(disturbed, {})[disturbing] = shift
+    estimates.shift_by_disturbing = by_disturbing
+    estimates.shift_by_disturbed = by_disturbed
 
 
 def list_worst_pairs(
--- a/src/cranberrywheel/submission/pair_regression.py
+++ b/src/cranberrywheel/submission/pair_regression.py
@@ -5,17 +5,19 @@
 """
 
 import dataclasses
-import enum
 import math
 import statistics
 import typing as t
 
-#: Time in which evidence halves; the platform's effects change within seconds.
-HALF_LIFE_MS = 4_000
-#: Expected effect of an image that was never observed, and its standard deviation:
-#: natural logarithms of the factor by which the tail latency rises.
-PRIOR_EFFECT = 0.25
-PRIOR_DEVIATION = 0.5
+from cranberrywheel.submission.pair_estimate import (
+    HALF_LIFE_MS,
+    PRIOR_DEVIATION,
+    PRIOR_EFFECT,
+    PairEstimate,
+    record_witness,
+    update_verdict,
+)
+
 #: Variance of single readings before any was seen, and the number of readings that it
 #: counts as: readings differ by about a fifth.
 PRIOR_NOISE = 0.04
@@ -25,6 +27,7 @@
 #: Correlation of successive residuals of one run before any was seen: a run keeps its
 #: own load for longer than a window.
 PRIOR_CORRELATION = 0.5
+MAX_CORRELATION = 0.9
 #: Limit of a residual, so that one absurd reading moves an estimate little.
 MAX_RESIDUAL = 1.0
 #: Multiple of the median absolute residual beyond which residuals are limited, about
@@ -36,36 +39,12 @@
 #: Column of the number of other serving runs, so that crowding is not attributed to a
 #: background run beside them.
 CROWDING = "(serving)"
-#: Effect from which a neighbour counts as disturbing: 22% more latency, about the
-#: difference between two readings of one run.
-DISTURBING_EFFECT = 0.2
-#: Confidence that a new verdict needs, and that an existing one needs to remain. The
-#: difference keeps a verdict from changing with single readings.
-VERDICT_CONFIDENCE = 0.6
-KEEP_CONFIDENCE = 0.4
-#: Standard errors by which an effect must exceed :data:`DISTURBING_EFFECT`. Where the
-#: own loads of runs differ by half, 1.0 gave a false verdict in 4 of 30 simulated runs
-#: of 12 s without any effect, and 1.5 in 1.
-VERDICT_ERRORS = 1.5
-#: Executors that must show an effect on their own: one alone may report falsely.
-MIN_WITNESSES = 2
-#: Executors remembered per pair, and for how long.
-MAX_WITNESSES = 16
-WITNESS_MS = 2 * HALF_LIFE_MS
 #: Least exposure of a reading from which the effect of one neighbour is read.
 MIN_WITNESS_EXPOSURE = 0.3
 #: Evidence below which the column of an absent image is removed.
 MIN_EVIDENCE = 0.05
 
 
-class Verdict(enum.Enum):
-    """What is known about a pair; ``UNKNOWN`` pairs are treated as by the prior."""
-
-    UNKNOWN = "unknown"
-    DISTURBING = "disturbing"
-    HARMLESS = "harmless"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reading:
     """Tail latency of one run, with the neighbours that it had.
@@ -82,34 +61,71 @@
 
 
 @dataclasses.dataclass(slots=True)
-class PairEstimate:
-    """Estimated effect of one image on another.
-
-    :param effect: natural logarithm of the factor by which one run at full speed
-        raises the tail latency.
-    :param error: standard error of the effect.
-    :param readings: number of readings with the neighbour, with decay.
-    :param effect_by_witness: for each executor, its own effect and when it was read.
-    :param slowed: times that the disturbing image was slowed for this pair.
-    :param spared: times that it was not, because it is harmless.
-    :param moved: runs of it that moved away for this pair.
+class RunHistory:
+    """Means of the readings of one executor, with decay.
+
+    :param weight: number of the readings.
+    :param latency: mean logarithm of the latency, without the common load.
     """
 
-    effect: float = PRIOR_EFFECT
-    error: float = PRIOR_DEVIATION
-    readings: float = 0.0
-    verdict: Verdict = Verdict.UNKNOWN
-    effect_by_witness: dict[str, tuple[float, int]] = dataclasses.field(
-        default_factory=dict
-    )
-    slowed: int = 0
-    spared: int = 0
-    moved: int = 0
+    weight: float = 0.0
+    latency: float = 0.0
+    exposure_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def add(self, latency: float, exposure: t.Mapping[str, float]) -> None:
+        """Include a reading in the means."""
+        self.weight += 1
+        share = 1 / self.weight
+        self.latency += share * (latency - self.latency)
+        for image in self.exposure_by_image.keys() | exposure.keys():
+            mean = self.exposure_by_image.get(image, 0.0)
+            mean += share * (exposure.get(image, 0.0) - mean)
+            self.exposure_by_image[image] = mean
+
+
+@dataclasses.dataclass(slots=True)
+class Moments:
+    """Sums of products of differences from a window's means, with decay.
 
-    @property
-    def confidence(self) -> float:
-        """Part of the prior's variance that evidence has removed, from 0 to 1."""
-        return max(0.0, 1 - (self.error / PRIOR_DEVIATION) ** 2)
+    :param matrix: products of the exposures in two columns.
+    :param cross: products of an exposure and the logarithm of the latency.
+    """
+
+    matrix: list[list[float]] = dataclasses.field(default_factory=lambda: [[0.0]])
+    cross: list[float] = dataclasses.field(default_factory=lambda: [0.0])
+
+    def fade(self, decay: float) -> None:
+        """Multiply everything by a factor."""
+        self.matrix = [[value * decay for value in row] for row in self.matrix]
+        self.cross = [value * decay for value in self.cross]
+
+    def append(self) -> None:
+        """Add a column without evidence."""
+        self.cross.append(0.0)
+        for row in self.matrix:
+            row.append(0.0)
+        self.matrix.append([0.0] * len(self.cross))
+
+    def remove(self, index: int) -> None:
+        """Remove a column."""
+        del self.cross[index], self.matrix[index]
+        for row in self.matrix:
+            del row[index]
+
+    def add(self, rows: t.Sequence[tuple[float, list[float]]]) -> None:
+        """Add the latencies and exposures of one window."""
+        latency_mean = statistics.fmean(latency for latency, _ in rows)
+        columns = zip(*(exposure for _, exposure in rows), strict=True)
+        means = [statistics.fmean(column) for column in columns]
+        for latency, exposure in rows:
+            differences = [
+                amount - mean for amount, mean in zip(exposure, means, strict=True)
+            ]
+            for index, difference in enumerate(differences):
+                self.cross[index] += difference * (latency - latency_mean)
+                row = self.matrix[index]
+                for other, other_difference in enumerate(differences):
+                    row[other] += difference * other_difference
 
 
 @dataclasses.dataclass(slots=True)
@@ -117,14 +133,14 @@
     """Evidence of all images that run beside one disturbed image.
 
     :param columns: disturbing images, in the order of the moments.
-    :param moments: sums of products of exposures, as differences from their window's
-        mean, with decay.
-    :param cross_moments: the same of exposures and logarithms of latencies.
+    :param total: products of the readings.
+    :param within: products of the differences of readings from their run's mean.
     :param noise_sum: sum of the squares of residuals, with decay.
     :param noise_weight: number of these residuals, with decay.
     :param lag_sum: sum of the products of successive residuals of one executor.
     :param lag_weight: mean square of the residuals in these products, summed.
     :param window_count: number of windows with readings, with decay.
+    :param history_by_executor: means of earlier readings, see :class:`RunHistory`.
     :param residual_by_executor: residuals of the last window with readings.
     :param updated_ms: steady time of the last window.
     :param read_ms: steady time of the last window that had readings.
@@ -133,13 +149,14 @@
     updated_ms: int
     read_ms: int
     columns: list[str] = dataclasses.field(default_factory=lambda: [CROWDING])
-    moments: list[list[float]] = dataclasses.field(default_factory=lambda: [[0.0]])
-    cross_moments: list[float] = dataclasses.field(default_factory=lambda: [0.0])
+    total: Moments = dataclasses.field(default_factory=lambda: Moments())
+    within: Moments = dataclasses.field(default_factory=lambda: Moments())
     noise_sum: float = 0.0
     noise_weight: float = 0.0
     lag_sum: float = 0.0
     lag_weight: float = 0.0
     window_count: float = 0.0
+    history_by_executor: dict[str, RunHistory] = dataclasses.field(default_factory=dict)
     residual_by_executor: dict[str, float] = dataclasses.field(default_factory=dict)
     pair_by_image: dict[str, PairEstimate] = dataclasses.field(
         default_factory=lambda: {CROWDING: PairEstimate(effect=0.0)}
@@ -165,9 +182,9 @@
     _record_noise(regression, readings, residuals)
     _solve(regression)  # again, since the noise of this window is known only now
     for reading, residual in zip(readings, residuals, strict=True):
-        _record_witness(regression, reading, residual, now_ms)
+        _record_witnesses(regression, reading, residual, now_ms)
     for pair in regression.pair_by_image.values():
-        _update_verdict(pair, now_ms)
+        update_verdict(pair, now_ms)
 
 
 def predict(regression: ImageRegression, exposure: t.Mapping[str, float]) -> float:
@@ -204,11 +221,13 @@
     regression.noise_weight *= decay
     regression.lag_sum *= decay
     regression.lag_weight *= decay
+    for executor_id, history in list(regression.history_by_executor.items()):
+        history.weight *= decay
+        if history.weight < MIN_EVIDENCE:
+            del regression.history_by_executor[executor_id]
     regression.window_count *= decay
-    regression.cross_moments = [value * decay for value in regression.cross_moments]
-    regression.moments = [
-        [value * decay for value in row] for row in regression.moments
-    ]
+    regression.total.fade(decay)
+    regression.within.fade(decay)
     for pair in regression.pair_by_image.values():
         pair.readings *= decay
 
@@ -216,54 +235,49 @@
 def _update_columns(regression: ImageRegression, readings: t.Sequence[Reading]) -> None:
     """Add columns for new neighbours; remove those without evidence."""
     present = {image for reading in readings for image in reading.exposure_by_image}
+    parts = (regression.total, regression.within)
     for index in range(len(regression.columns) - 1, 0, -1):
         image = regression.columns[index]
-        if image not in present and regression.moments[index][index] < MIN_EVIDENCE:
-            del regression.columns[index], regression.cross_moments[index]
-            del regression.moments[index], regression.pair_by_image[image]
-            for row in regression.moments:
-                del row[index]
+        if image in present:
+            continue
+        if sum(part.matrix[index][index] for part in parts) < MIN_EVIDENCE:
+            del regression.columns[index], regression.pair_by_image[image]
+            for part in parts:
+                part.remove(index)
     for image in sorted(present - set(regression.columns)):
         if len(regression.columns) > MAX_DISTURBING:
             return
         regression.columns.append(image)
-        regression.cross_moments.append(0.0)
-        for row in regression.moments:
-            row.append(0.0)
-        regression.moments.append([0.0] * len(regression.columns))
+        for part in parts:
+            part.append()
         regression.pair_by_image[image] = PairEstimate()
 
 
 def _accumulate(regression: ImageRegression, readings: t.Sequence[Reading]) -> None:
-    """Add the products of differences from the window's means."""
-    size = len(regression.columns)
-    index_by_image = {image: index for index, image in enumerate(regression.columns)}
-    exposure_sums = [0.0] * size
-    latency_sum = 0.0
+    """Add the products of readings, and of their differences from their run's mean.
+
+    Without the common load, which cancels out, and with limited residuals.
+    """
+    total: list[tuple[float, list[float]]] = []
+    within: list[tuple[float, list[float]]] = []
     residuals = compute_residuals(regression, readings)
     for reading, residual in zip(readings, residuals, strict=True):
-        # The latency without the common load, which cancels out, and with a limited
-        # residual.
-        latency = residual + predict(regression, reading.exposure_by_image)
-        latency_sum += latency
-        present = [
-            (index_by_image[image], amount)
-            for image, amount in reading.exposure_by_image.items()
-            if amount and image in index_by_image
-        ]
-        for index, amount in present:
-            exposure_sums[index] += amount
-            regression.cross_moments[index] += amount * latency
-            if index:
-                pair = regression.pair_by_image[regression.columns[index]]
-                pair.readings += 1
-            for other, other_amount in present:
-                regression.moments[index][other] += amount * other_amount
-    for index in range(size):
-        share = exposure_sums[index] / len(readings)
-        regression.cross_moments[index] -= share * latency_sum
-        for other in range(size):
-            regression.moments[index][other] -= share * exposure_sums[other]
+        exposure = reading.exposure_by_image
+        latency = residual + predict(regression, exposure)
+        history = regression.history_by_executor.setdefault(
+            reading.executor_id, RunHistory()
+        )
+        history.add(latency, exposure)
+        amounts = [exposure.get(image, 0.0) for image in regression.columns]
+        means = [history.exposure_by_image.get(i, 0.0) for i in regression.columns]
+        changes = [x - mean for x, mean in zip(amounts, means, strict=True)]
+        total.append((latency, amounts))
+        within.append((latency - history.latency, changes))
+        for image, amount in exposure.items():
+            if amount and image in regression.pair_by_image:
+                regression.pair_by_image[image].readings += 1
+    regression.total.add(total)
+    regression.within.add(within)
 
 
 def _record_noise(
@@ -286,33 +300,50 @@
             regression.lag_weight += (residual**2 + earlier**2) / 2
 
 
-def _compute_noise(regression: ImageRegression) -> float:
-    """Return the variance of a reading, raised by what readings of a run share.
+def _compute_correlation(regression: ImageRegression) -> float:
+    """Return how much of the variance of residuals stays with a run."""
+    prior_weight = PRIOR_NOISE * PRIOR_NOISE_WEIGHT
+    correlation = (PRIOR_CORRELATION * prior_weight + regression.lag_sum) / (
+        prior_weight + regression.lag_weight
+    )
+    return min(MAX_CORRELATION, max(0.0, correlation))
+
+
+def _compute_noise(regression: ImageRegression) -> tuple[float, float]:
+    """Return the variances of a run's mean and of a reading around it.
 
-    Repeated readings of a run tell less than readings of different runs, since its own
-    load persists. The factor is the design effect of cluster sampling.
+    The first is that of one reading times the design effect of cluster sampling, since
+    the own load of a run does not average out over its readings.
     """
     variance = (PRIOR_NOISE * PRIOR_NOISE_WEIGHT + regression.noise_sum) / (
         PRIOR_NOISE_WEIGHT + regression.noise_weight
     )
-    prior_weight = PRIOR_NOISE * PRIOR_NOISE_WEIGHT
-    correlation = (PRIOR_CORRELATION * prior_weight + regression.lag_sum) / (
-        prior_weight + regression.lag_weight
-    )
-    design_effect = 1 + max(0.0, regression.window_count - 1) * max(0.0, correlation)
-    return max(MIN_NOISE, variance) * design_effect
+    variance = max(MIN_NOISE, variance)
+    correlation = _compute_correlation(regression)
+    design_effect = 1 + max(0.0, regression.window_count - 1) * correlation
+    return variance * design_effect, variance * (1 - correlation)
 
 
 def _solve(regression: ImageRegression) -> None:
-    """Compute all effects and their errors by a ridge regression around the prior."""
+    """Compute all effects and their errors by a ridge regression around the prior.
+
+    Changes within a run count more than comparisons between runs, by their variances,
+    as in the random-effects estimator for panel data.
+    """
     size = len(regression.columns)
-    scale = 1 / _compute_noise(regression)
     priors = [0.0, *[PRIOR_EFFECT] * (size - 1)]
-    precision = [[value * scale for value in row] for row in regression.moments]
+    precision = [[0.0] * size for _ in range(size)]
     pull = [0.0] * size
-    for index, row in enumerate(precision):
-        explained = sum(value * priors[other] for other, value in enumerate(row))
-        pull[index] = regression.cross_moments[index] * scale - explained
+    noise_between, noise_within = _compute_noise(regression)
+    for part, weight in (
+        (regression.total, 1 / noise_between),
+        (regression.within, 1 / noise_within - 1 / noise_between),
+    ):
+        for index, row in enumerate(part.matrix):
+            pull[index] += part.cross[index] * weight
+            for other, value in enumerate(row):
+                precision[index][other] += value * weight
+                pull[index] -= value * weight * priors[other]
     for index in range(size):
         precision[index][index] += 1 / PRIOR_DEVIATION**2
     covariance = _invert(precision)
@@ -343,45 +374,12 @@
     return [row[size:] for row in rows]
 
 
-def _record_witness(
+def _record_witnesses(
     regression: ImageRegression, reading: Reading, residual: float, now_ms: int
 ) -> None:
     """Update the effect that one executor shows of each neighbour on its own."""
     for image, amount in reading.exposure_by_image.items():
         pair = regression.pair_by_image.get(image)
-        if pair is None or image == CROWDING or amount < MIN_WITNESS_EXPOSURE:
-            continue
-        effect = pair.effect + residual / amount
-        witnesses = pair.effect_by_witness
-        if reading.executor_id in witnesses:
-            effect = (effect + witnesses.pop(reading.executor_id)[0]) / 2
-        witnesses[reading.executor_id] = (effect, now_ms)  # the oldest comes first
-        if len(witnesses) > MAX_WITNESSES:
-            del witnesses[next(iter(witnesses))]
-
-
-def _update_verdict(pair: PairEstimate, now_ms: int) -> None:
-    witnesses = {
-        executor_id: row
-        for executor_id, row in pair.effect_by_witness.items()
-        if now_ms - row[1] <= WITNESS_MS
-    }
-    pair.effect_by_witness = witnesses
-    effects = [effect for effect, _ in witnesses.values()]
-    needed = max(MIN_WITNESSES, len(effects) // 2 + 1)
-    is_kept = pair.verdict is Verdict.DISTURBING
-    margin = 0.0 if is_kept else VERDICT_ERRORS * pair.error
-    verdict = Verdict.UNKNOWN
-    if (
-        pair.effect - margin >= DISTURBING_EFFECT
-        and pair.confidence >= (KEEP_CONFIDENCE if is_kept else VERDICT_CONFIDENCE)
-        and sum(effect >= DISTURBING_EFFECT for effect in effects) >= needed
-    ):
-        verdict = Verdict.DISTURBING
-    elif (
-        pair.effect + pair.error <= DISTURBING_EFFECT
-        and pair.confidence >= VERDICT_CONFIDENCE
-        and sum(effect < DISTURBING_EFFECT for effect in effects) >= needed
-    ):
-        verdict = Verdict.HARMLESS
-    pair.verdict = verdict
+        if pair is not None and image != CROWDING and amount >= MIN_WITNESS_EXPOSURE:
+            effect = pair.effect + residual / amount
+            record_witness(pair, reading.executor_id, effect, now_ms)
--- a/src/cranberrywheel/submission/reports.py
+++ b/src/cranberrywheel/submission/reports.py
@@ -13,7 +13,7 @@
     RunOutcome,
 )
 from cranberrywheel.submission.fault_detection import is_slow, record_fault
-from cranberrywheel.submission.interference import record_report
+from cranberrywheel.submission.interference_readings import record_report
 from cranberrywheel.submission.live import LiveSubmission, Run, RunState, Task
 from cranberrywheel.submission.model import SubmissionState
 from cranberrywheel.submission.state import SchedulerState
--- a/tests/interference_fixtures.py
+++ b/tests/interference_fixtures.py
@@ -1,7 +1,9 @@
 """Executors with serving and background runs in virtual time, for a real scheduler."""
 
+import collections
 import math
 import random
+import statistics
 
 from leader_harness import make_configuration, make_step, make_submission
 
@@ -14,7 +16,10 @@
     RunningReport,
 )
 from cranberrywheel.submission.features import ALL_OFF, FeatureSettings, Switch
+from cranberrywheel.submission.interference import update_shifts
 from cranberrywheel.submission.model import Resources
+from cranberrywheel.submission.pair_estimate import PairEstimate, Verdict
+from cranberrywheel.submission.pair_regression import ImageRegression
 from cranberrywheel.submission.platform_timing import PlatformTiming
 from cranberrywheel.submission.scheduler import Scheduler
 from cranberrywheel_standin.virtual_fleet import UNIX_START_MS
@@ -23,6 +28,8 @@
 #: Polls of an executor are answered after at most this time.
 POLL_MS = 900
 START_UP_MS = 700
+#: Time over which a reported latency is taken.
+READING_MS = 500
 TARGET_MS = 100
 INTERFERENCE_ON = FeatureSettings(
     **{**vars(ALL_OFF), "interference": Switch.ON},
@@ -41,6 +48,19 @@
     return make_step(count, long_running=True, fills=True, image=image, **fields)
 
 
+def know(estimates, disturbed, disturbing, effect, verdict=None):
+    """Set what is known of a pair."""
+    if verdict is None:
+        verdict = Verdict.DISTURBING if effect > 0.2 else Verdict.HARMLESS
+    regression = estimates.regression_by_image.setdefault(
+        disturbed, ImageRegression(10**9, 10**9)
+    )
+    pair = PairEstimate(effect=effect, error=0.05, verdict=verdict)
+    regression.pair_by_image[disturbing] = pair
+    update_shifts(estimates)
+    return pair
+
+
 class World:
     """Executors whose latencies follow from the true effects between images.
 
@@ -65,6 +85,9 @@
         self.started, self.stopped, self.speeds = [], [], []
         self.runs_by_executor = {f"x{number}": {} for number in range(executors)}
         self.own_load_by_run = {}
+        self.recent_by_run = collections.defaultdict(
+            lambda: collections.deque(maxlen=READING_MS // TICK_MS)
+        )
         self.submissions = []
         self.slots = slots
         self.settings = INTERFERENCE_ON if on else ALL_OFF
@@ -139,7 +162,11 @@
             load = 1.0
             if step.target_ms:
                 noise = math.exp(self.random.gauss(0, self.noise))
-                load = float(round(self.true_latency(executor_id, key) * noise))
+                recent = self.recent_by_run[executor_id, key]
+                latency = statistics.fmean(
+                    recent or [self.true_latency(executor_id, key)]
+                )
+                load = float(round(latency * noise))
                 load = self.distort(executor_id, key, load)
                 self.report_count += 1
             percent = 100.0 if self.now_ms - since_ms >= START_UP_MS else 0.0
@@ -187,5 +214,7 @@
             for key, (step, _) in runs.items():
                 if step.fills:
                     self.worked_ms += TICK_MS * self.speed(executor_id, key) / 100
-                elif self.true_latency(executor_id, key) > TARGET_MS:
-                    self.over_target_ms += TICK_MS
+                else:
+                    latency = self.true_latency(executor_id, key)
+                    self.recent_by_run[executor_id, key].append(latency)
+                    self.over_target_ms += TICK_MS * (latency > TARGET_MS)
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -7,15 +7,14 @@
 from interference_fixtures import World, serving
 
 from cranberrywheel.submission.interference import (
-    IMAGES_PER_PASS,
     LISTED_PAIRS,
     MAX_IMAGES,
     MAX_READINGS,
     list_worst_pairs,
 )
+from cranberrywheel.submission.pair_estimate import MAX_WITNESSES
 from cranberrywheel.submission.pair_regression import (
     MAX_DISTURBING,
-    MAX_WITNESSES,
     ImageRegression,
     Reading,
     add_window,
@@ -221,7 +220,9 @@
     def freeze(executor_id, run, load):
         if executor_id not in ("x0", "x1", "x2"):
             return load
-        return frozen.setdefault((executor_id, run), load)
+        old = frozen.setdefault((executor_id, run), load)
+        # Only the clock shows that a report is old whose latency still changes.
+        return old + world.random.choice((0, 1, 2)) if is_clock_frozen else old
 
     world.distort = freeze
     if is_clock_frozen:
@@ -317,9 +318,9 @@
             counted.clear()
 
         world.run_for(1_500, collect)
-        assert max(windows for windows, _ in costs) <= IMAGES_PER_PASS
+        assert max(windows for windows, _ in costs) <= 3
         cost_by_size[size] = max(readings for _, readings in costs)
-    assert cost_by_size[2_000] <= IMAGES_PER_PASS * MAX_READINGS
+    assert cost_by_size[2_000] <= 3 * MAX_READINGS
     assert cost_by_size[2_000] <= 2 * cost_by_size[500]
 
 
