Keep images apart that disturb each other, and slow the disturber first

Cause: throttling slows all neighbours of a task over its target alike, and placement has one penalty for each neighbour, whatever the harm.

Change: where the part is on, compute_score has one further term, limited to 6, that corrects the fixed penalty for pairs with a verdict. A known disturber is paused at once, known harmless neighbours are spared, and after 1,600 ms over the target everything is paused, as at the earliest by the rule before. A throttled background run moves if the work regained is twice the cost and may_miss allows it, at most one a second and never while work waits in the pool. Without verdicts, and with the part off, decisions are those of before.

--- a/src/cranberrywheel/submission/placement.py
+++ b/src/cranberrywheel/submission/placement.py
@@ -8,6 +8,11 @@
 import typing as t
 
 from cranberrywheel.submission.executor import Executor
+from cranberrywheel.submission.interference import (
+    InterferenceEstimates,
+    compute_placement_term,
+    has_term,
+)
 from cranberrywheel.submission.live import StepRun, Task
 from cranberrywheel.submission.model import NO_RESOURCES, Resources
 
@@ -109,11 +114,17 @@
 
 
 def compute_score(
-    executor: Executor, task: Task, now_ms: int, leaving_machines: t.Container[str]
+    executor: Executor,
+    task: Task,
+    now_ms: int,
+    leaving_machines: t.Container[str],
+    interference: InterferenceEstimates | None = None,
 ) -> float:
     """Compute how well an executor suits a task; higher is better.
 
     :param leaving_machines: ids of machines due for maintenance or a move.
+    :param interference: known effects of images on each other; ``None`` while that
+        part is off or knows nothing of the task.
     """
     step = task.step_run.step
     entry = executor.entry
@@ -135,6 +146,10 @@
         score -= INTERFERENCE_PENALTY * executor.latency_sensitive_count
     elif step.target_ms:
         score -= INTERFERENCE_PENALTY * executor.background_count
+    if interference is not None:
+        score += compute_placement_term(
+            interference, executor, step, INTERFERENCE_PENALTY
+        )
     if executor.suspect_until_ms > now_ms:
         score -= SUSPECT_PENALTY
     return score
@@ -196,18 +211,24 @@
     now_ms: int,
     leaving_machines: t.Container[str],
     zone: str | None = None,
+    interference: InterferenceEstimates | None = None,
 ) -> Executor | None:
     """Return the executor with the highest score, or ``None`` if the task fits none.
 
     :param zone: availability zone in which its submission should begin, from
         :func:`choose_zone`.
+    :param interference: see :func:`compute_score`.
     """
     claim = task.step_run.step.claim
+    if interference is not None and not has_term(interference, task.step_run.step):
+        interference = None
     best: Executor | None = None
     best_score = 0.0
     for executor in pool_capacity.usable:
         if claim.fits_in(executor.free) and meets_constraints(executor, task, now_ms):
-            score = compute_score(executor, task, now_ms, leaving_machines)
+            score = compute_score(
+                executor, task, now_ms, leaving_machines, interference
+            )
             if zone == executor.entry.zone and not task.step_run.live.run_count:
                 score += SAME_ZONE_BONUS
             if best is None or score > best_score:
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -25,6 +25,7 @@
     Submission,
     SubmissionState,
 )
+from cranberrywheel.submission.neighbour_moves import move_background_run
 from cranberrywheel.submission.record import Progress
 from cranberrywheel.submission.reports import AVOID_AFTER_FAULT_MS
 from cranberrywheel.submission.state import Advice, SchedulerState
@@ -213,12 +214,16 @@
         self.mark_all_dirty()
         for executor in list(self.executors_by_id.values()):
             self._check_executor(executor, now_ms)
+        interference = None
         if self.features.interference:
-            advance(self.interference, now_ms)
+            interference = self.interference
+            advance(interference, now_ms)
         if self.may_start:
             self.actions.extend(
-                decide_throttling(self.executors_by_id.values(), now_ms)
+                decide_throttling(self.executors_by_id.values(), now_ms, interference)
             )
+            if interference is not None:
+                move_background_run(self, now_ms)
         for live in self.live_by_id.values():
             while (
                 not live.final_state
--- a/src/cranberrywheel/submission/scheduling_pass.py
+++ b/src/cranberrywheel/submission/scheduling_pass.py
@@ -147,6 +147,7 @@
         pool_capacity.refresh()
         return
     leaving_machines = state.maintenance_due | state.borrowed_machines
+    interference = state.interference if state.features.interference else None
     zone = choose_zone(pool_capacity, step_run)
     for task in list(step_run.waiting.values()):
         if not pool_capacity.may_fit(step.claim) or not _is_within_quota(
@@ -161,7 +162,7 @@
                 continue
         else:
             executor = choose_executor(
-                pool_capacity, task, now_ms, leaving_machines, zone
+                pool_capacity, task, now_ms, leaving_machines, zone, interference
             )
         if executor is None:
             if not task.avoid_until_ms_by_executor:
