--- a/src/cranberrywheel/node/metrics.py
+++ b/src/cranberrywheel/node/metrics.py
@@ -3,6 +3,13 @@
 import typing as t
 
 import prometheus_client as prometheus
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.registry import Collector
+
+from cranberrywheel.submission.interference import (
+    IGNORED_REASONS,
+    InterferenceEstimates,
+)
 
 #: Upper bounds of the latency buckets in seconds: a store call takes 4 to 8 ms, and
 #: callers wait for at most a few seconds.
@@ -37,6 +44,55 @@
         gauge = prometheus.Gauge(name, help_text, registry=self.registry)
         gauge.set_function(read)
 
+    def collect_interference(
+        self, read: t.Callable[[], InterferenceEstimates | None]
+    ) -> None:
+        """Add the metrics of images that disturb each other.
+
+        :param read: returns the leader's estimates, or ``None`` without any.
+        """
+        self.registry.register(_InterferenceCollector(read))
+
     def render(self) -> bytes:
         """Return all metrics in the text format."""
         return prometheus.generate_latest(self.registry)
+
+
+class _InterferenceCollector(Collector):
+    """Metrics of the worst pairs only, so that the number of labels is bounded."""
+
+    def __init__(self, read: t.Callable[[], InterferenceEstimates | None]) -> None:
+        self._read = read
+
+    def collect(self) -> t.Iterator[t.Any]:
+        estimates = self._read()
+        prefix = "cranberrywheel_interference_"
+        labels = ["disturbed", "disturbing"]
+        ratio = GaugeMetricFamily(
+            prefix + "ratio",
+            "Factor by which one disturbing run raises the tail latency",
+            labels=labels,
+        )
+        confidence = GaugeMetricFamily(
+            prefix + "confidence", "Confidence in the ratio, 0 to 1", labels=labels
+        )
+        actions = GaugeMetricFamily(
+            prefix + "actions",
+            "What was done for the pair in this leadership",
+            labels=[*labels, "action"],
+        )
+        ignored = CounterMetricFamily(
+            prefix + "ignored_reports",
+            "Reports and readings that were not used",
+            labels=["reason"],
+        )
+        for pair in estimates.listed_pairs if estimates else ():
+            names = [pair.disturbed, pair.disturbing]
+            ratio.add_metric(names, pair.ratio)
+            confidence.add_metric(names, pair.confidence)
+            for action in ("slowed", "spared", "moved"):
+                actions.add_metric([*names, action], getattr(pair, action))
+        for reason in IGNORED_REASONS:
+            count = estimates.ignored_by_reason[reason] if estimates else 0
+            ignored.add_metric([reason], count)
+        yield from (ratio, confidence, actions, ignored)
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -161,6 +161,9 @@
             "Time since the store last answered a call for the configuration",
             lambda: self._configuration_sync.silent_ms / 1000,
         )
+        self._metrics.collect_interference(
+            lambda: self._leader.scheduler.interference if self._leader else None
+        )
         self._caller_server = HttpServer(
             host,
             int(port),
