--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -166,6 +166,9 @@
         )
         if self._evacuation_sync is not None:
             self._add_evacuation_metrics(self._evacuation_sync)
+        self._metrics.collect_interference(
+            lambda: self._leader.scheduler.interference if self._leader else None
+        )
         self._caller_server = HttpServer(
             host,
             int(port),
--- a/src/cranberrywheel/submission/placement.py
+++ b/src/cranberrywheel/submission/placement.py
@@ -9,6 +9,11 @@
 
 from cranberrywheel.submission.cold_executors import COLD_PENALTY, may_start_cold
 from cranberrywheel.submission.executor import Executor
+from cranberrywheel.submission.interference import (
+    InterferenceEstimates,
+    compute_placement_term,
+    has_term,
+)
 from cranberrywheel.submission.live import StepRun, Task
 from cranberrywheel.submission.model import NO_RESOURCES, Resources
 from cranberrywheel.submission.packing import compute_packing_score
@@ -118,12 +123,15 @@
     now_ms: int,
     leaving_machines: t.Container[str],
     packed_machines: t.Container[str] | None = None,
+    interference: InterferenceEstimates | None = None,
 ) -> float:
     """Compute how well an executor suits a task; higher is better.
 
     :param leaving_machines: ids of machines due for maintenance or a move.
     :param packed_machines: ids of the machines on which the pool packs its long-running
         tasks; ``None`` if it does not pack them.
+    :param interference: known effects of images on each other; ``None`` while that
+        part is off or knows nothing of the task.
     """
     step = task.step_run.step
     entry = executor.entry
@@ -147,6 +155,10 @@
         score -= INTERFERENCE_PENALTY * executor.latency_sensitive_count
     elif step.target_ms:
         score -= INTERFERENCE_PENALTY * executor.background_count
+    if interference is not None:
+        score += compute_placement_term(
+            interference, executor, step, INTERFERENCE_PENALTY
+        )
     if executor.suspect_until_ms > now_ms:
         score -= SUSPECT_PENALTY
     if executor.cold_until_ms > now_ms:
@@ -217,20 +229,24 @@
     leaving_machines: t.Container[str],
     zone: str | None = None,
     packed_machines: t.Container[str] | None = None,
+    interference: InterferenceEstimates | None = None,
 ) -> Executor | None:
     """Return the executor with the highest score, or ``None`` if the task fits none.
 
     :param zone: availability zone in which its submission should begin, from
         :func:`choose_zone`.
     :param packed_machines: see :func:`compute_score`.
+    :param interference: see :func:`compute_score`.
     """
     claim = task.step_run.step.claim
+    if interference is not None and not has_term(interference, task.step_run.step):
+        interference = None
     best: Executor | None = None
     best_score = 0.0
     for executor in pool_capacity.usable:
         if claim.fits_in(executor.free) and meets_constraints(executor, task, now_ms):
             score = compute_score(
-                executor, task, now_ms, leaving_machines, packed_machines
+                executor, task, now_ms, leaving_machines, packed_machines, interference
             )
             if zone == executor.entry.zone and not task.step_run.live.run_count:
                 score += SAME_ZONE_BONUS
--- a/src/cranberrywheel/submission/pool_plans.py
+++ b/src/cranberrywheel/submission/pool_plans.py
@@ -50,8 +50,9 @@
 class Phase(enum.Enum):
     """What decides about the size of a pool.
 
-    ``UNKNOWN``: no forecast, so that all own machines stay. ``TURN``: work arrives.
-    ``AHEAD``: the turn is due within a move's time. ``IDLE``: it certainly is not.
+    ``UNKNOWN``: no forecast, so that the rules for pools without a plan hold.
+    ``TURN``: work arrives. ``AHEAD``: the turn is due within a move's time. ``IDLE``:
+    it certainly is not.
     """
 
     UNKNOWN = "unknown"
@@ -96,7 +97,8 @@
 
     :param standby_pools: names of the pools whose machines are switched off.
     :param now_ms: steady time in milliseconds.
-    :returns: nothing while the part is off.
+    :returns: nothing while the part is off, and no plan of a pool whose queue has no
+        forecast.
     """
     if not scheduler.features.turn_forecast:
         scheduler.packed_machines_by_service = {}
@@ -150,8 +152,10 @@
         )
         is_idle = phase is Phase.IDLE and off_ms >= MIN_OFF_MS
         use_ratio = scheduler.turns.by_pool[pool].use_ratio
-        plans[pool] = PoolPlan(wanted, keep, is_idle, ranks, use_ratio)
-        _log_phase(sizing, pool, phase, plans[pool], floors[pool], forecast, load)
+        plan = PoolPlan(wanted, keep, is_idle, ranks, use_ratio)
+        if phase is not Phase.UNKNOWN:
+            plans[pool] = plan
+        _log_phase(sizing, pool, phase, plan, floors[pool], forecast, load)
     return plans
 
 
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -19,6 +19,7 @@
 )
 from cranberrywheel.submission.fault_detection import is_stalled, record_fault
 from cranberrywheel.submission.features import select_features
+from cranberrywheel.submission.interference import advance
 from cranberrywheel.submission.live import LiveSubmission, Run, RunState
 from cranberrywheel.submission.model import (
     Configuration,
@@ -26,6 +27,7 @@
     Submission,
     SubmissionState,
 )
+from cranberrywheel.submission.neighbour_moves import move_background_run
 from cranberrywheel.submission.pool_floor import pack_pool
 from cranberrywheel.submission.record import Progress
 from cranberrywheel.submission.reports import AVOID_AFTER_FAULT_MS
@@ -225,12 +227,18 @@
         self.mark_all_dirty()
         for executor in list(self.executors_by_id.values()):
             self._check_executor(executor, now_ms)
+        interference = None
+        if self.features.interference:
+            interference = self.interference
+            advance(interference, now_ms)
         if self.may_start:
             for run in choose_runs_to_evacuate(self, now_ms):
                 self.stop_run(run, now_ms, "its availability zone is evacuated")
             self.actions.extend(
-                decide_throttling(self.executors_by_id.values(), now_ms)
+                decide_throttling(self.executors_by_id.values(), now_ms, interference)
             )
+            if interference is not None:
+                move_background_run(self, now_ms)
         for live in self.live_by_id.values():
             while (
                 not live.final_state
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -14,6 +14,7 @@
     NO_FEATURES,
     FeatureSettings,
 )
+from cranberrywheel.submission.interference import InterferenceEstimates
 from cranberrywheel.submission.live import (
     LiveSubmission,
     Run,
@@ -104,6 +105,8 @@
         long-running tasks, see :mod:`.pool_plans`.
     :ivar shares: use of the organisations' shares. A takeover forgets it, so the
         submissions that it recovers count as within their share.
+    :ivar interference: effects of images on each other; learned only while that part is
+        on, and forgotten by a takeover.
     :ivar features: parts that are on under the configuration in force.
     :ivar actions: decided actions that the leader has not taken yet.
     """
@@ -148,6 +151,7 @@
         self.turns = TurnForecastState()
         self.packed_machines_by_service: dict[str, frozenset[str]] = {}
         self.shares = OrganisationShares()
+        self.interference = InterferenceEstimates()
         self.actions: list[actions.Action] = []
 
     def add_executor(self, executor: Executor) -> None:
