Decide which short work is refused because of load

Cause: during an overload the backlog grows until a submission that arrives is served only when its answer is worth nothing to its caller, and nothing is refused.

Change: submission/admission.py summarises the contended pools by queue and organisation in scheduling order and decides on one submission: refused only if it ends after its objective behind the work ordered before it, and after three times its objective behind everything accepted. submission/turns.py keeps the places of refused callers, each a reservation of its work, so that they return one after the other. submission/work_ratio.py estimates sums of work without the bias of a mean of ratios. Nothing calls the decisions yet.

--- /dev/null
+++ b/src/cranberrywheel/submission/admission.py
@@ -0,0 +1,567 @@
+"""Admission of short work: which submissions are refused, and when they may return.
+
+Load pattern: several queues or organisations demand a multiple of a pool for seconds,
+or a pool loses racks during a burst. The backlog then grows until a submission that
+arrives is served only when its answer is worth nothing to its caller. Such a submission
+is refused at once, with the time after which it can be served.
+
+An estimate errs on the side of acceptance, since a wrong refusal costs a caller more
+than a late answer: arriving machines count as capacity at once, work that is yet to
+arrive does not count, and the submission may be as long as declarations are inaccurate.
+"""
+
+import collections
+import dataclasses
+import math
+import typing as t
+
+from cranberrywheel.submission.executor import Executor
+from cranberrywheel.submission.live import LiveSubmission
+from cranberrywheel.submission.machines import Machine, MachineState
+from cranberrywheel.submission.model import (
+    NO_RESOURCES,
+    Configuration,
+    Queue,
+    Submission,
+)
+from cranberrywheel.submission.pool_sizing import PoolSizingState
+from cranberrywheel.submission.queue_order import (
+    DELAY_WEIGHT,
+    ON_TIME,
+    compute_scheduling_key,
+    estimate_remaining_work,
+)
+from cranberrywheel.submission.state import SchedulerState
+from cranberrywheel.submission.turns import Turn, Turns
+
+#: Multiple of its objective after which an answer is worth nothing to its caller.
+WORTHLESS_AFTER_OBJECTIVES = 3.0
+#: Part of the shortest wait that can lead to a refusal from which a pool counts as
+#: contended, so that the processes have its load before they need it.
+CONTENDED_FRACTION = 0.5
+#: Resolution and number of steps of the order of work in a summary. Work beyond the
+#: last step is not counted as ahead of anything.
+ORDER_BIN_MS = 500
+ORDER_BINS = 10
+#: Factor by which a submission may be longer than expected. Callers' declarations of
+#: short work are off by up to 0.5. A longer submission has a later objective.
+DURATION_MARGIN = 1.5
+#: Longest time after which a caller is asked to return.
+MAX_RETRY_AFTER_S = 30
+#: Longest such time while the store cannot be reached, which lasts for a few seconds.
+MAX_STORE_RETRY_AFTER_S = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Backlog:
+    """Accepted short work of one organisation in one queue, in core-milliseconds.
+
+    :param on_time_core_ms: work that can still meet its objective, by its place in the
+        order: first that of the runs, then that of each ``ORDER_BIN_MS`` of the
+        scheduling key.
+    :param late_core_ms: waiting work that cannot meet its objective any more.
+    :param limit_cpu: thousandths of a core that the organisation's quota leaves it on
+        this pool; 0 for no limit.
+    """
+
+    queue: str
+    organisation: str
+    on_time_core_ms: tuple[int, ...]
+    late_core_ms: int
+    limit_cpu: int = 0
+
+    def sum_ahead_core_ms(self, place_ms: float) -> int:
+        """Return the work that is certainly ordered before a place.
+
+        :param place_ms: scheduling key, counted from the time of the summary.
+        """
+        bins = 1 + max(0, int(place_ms // ORDER_BIN_MS))
+        return sum(self.on_time_core_ms[: min(bins, ORDER_BINS)])
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolLoad:
+    """Short work ahead of a new submission, and how fast a pool does it.
+
+    :param drain_cpu: thousandths of a core for short work, of all executors that are
+        there, do not answer at the moment, are on their way or belong to the pool.
+    :param pool_cpu: thousandths of a core of the executors, as the order counts them.
+    :param factors_by_queue: expected work and the durations by which the scheduler
+        orders, as multiples of the declared ones.
+    """
+
+    drain_cpu: int
+    pool_cpu: int
+    backlogs: tuple[Backlog, ...]
+    factors_by_queue: dict[str, tuple[float, float]]
+
+    @property
+    def wait_ms(self) -> float:
+        """Time in which the pool does its whole backlog."""
+        core_ms = sum(
+            sum(row.on_time_core_ms) + row.late_core_ms for row in self.backlogs
+        )
+        return 1_000 * core_ms / self.drain_cpu
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """Whether a submission is accepted, and what decided it. Times are milliseconds.
+
+    :param retry_after_s: whole seconds after which to return; 0: accepted.
+    :param reason: ``in-time``, ``late``, ``turn``, ``no-load`` or ``overloaded``.
+    :param on_time_wait_ms: expected wait if the objective can be met.
+    :param wait_ms: expected wait behind all accepted and promised work.
+    :param end_ms: expected end after ``wait_ms``.
+    :param objective_ms: latency objective of the submission.
+    """
+
+    retry_after_s: int
+    reason: str
+    on_time_wait_ms: int = 0
+    wait_ms: int = 0
+    end_ms: int = 0
+    objective_ms: int = 0
+    drain_cpu: int = 0
+    load_age_ms: int = 0
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the submission must not be stored."""
+        return self.retry_after_s > 0
+
+
+# The leader's summary
+
+
+def count_expected_machines(
+    sizing: PoolSizingState, machines: t.Iterable[Machine]
+) -> dict[str, int]:
+    """Count the machines that each pool has, gets, or has lent to another pool.
+
+    A backlog that lasts for seconds brings lent machines home.
+    """
+    counts: collections.Counter[str] = collections.Counter()
+    for machine in machines:
+        if machine.state is MachineState.DOWN:
+            continue
+        present = sizing.destination_by_machine.get(machine.id, machine.pool)
+        counts.update({present, sizing.home_pool_by_machine.get(machine.id, present)})
+    return dict(counts)
+
+
+def compute_load_by_service(
+    state: SchedulerState,
+    machines_by_service: t.Mapping[str, int],
+    now_ms: int,
+    unix_ms: int,
+) -> dict[str, PoolLoad]:
+    """Return the load of each contended pool.
+
+    :param machines_by_service: machines that each pool can expect to have, from
+        :func:`count_expected_machines`.
+    :param now_ms: steady time in milliseconds.
+    :param unix_ms: time of day in Unix milliseconds.
+    """
+    configuration = state.configuration
+    if configuration is None or not any(state.waiting_by_service.values()):
+        return {}
+    queues_by_service: dict[str, list[Queue]] = {}
+    for queue in configuration.queues_by_key.values():
+        if queue.objective_ms > 0 and state.waiting_by_service.get(queue.service):
+            queues_by_service.setdefault(queue.service, []).append(queue)
+    lives_by_service: dict[str, list[LiveSubmission]] = {}
+    for live in state.live_by_id.values():
+        if live.queue.service in queues_by_service and _is_short(live):
+            lives_by_service.setdefault(live.queue.service, []).append(live)
+    found: dict[str, PoolLoad] = {}
+    for service, lives in lives_by_service.items():
+        load = _compute_load(
+            state, service, lives, machines_by_service.get(service, 0), now_ms, unix_ms
+        )
+        shortest_ms = min(queue.objective_ms for queue in queues_by_service[service])
+        threshold_ms = CONTENDED_FRACTION * WORTHLESS_AFTER_OBJECTIVES * shortest_ms
+        if load is not None and load.wait_ms >= threshold_ms:
+            found[service] = load
+    return found
+
+
+def _is_short(live: LiveSubmission) -> bool:
+    return not (
+        live.final_state or live.has_long_running_step or live.submission.schedule
+    )
+
+
+def _may_serve(executor: Executor) -> bool:
+    """Tell whether an executor serves now, or may do so again at any moment."""
+    return executor.is_available or (
+        executor.registered
+        and not executor.reachable
+        and not executor.cordoned
+        and not executor.entry.draining
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class _Running:
+    """Runs of short work on one pool.
+
+    :ivar long_running_cpu: cpu that long-running tasks reserve.
+    :ivar begun_core_ms: expected work of the running tasks, by submission id.
+    :ivar left_core_ms: the part of it that is not done.
+    :ivar cpu_by_organisation: cpu that short tasks reserve.
+    """
+
+    long_running_cpu: int = 0
+    begun_core_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    left_core_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    cpu_by_organisation: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+def _measure_runs(
+    state: SchedulerState, executors: t.Iterable[Executor], now_ms: int
+) -> _Running:
+    running = _Running()
+    for executor in executors:
+        for run in executor.runs.values():
+            live = run.task.step_run.live
+            step = run.task.step_run.step
+            if step.long_running:
+                running.long_running_cpu += step.claim.cpu
+                continue
+            key = live.submission.id
+            duration_ms = step.estimated_ms * state.work_ratio.get_factor(live)
+            left_ms = max(0.0, duration_ms - (now_ms - run.started_ms))
+            cores = step.size.cpu / 1_000
+            running.begun_core_ms[key] = (
+                running.begun_core_ms.get(key, 0.0) + cores * duration_ms
+            )
+            running.left_core_ms[key] = (
+                running.left_core_ms.get(key, 0.0) + cores * left_ms
+            )
+            owner = live.submission.organisation
+            running.cpu_by_organisation[owner] = (
+                running.cpu_by_organisation.get(owner, 0) + step.size.cpu
+            )
+    return running
+
+
+def _compute_load(
+    state: SchedulerState,
+    service: str,
+    lives: t.Sequence[LiveSubmission],
+    machines: int,
+    now_ms: int,
+    unix_ms: int,
+) -> PoolLoad | None:
+    """Return the load of one pool; ``None`` if nothing can be said about it."""
+    executors = [
+        executor
+        for executor in state.executors_by_service.get(service, {}).values()
+        if _may_serve(executor)
+    ]
+    running = _measure_runs(state, executors, now_ms)
+    machine_cpu = max((row.entry.capacity.cpu for row in executors), default=0)
+    total_cpu = sum(row.entry.capacity.cpu for row in executors)
+    drain_cpu = max(total_cpu, machines * machine_cpu) - running.long_running_cpu
+    if drain_cpu <= 0:
+        return None
+    # The work of a backlog is known up to its standard error, as in demand.py.
+    certainty = 1 - 1 / math.sqrt(len(lives))
+    rows: dict[tuple[str, str], tuple[list[float], list[float]]] = {}
+    factors_by_queue: dict[str, tuple[float, float]] = {}
+    for live in lives:
+        if any(step.claim.cpu > machine_cpu for step in live.submission.steps):
+            continue  # waits until there is a larger machine, and delays nobody
+        submission = live.submission
+        factor = state.work_ratio.get_factor(live)
+        order_factor = state.duration_estimates.get_factor(live)
+        factors_by_queue[submission.queue] = (factor, order_factor)
+        on_time, late = rows.setdefault(
+            (submission.queue, submission.organisation), ([0.0] * ORDER_BINS, [0.0])
+        )
+        on_time[0] += running.left_core_ms.get(submission.id, 0.0)
+        begun = running.begun_core_ms.get(submission.id, 0.0)
+        waiting = max(0.0, estimate_remaining_work(live, factor).core_ms - begun)
+        waiting *= certainty
+        remaining = estimate_remaining_work(live, order_factor, total_cpu)
+        group, _, place = compute_scheduling_key(live, remaining, unix_ms)
+        if group is not ON_TIME:
+            late[0] += waiting
+            continue
+        number = 1 + int(max(0.0, place - unix_ms) // ORDER_BIN_MS)
+        if number < ORDER_BINS:
+            on_time[number] += waiting
+        else:
+            late[0] += waiting  # ahead only of work that is late itself
+    backlogs = tuple(
+        Backlog(
+            *key,
+            tuple(round(core_ms) for core_ms in on_time),
+            round(late[0]),
+            _compute_limit_cpu(state, key[1], running),
+        )
+        for key, (on_time, late) in sorted(rows.items())
+    )
+    return PoolLoad(drain_cpu, max(1, total_cpu), backlogs, factors_by_queue)
+
+
+def _compute_limit_cpu(
+    state: SchedulerState, organisation: str, running: _Running
+) -> int:
+    """Return the cpu that a quota leaves for short work on a pool; 0 for no limit."""
+    configuration = state.configuration
+    owner = configuration and configuration.organisations_by_name.get(organisation)
+    if not owner or not owner.quota.cpu:
+        return 0
+    used_cpu = state.used_by_organisation.get(organisation, NO_RESOURCES).cpu
+    used_elsewhere = used_cpu - running.cpu_by_organisation.get(organisation, 0)
+    return max(1, owner.quota.cpu - max(0, used_elsewhere))
+
+
+# The verdict for one submission
+
+
+def is_refusable(submission: Submission, queue: Queue) -> bool:
+    """Tell whether a submission may be refused because of load."""
+    return (
+        queue.objective_ms > 0
+        and submission.schedule is None
+        and not any(step.long_running for step in submission.steps)
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewWork:
+    """Expected work of a submission that is not accepted yet.
+
+    :param critical_path_ms: duration of its longest chain of steps.
+    :param core_ms: processor time of all its tasks.
+    """
+
+    critical_path_ms: float
+    core_ms: float
+
+
+def estimate_new_work(submission: Submission, duration_factor: float) -> NewWork:
+    """Estimate the work of a submission from the declared durations.
+
+    :param duration_factor: expected durations as a multiple of the declared ones.
+    """
+    ends_ms: list[float] = []
+    for step in submission.steps:
+        begin_ms = max((ends_ms[number] for number in step.after), default=0.0)
+        ends_ms.append(begin_ms + step.estimated_ms * duration_factor)
+    core_ms = sum(
+        step.count * step.estimated_ms * step.size.cpu / 1_000
+        for step in submission.steps
+    )
+    return NewWork(max(ends_ms, default=0.0), core_ms * duration_factor)
+
+
+def compute_waves_path_ms(submission: Submission, load: PoolLoad) -> float:
+    """Return the declared duration of the longest chain of steps.
+
+    A step that needs more than a quarter of the pool counts in waves of a quarter,
+    since it shares the pool.
+    """
+    ends_ms: list[float] = []
+    for step in submission.steps:
+        begin_ms = max((ends_ms[number] for number in step.after), default=0.0)
+        waves = math.ceil(4 * step.count * step.size.cpu / load.pool_cpu)
+        ends_ms.append(begin_ms + max(1, waves) * step.estimated_ms)
+    return max(ends_ms, default=0.0)
+
+
+def compute_place_ms(
+    submission: Submission, queue: Queue, pool_cpu: int, order_factor: float
+) -> float:
+    """Return the scheduling key that a submission gets, counted from its acceptance.
+
+    See :func:`.queue_order.compute_scheduling_key`.
+    """
+    work = estimate_new_work(submission, order_factor)
+    return (
+        queue.objective_factor * work.critical_path_ms
+        + queue.objective_ms
+        + DELAY_WEIGHT * 1_000 * work.core_ms / pool_cpu
+    )
+
+
+def compute_drain_ms(
+    work_by_organisation: t.Mapping[str, float],
+    limit_by_organisation: t.Mapping[str, int],
+    drain_cpu: float,
+) -> float:
+    """Return the time in which a pool does the work of several organisations.
+
+    An organisation at its quota leaves the rest of the pool to the others, so that it
+    delays them by no more than its quota.
+
+    :param work_by_organisation: core-milliseconds.
+    :param limit_by_organisation: thousandths of a core; no entry or 0 for no limit.
+    :param drain_cpu: thousandths of a core.
+    """
+    rows = [
+        (1_000 * core_ms / limit, core_ms, limit)
+        for organisation, core_ms in work_by_organisation.items()
+        if (limit := limit_by_organisation.get(organisation, 0))
+    ]
+    total = sum(work_by_organisation.values())
+    drain_ms = 1_000 * total / drain_cpu
+    for limited_ms, core_ms, limit in sorted(rows, reverse=True):
+        if limited_ms <= drain_ms:
+            break
+        total -= core_ms
+        drain_cpu -= limit
+        if drain_cpu <= 0:
+            break
+        drain_ms = 1_000 * max(0.0, total) / drain_cpu
+    return drain_ms
+
+
+def estimate_wait_ms(
+    load: PoolLoad,
+    queue: Queue,
+    organisation: str,
+    configuration: Configuration,
+    has_fair_shares: bool,
+    place_ms: float | None,
+) -> float:
+    """Return the time until the work ahead of a new submission is done.
+
+    Ahead is the accepted work of the pool's queues that are at least as urgent. Where
+    organisations share the pool by weight, another one is ahead only as far as it is
+    served while the organisation's own backlog is.
+
+    :param place_ms: place of the submission in the order while it can meet its
+        objective; ``None``: behind everything.
+    """
+    work: dict[str, float] = {}
+    limits: dict[str, int] = {}
+    for row in load.backlogs:
+        other = configuration.queues_by_key.get(row.queue)
+        if other is not None and other.priority > queue.priority:
+            continue
+        if place_ms is None:
+            core_ms = sum(row.on_time_core_ms) + row.late_core_ms
+        else:
+            core_ms = row.sum_ahead_core_ms(place_ms)
+        work[row.organisation] = work.get(row.organisation, 0.0) + core_ms
+        limits[row.organisation] = row.limit_cpu
+    own = work.get(organisation, 0.0)
+    if has_fair_shares:
+        by_name = configuration.organisations_by_name
+
+        def weight(name: str) -> float:
+            return max(1e-6, by_name[name].weight) if name in by_name else 1.0
+
+        own_weight = weight(organisation)
+        work = {
+            name: min(core_ms, own * weight(name) / own_weight)
+            for name, core_ms in work.items()
+        }
+    wait_ms = compute_drain_ms(work, limits, load.drain_cpu)
+    if limit := limits.get(organisation, 0):
+        wait_ms = max(wait_ms, 1_000 * own / limit)
+    return wait_ms
+
+
+def decide_admission(
+    load: PoolLoad | None,
+    load_age_ms: int,
+    submission: Submission,
+    queue: Queue,
+    configuration: Configuration,
+    has_fair_shares: bool,
+    turns: Turns,
+    now_ms: int,
+) -> Verdict:
+    """Decide whether a submission is refused, and record its turn if it is.
+
+    :param load: load of the queue's pool; ``None`` if the pool is not contended or the
+        load is not known.
+    :param load_age_ms: age of the load, for which the pool has gone on.
+    :param has_fair_shares: organisations share a contended pool by weight.
+    :param now_ms: steady time in milliseconds.
+    """
+    if load is None or not is_refusable(submission, queue):
+        return Verdict(0, "no-load")
+    turn = turns.find(submission.id, now_ms)
+    if turn is not None and turn.is_due(now_ms):
+        return Verdict(0, "turn")
+    factor, order_factor = load.factors_by_queue.get(queue.key, (1.0, 1.0))
+    expected = estimate_new_work(submission, factor)
+    path_ms = DURATION_MARGIN * factor * compute_waves_path_ms(submission, load)
+    objective_ms = queue.objective_factor * path_ms + queue.objective_ms
+    own_ms = max(path_ms, 1_000 * expected.core_ms / load.drain_cpu)
+    place_ms = compute_place_ms(submission, queue, load.pool_cpu, order_factor)
+
+    def wait_ms(place_ms: float | None) -> float:
+        estimate_ms = estimate_wait_ms(
+            load,
+            queue,
+            submission.organisation,
+            configuration,
+            has_fair_shares,
+            place_ms,
+        )
+        return max(0.0, estimate_ms - load_age_ms)
+
+    on_time_wait_ms, late_wait_ms = wait_ms(place_ms + load_age_ms), wait_ms(None)
+    promised_core_ms = turns.sum_core_ms(queue.service, now_ms, turn)
+    late_wait_ms += 1_000 * promised_core_ms / load.drain_cpu
+    retry_after_s, reason = 0, "in-time"
+    if on_time_wait_ms + own_ms > objective_ms:
+        reason = "late"
+        if late_wait_ms + own_ms > WORTHLESS_AFTER_OBJECTIVES * objective_ms:
+            reason = "overloaded"
+            # From then on it can meet an objective that begins with its return.
+            return_ms = late_wait_ms - max(0.0, objective_ms - own_ms)
+            retry_after_s = _record_turn(
+                turns, turn, submission.id, queue, expected, return_ms, now_ms
+            )
+    return Verdict(
+        retry_after_s,
+        reason,
+        round(on_time_wait_ms),
+        round(late_wait_ms),
+        round(late_wait_ms + own_ms),
+        round(objective_ms),
+        load.drain_cpu,
+        load_age_ms,
+    )
+
+
+def _record_turn(
+    turns: Turns,
+    turn: Turn | None,
+    submission_id: str,
+    queue: Queue,
+    work: NewWork,
+    return_ms: float,
+    now_ms: int,
+) -> int:
+    """Record the turn of a refused submission and return its whole seconds.
+
+    A submission that returns before its turn keeps it.
+    """
+    if turn is not None:
+        return max(1, math.ceil((turn.due_ms - now_ms) / 1_000))
+    retry_after_s = min(MAX_RETRY_AFTER_S, max(1, math.ceil(return_ms / 1_000)))
+    turns.put(
+        submission_id,
+        Turn.promise(queue.service, work.core_ms, retry_after_s, now_ms),
+        now_ms,
+    )
+    return retry_after_s
+
+
+def compute_store_retry_after_s(unreachable_ms: int) -> int:
+    """Return after which whole seconds a submission that was not stored may return.
+
+    A disturbance that has lasted for some time is expected to last as long again.
+
+    :param unreachable_ms: time for which the store could not be reached.
+    """
+    return min(MAX_STORE_RETRY_AFTER_S, max(1, math.ceil(unreachable_ms / 1_000)))
--- a/src/cranberrywheel/submission/reports.py
+++ b/src/cranberrywheel/submission/reports.py
@@ -245,6 +245,7 @@
             state.duration_estimates.record_run(
                 live, step_run.step, now_ms - run.started_ms
             )
+            state.work_ratio.record_run(live, step_run.step, now_ms - run.started_ms)
         _mark_done(state, task, now_ms)
     elif completion.outcome is RunOutcome.FAILED:
         record_fault(executor, now_ms)
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -29,6 +29,7 @@
 )
 from cranberrywheel.submission.organisation_shares import OrganisationShares
 from cranberrywheel.submission.platform_timing import PlatformTiming
+from cranberrywheel.submission.work_ratio import WorkRatio
 
 #: Lease that executors are granted for their runs: longer than a takeover, so that
 #: runs survive it, but short enough that tasks of a lost executor soon start
@@ -91,6 +92,7 @@
     :ivar quota_limited_services: services in which a step waits for an organisation's
         quota.
     :ivar maintenance_due: machines of a wave whose maintenance has not begun.
+    :ivar work_ratio: true against declared work, for sums over many submissions.
     :ivar borrowed_machines: machines that will return to another pool.
     :ivar used_by_organisation: resources in use by the runs of each organisation.
     :ivar arrivals_by_service: for each recent submission with short work only, when it
@@ -133,6 +135,7 @@
         self.maintenance_due: set[str] = set()
         self.borrowed_machines: set[str] = set()
         self.duration_estimates = DurationEstimates()
+        self.work_ratio = WorkRatio()
         self.advice_by_step: dict[str, Advice] = {}
         self.used_by_organisation: dict[str, Resources] = {}
         self.arrivals_by_service: dict[str, collections.deque[tuple[int, float]]] = {}
