Refuse overload at the entry processes, with the time to return

Cause: callers of an overloaded pool wait until their deadline, and Retry-After is a constant second for every refusal.

Change: with the switch admission on, a process that was told of a contended pool (a flag in the answer to its notice of stored submissions) asks the leader for the load before it decides, at most every 250 ms, and refuses with 429, not-run and Retry-After. The load's age counts from the request; loads that are old, malformed or from a deposed leader refuse nothing. Before a refusal the store must say that the id is absent, and ids that this process handed to the store are never refused. Turns travel with the same requests. 503 store-unavailable names as many seconds as the store has been unreachable. With the switch off no message, read or answer differs.

PeerApi gets the admission part as an argument, so the fixture of test_peer_api.py builds one; the path /peer/admission joins its malformed inputs.

--- a/src/cranberrywheel/node/caller_api.py
+++ b/src/cranberrywheel/node/caller_api.py
@@ -9,6 +9,7 @@
 from werkzeug.wrappers import Request, Response
 
 from cranberrywheel.logs import ComponentLogger
+from cranberrywheel.node.admission_sync import Refusal
 from cranberrywheel.node.intake import Acceptance
 from cranberrywheel.node.metrics import Metrics
 from cranberrywheel.platform import callers as wire
@@ -49,8 +50,10 @@
 class Backend(t.Protocol):
     """Interface of the process to this API; all futures complete on other threads."""
 
-    def submit(self, submission: Submission, wait_ms: int) -> "Future[Acceptance]":
-        """Store a submission.
+    def submit(
+        self, submission: Submission, wait_ms: int
+    ) -> "Future[Acceptance | Refusal]":
+        """Store a submission, or refuse it because of load.
 
         :param wait_ms: time for which the caller waits, in milliseconds.
         """
@@ -78,14 +81,23 @@
     :param kind: problem title, which callers match.
     :param outcome: what happened to the request: ``not-run`` or ``unknown``.
     :param detail: reason for the caller, or ``""``.
+    :param retry_after_s: value of ``Retry-After``, for statuses that have it.
     """
 
-    def __init__(self, status: int, kind: str, outcome: str, detail: str = "") -> None:
+    def __init__(
+        self,
+        status: int,
+        kind: str,
+        outcome: str,
+        detail: str = "",
+        retry_after_s: int = RETRY_AFTER_S,
+    ) -> None:
         super().__init__(kind)
         self.status = status
         self.kind = kind
         self.outcome = outcome
         self.detail = detail
+        self.retry_after_s = retry_after_s
 
 
 class CallerApi:
@@ -94,12 +106,21 @@
     :param process: the process that serves the API.
     :param backend: stores and reads submissions.
     :param metrics: metrics in which each answer is recorded.
+    :param estimate_store_retry_s: returns the ``Retry-After`` of a submission that
+        could not be stored, in seconds.
     """
 
-    def __init__(self, process: Process, backend: Backend, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        process: Process,
+        backend: Backend,
+        metrics: Metrics,
+        estimate_store_retry_s: t.Callable[[], int] = lambda: RETRY_AFTER_S,
+    ) -> None:
         self._process = process
         self._backend = backend
         self._metrics = metrics
+        self._estimate_store_retry_s = estimate_store_retry_s
 
     def __call__(self, environ: t.Any, start_response: t.Any) -> t.Any:
         started_s = time.monotonic()
@@ -213,8 +234,22 @@
         acceptance = self._backend.submit(submission, wait_ms).result(
             (wait_ms + ANSWER_MARGIN_MS) / 1000
         )
+        if isinstance(acceptance, Refusal):
+            raise _Rejection(
+                429,
+                "overloaded",
+                "not-run",
+                f"cannot be served in time; its place is kept from "
+                f"{acceptance.retry_after_s} s on",
+                acceptance.retry_after_s,
+            )
         if acceptance is Acceptance.NOT_STORED:
-            raise _Rejection(503, "store-unavailable", "not-run")
+            raise _Rejection(
+                503,
+                "store-unavailable",
+                "not-run",
+                retry_after_s=self._estimate_store_retry_s(),
+            )
         if acceptance is Acceptance.UNKNOWN:
             raise _Rejection(504, "store-answer-lost", "unknown")
         _log.event(
@@ -257,5 +292,5 @@
         content_type="application/problem+json",
     )
     if rejection.status in (429, 503, 504):
-        response.headers["Retry-After"] = str(RETRY_AFTER_S)
+        response.headers["Retry-After"] = str(rejection.retry_after_s)
     return response
--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -103,6 +103,10 @@
         self._orders.stop()
         self._wave_watch.stop()
 
+    def count_expected_machines(self) -> dict[str, int]:
+        """Count the machines that each pool has, gets or has lent."""
+        return self._pool_moves.count_expected_machines(self._machine_by_id.values())
+
     def _on_wave(self, item: Item) -> None:
         if item.value is None:
             self._state_by_key.pop(item.key, None)
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -11,8 +11,9 @@
 from cranberrywheel.connection.http_loop import HttpLoop
 from cranberrywheel.connection.http_server import HttpServer
 from cranberrywheel.logs import ComponentLogger
+from cranberrywheel.node.admission_sync import AdmissionSync
 from cranberrywheel.node.call_timeout import CallTimeout
-from cranberrywheel.node.caller_api import CallerApi
+from cranberrywheel.node.caller_api import RETRY_AFTER_S, CallerApi
 from cranberrywheel.node.configuration_sync import ConfigurationSync
 from cranberrywheel.node.leader import Leader
 from cranberrywheel.node.leadership import Candidate, Leadership, scheduling_capacity
@@ -32,6 +33,7 @@
 from cranberrywheel.platform.settings import NodeSettings
 from cranberrywheel.platform.store import CALL_TIMEOUT_MS, Store
 from cranberrywheel.store_messages import CallResult
+from cranberrywheel.submission.admission import compute_store_retry_after_s
 from cranberrywheel.submission.features import FeatureSettings
 from cranberrywheel.submission.model import (
     Configuration,
@@ -129,15 +131,27 @@
             lambda: not self._store_route.is_unreachable,
             self._on_configuration,
         )
+        self._admission = AdmissionSync(
+            self._loop,
+            self._store,
+            self._peer_address,
+            lambda: self._leader if self._leadership.has_valid_lease() else None,
+            lambda: self._leadership.holder,
+            lambda: self.configuration,
+            feature_settings,
+            settings.timing,
+        )
         self._submission_calls = SubmissionCalls(
             self._loop,
             self._store,
             self._leadership,
+            self._admission,
             self._peer_address,
             lambda: self._store_route.has_route,
             lambda: self._leader,
         )
         self._metrics = Metrics()
+        self._admission.register_metrics(self._metrics)
         self._metrics.gauge(
             "cranberrywheel_is_leader",
             "Whether this process leads",
@@ -164,7 +178,12 @@
         self._caller_server = HttpServer(
             host,
             int(port),
-            CallerApi(self, self._submission_calls, self._metrics),
+            CallerApi(
+                self,
+                self._submission_calls,
+                self._metrics,
+                self._estimate_store_retry_s,
+            ),
             CALLER_THREADS,
             MAX_BODY_BYTES,
         )
@@ -180,6 +199,7 @@
                 self._store,
                 self._store_route,
                 self._configuration_sync,
+                self._admission,
                 lambda: self._leader,
                 lambda: self._leadership.holder.fence if self._leadership.holder else 0,
             ),
@@ -262,6 +282,12 @@
                 self._store_timeout.record_timeout(result.timeout_ms)
         self._store_route.record_call(result.answered, result.timed_out)
 
+    def _estimate_store_retry_s(self) -> int:
+        """Return the ``Retry-After`` of a submission that could not be stored."""
+        if not self._admission.is_on:
+            return RETRY_AFTER_S
+        return compute_store_retry_after_s(self._store_route.unreachable_ms)
+
     def _relay_route(self) -> tuple[str, str] | None:
         relay_peer = self._store_route.relay_peer()
         return (relay_peer, RELAY_PREFIX) if relay_peer else None
--- a/src/cranberrywheel/node/peer_api.py
+++ b/src/cranberrywheel/node/peer_api.py
@@ -9,6 +9,11 @@
 from cranberrywheel.connection.http_loop import MAX_TRANSFER_MS, HttpLoop, HttpReply
 from cranberrywheel.json_body import FIELD_ERRORS, decode_object
 from cranberrywheel.logs import ComponentLogger
+from cranberrywheel.node.admission_sync import (
+    ADMISSION_PATH,
+    CONTENDED_FIELD,
+    AdmissionSync,
+)
 from cranberrywheel.node.configuration_sync import (
     ANNOUNCEMENT_PATH,
     CONFIGURATION_PATH,
@@ -50,6 +55,7 @@
         store: Store,
         store_route: StoreRoute,
         configuration_sync: ConfigurationSync,
+        admission: AdmissionSync,
         find_leader: t.Callable[[], Leader | None],
         find_fence: t.Callable[[], int],
     ) -> None:
@@ -57,6 +63,7 @@
         self._store = store
         self._store_route = store_route
         self._configuration_sync = configuration_sync
+        self._admission = admission
         self._find_leader = find_leader
         self._find_fence = find_fence
 
@@ -109,6 +116,8 @@
             return self._configuration_sync.answer_announcement(request.get_data())
         if request.path == STORED_PATH:
             return self._take_stored(request.get_data())
+        if request.path == ADMISSION_PATH:
+            return self._admission.answer(request.get_data())
         leader = self._find_leader()
         if leader is None or not leader.is_loaded:
             return {}
@@ -132,7 +141,10 @@
         leader = self._find_leader()
         if leader is not None:
             leader.offer(items)
-        return {"received": len(items)}
+        answer: dict[str, t.Any] = {"received": len(items)}
+        if self._admission.is_contended():
+            answer[CONTENDED_FIELD] = True
+        return answer
 
 
 def encode_items(items: t.Iterable[Item]) -> bytes:
--- a/src/cranberrywheel/node/pool_moves.py
+++ b/src/cranberrywheel/node/pool_moves.py
@@ -11,6 +11,7 @@
 from cranberrywheel.platform.machines import MachineClient
 from cranberrywheel.platform.store import Store
 from cranberrywheel.store_messages import Outcome, StoreReply, Write
+from cranberrywheel.submission.admission import count_expected_machines
 from cranberrywheel.submission.demand import compute_demand_by_service
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.machines import Machine, MachineOrderVerdict
@@ -80,6 +81,10 @@
 
         self._store.read(HOME_POOLS_KEY, on_reply)
 
+    def count_expected_machines(self, machines: t.Iterable[Machine]) -> dict[str, int]:
+        """See :func:`.admission.count_expected_machines`."""
+        return count_expected_machines(self._state, machines)
+
     def advance(
         self,
         machines: t.Sequence[Machine],
--- a/src/cranberrywheel/node/store_route.py
+++ b/src/cranberrywheel/node/store_route.py
@@ -104,6 +104,13 @@
         """Whether direct calls to the store fail."""
         return self._unreachable_since_ms > 0
 
+    @property
+    def unreachable_ms(self) -> int:
+        """Time for which direct calls to the store have failed; 0 if they do not."""
+        if not self.is_unreachable:
+            return 0
+        return self._loop.clock.now_ms() - self._unreachable_since_ms
+
     def relay_peer(self) -> str | None:
         """Return the address of the relay peer; ``None`` for direct calls."""
         return self._relay_peer if self.is_unreachable else None
--- a/src/cranberrywheel/node/submission_calls.py
+++ b/src/cranberrywheel/node/submission_calls.py
@@ -6,6 +6,7 @@
 
 from cranberrywheel.connection.http_loop import HttpLoop, HttpReply, HttpRequest
 from cranberrywheel.json_body import FIELD_ERRORS, decode_object
+from cranberrywheel.node.admission_sync import AdmissionSync, Refusal
 from cranberrywheel.node.intake import Acceptance, Intake
 from cranberrywheel.node.keys import (
     CANCEL_SUFFIX,
@@ -37,6 +38,7 @@
 class SubmissionCalls:
     """Stores, reads and cancels submissions; futures complete on the loop's thread.
 
+    :param admission: decides which submissions are refused because of load.
     :param own_address: ``host:port`` on which this process serves its peers.
     :param can_write: returns whether calls can reach the store at this moment.
     :param find_leader: returns the leader if this process leads.
@@ -47,6 +49,7 @@
         loop: HttpLoop,
         store: Store,
         leadership: Leadership,
+        admission: AdmissionSync,
         own_address: str,
         can_write: t.Callable[[], bool],
         find_leader: t.Callable[[], Leader | None],
@@ -54,6 +57,7 @@
         self._loop = loop
         self._store = store
         self._leadership = leadership
+        self._admission = admission
         self._own_address = own_address
         self._find_leader = find_leader
         self._intake = Intake(loop, store, can_write, self.notify_leader)
@@ -63,12 +67,21 @@
         self._loop.post(lambda: begin(future))
         return future
 
-    def submit(self, submission: Submission, wait_ms: int) -> "Future[Acceptance]":
-        """Store a submission; see ``Backend.submit``."""
+    def submit(
+        self, submission: Submission, wait_ms: int
+    ) -> "Future[Acceptance | Refusal]":
+        """Store a submission or refuse it; see ``Backend.submit``."""
 
-        def begin(future: "Future[Acceptance]") -> None:
+        def begin(future: "Future[Acceptance | Refusal]") -> None:
             deadline_ms = self._loop.clock.now_ms() + wait_ms
-            self._intake.submit(submission, deadline_ms, future.set_result)
+
+            def on_verdict(verdict: Submission | Refusal) -> None:
+                if isinstance(verdict, Refusal):
+                    future.set_result(verdict)
+                else:
+                    self._intake.submit(verdict, deadline_ms, future.set_result)
+
+            self._admission.check(submission, on_verdict)
 
         return self._run_on_loop(begin)
 
@@ -195,7 +208,7 @@
             encode_items(items),
             timeout_ms=PEER_TIMEOUT_MS,
         )
-        self._loop.call(request, lambda reply: None)
+        self._loop.call(request, self._admission.take_notice_answer)
 
     def count_waiting(self, queue: Queue) -> "Future[int]":
         """Count the submissions of a queue without a started task."""
--- a/tests/test_peer_api.py
+++ b/tests/test_peer_api.py
@@ -1,10 +1,12 @@
 """Interface for the other processes, with input that none of them should send."""
 
 import json
+from types import SimpleNamespace
 
 import pytest
 from werkzeug.test import Client
 
+from cranberrywheel.node.admission_sync import ADMISSION_PATH, AdmissionSync
 from cranberrywheel.node.configuration_sync import (
     ANNOUNCEMENT_PATH,
     CONFIGURATION_PATH,
@@ -18,6 +20,8 @@
 )
 from cranberrywheel.node.store_route import STATUS_PATH, StoreRoute
 from cranberrywheel.store_messages import Item
+from cranberrywheel.submission.features import ALL_OFF, NO_FEATURES
+from cranberrywheel.submission.platform_timing import PlatformTiming
 from cranberrywheel_standin.virtual_fleet import VirtualLoop, VirtualStore
 
 
@@ -32,6 +36,7 @@
     """Stands in for a leader that has not loaded its submissions."""
 
     is_loaded = False
+    scheduler = SimpleNamespace(features=NO_FEATURES)
 
     def __init__(self):
         self.offered = []
@@ -53,7 +58,19 @@
         loop, store, lambda: [], "a:1", lambda: True, lambda configuration: None
     )
     route = StoreRoute(loop, dict, lambda: None)
-    return Client(PeerApi(loop, store, route, sync, lambda: leader, lambda: 7))
+    admission = AdmissionSync(
+        loop,
+        store,
+        "a:1",
+        lambda: leader,
+        lambda: None,
+        lambda: None,
+        ALL_OFF,
+        PlatformTiming(),
+    )
+    return Client(
+        PeerApi(loop, store, route, sync, admission, lambda: leader, lambda: 7)
+    )
 
 
 @pytest.mark.parametrize(
@@ -66,6 +83,7 @@
         QUEUE_PATH,
         SUBMISSION_PATH + "0" * 16,
         SUBMISSION_PATH,
+        ADMISSION_PATH,
         "/peer/none",
     ],
 )
