--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -31,6 +31,7 @@
 from cranberrywheel.submission.organisation_shares import OrganisationShares
 from cranberrywheel.submission.platform_timing import PlatformTiming
 from cranberrywheel.submission.turn_forecast import TurnForecastState
+from cranberrywheel.submission.work_ratio import WorkRatio
 
 #: Lease that executors are granted for their runs: longer than a takeover, so that
 #: runs survive it, but short enough that tasks of a lost executor soon start
@@ -96,6 +97,7 @@
     :ivar evacuated_zones: availability zones in which nothing may start.
     :ivar zones_current: nothing starts while this is false, since a zone may have been
         evacuated without the leader's knowledge.
+    :ivar work_ratio: true against declared work, for sums over many submissions.
     :ivar borrowed_machines: machines that will return to another pool.
     :ivar used_by_organisation: resources in use by the runs of each organisation.
     :ivar arrivals_by_service: for each recent submission with short work only, when it
@@ -145,6 +147,7 @@
         self.zones_current = True
         self.borrowed_machines: set[str] = set()
         self.duration_estimates = DurationEstimates()
+        self.work_ratio = WorkRatio()
         self.advice_by_step: dict[str, Advice] = {}
         self.used_by_organisation: dict[str, Resources] = {}
         self.arrivals_by_service: dict[str, collections.deque[tuple[int, float]]] = {}
