Share contended pools by the resources that organisations use

Cause: a token bucket of submissions per second decided at acceptance who waits last. It ignores the size of the work and who uses the pool; what exceeded it stayed last even when the pool was free.

Change, only where fair_shares is on: submission/fair_shares.py measures the dominant part of each pool that an organisation's short runs use, now and during contention with a time constant of 2 s; organisations more than a fifth of the pool above their weighted share are served least-served first. submission/overload_order.py puts work behind that cannot be on time after what comes before it. Begun submissions are ordered earlier. submission/contention.py applies both, once per tick for a pool. The token bucket is not used then.

--- a/src/cranberrywheel/submission/live.py
+++ b/src/cranberrywheel/submission/live.py
@@ -49,6 +49,7 @@
     :ivar number: number of the run; rises from run to run of a task.
     :ivar zone: availability zone of the executor when the run started.
     :ivar rack: rack of the executor when the run started.
+    :ivar pool: service of the executor when the run started.
     :ivar percent: progress; 100 means that a long-running task is available.
     :ivar confirmed_ms: when its executor confirmed the start or first listed the run;
         0 before.
@@ -74,6 +75,7 @@
         "speed_percent",
         "speed_changed_ms",
         "percent",
+        "pool",
         "rack",
         "slowness_recorded",
         "started_ms",
@@ -91,6 +93,7 @@
         self.executor_id = executor_id
         self.zone = ""
         self.rack = ""
+        self.pool = ""
         self.state = RunState.STARTING
         self.confirmed_ms = 0
         self.started_ms = now_ms
@@ -260,6 +263,10 @@
     :ivar recovered: it was read from the store at a takeover, so tasks of it may
         already run on executors that the leader has not polled yet.
     :ivar beyond_share: its organisation had used up its share when it arrived.
+    :ivar is_infeasible: it cannot meet its objective beside what is committed already,
+        see :mod:`.overload_order`.
+    :ivar advance_ms: by how much earlier it is ordered than its objective ends, because
+        tasks of it have started and its pool is contended.
     :ivar started: an executor has certainly started a run of it.
     :ivar final_state: state in which it ended; ``None`` until then.
     :ivar final_stored: the store holds the final state.
@@ -280,6 +287,8 @@
         self.queue = queue
         self.recovered = recovered
         self.beyond_share = False
+        self.is_infeasible = False
+        self.advance_ms = 0
         self.started = False
         self.cancelled = False
         self.final_state: SubmissionState | None = None
--- a/src/cranberrywheel/submission/queue_order.py
+++ b/src/cranberrywheel/submission/queue_order.py
@@ -17,7 +17,7 @@
 #: others late; in a large one the delay is a few milliseconds.
 DELAY_WEIGHT = 3.0
 #: Priority groups of waiting work; the lowest goes first.
-LONG_RUNNING, ON_TIME, LATE, BEYOND_SHARE = 0, 1, 2, 3
+LONG_RUNNING, ON_TIME, INFEASIBLE, LATE, BEYOND_SHARE = 0, 1, 2, 3, 4
 
 
 def estimate_remaining_work(
@@ -81,12 +81,20 @@
         return LONG_RUNNING, queue.priority, live.submission.accepted_ms
     if live.beyond_share:
         return BEYOND_SHARE, queue.priority, live.submission.accepted_ms
+    objective_end_ms = compute_objective_end_ms(live, remaining)
+    if unix_ms + remaining.critical_path_ms > objective_end_ms:
+        accepted_ms = max(live.submission.accepted_ms, live.get_due_ms(0))
+        return LATE, queue.priority, accepted_ms
+    group = INFEASIBLE if live.is_infeasible else ON_TIME
+    delay_ms = DELAY_WEIGHT * remaining.pool_ms - live.advance_ms
+    return group, queue.priority, objective_end_ms + delay_ms
+
+
+def compute_objective_end_ms(live: LiveSubmission, remaining: RemainingWork) -> float:
+    """Return the end of a submission's latency objective in Unix milliseconds."""
     accepted_ms = max(live.submission.accepted_ms, live.get_due_ms(0))
-    objective_end_ms = (
+    return (
         accepted_ms
-        + queue.objective_factor * remaining.total_critical_path_ms
-        + queue.objective_ms
+        + live.queue.objective_factor * remaining.total_critical_path_ms
+        + live.queue.objective_ms
     )
-    if unix_ms + remaining.critical_path_ms > objective_end_ms:
-        return LATE, queue.priority, accepted_ms
-    return ON_TIME, queue.priority, objective_end_ms + DELAY_WEIGHT * remaining.pool_ms
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -6,7 +6,7 @@
 :mod:`.demand`.
 """
 
-from cranberrywheel.submission import actions, reports, scheduling_pass
+from cranberrywheel.submission import actions, contention, reports, scheduling_pass
 from cranberrywheel.submission.crash_attribution import end_isolation
 from cranberrywheel.submission.demand import record_arrival
 from cranberrywheel.submission.executor import Executor
@@ -59,6 +59,11 @@
             queue = configuration.queues_by_key.get(live.submission.queue)
             if queue is not None:
                 live.queue = queue
+            if self.features.fair_shares:
+                live.beyond_share = False
+            else:
+                live.is_infeasible = False
+                live.advance_ms = 0
         self.rebuild_waiting_index()
 
     def put_executor(
@@ -132,7 +137,10 @@
         self.add_waiting_submission(live)
         if not recovered:
             record_arrival(self, live, now_ms)
-            live.beyond_share = not self._take_share(submission.organisation, now_ms)
+            if not self.features.fair_shares:
+                live.beyond_share = not self._take_share(
+                    submission.organisation, now_ms
+                )
 
     def _take_share(self, owner: str, now_ms: int) -> bool:
         organisation = None
@@ -212,6 +220,8 @@
         self.mark_all_dirty()
         for executor in list(self.executors_by_id.values()):
             self._check_executor(executor, now_ms)
+        if self.features.fair_shares:
+            contention.update_shares(self, now_ms, unix_ms)
         if self.may_start:
             self.actions.extend(
                 decide_throttling(self.executors_by_id.values(), now_ms)
--- a/src/cranberrywheel/submission/scheduling_pass.py
+++ b/src/cranberrywheel/submission/scheduling_pass.py
@@ -10,6 +10,7 @@
 
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.submission import actions
+from cranberrywheel.submission.contention import order_by_share
 from cranberrywheel.submission.crash_attribution import choose_isolated_executor
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.live import LiveSubmission, Run, StepRun, Task
@@ -53,9 +54,11 @@
     state.quota_limited_services.discard(service)
     pool = list(state.executors_by_service.get(service, {}).values())
     pool_capacity = PoolCapacity(pool)
-    for _, step_run in _find_startable_steps(
-        state, service, pool, pool_capacity, now_ms, unix_ms
-    ):
+    rows = _find_startable_steps(state, service, pool, pool_capacity, now_ms, unix_ms)
+    ordered: t.Iterable[StepRun] = (step_run for _, step_run in rows)
+    if state.features.fair_shares:
+        ordered = order_by_share(rows, state.shares_of(service))
+    for step_run in ordered:
         _start_step(state, step_run, pool, pool_capacity, now_ms, unix_ms)
 
 
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -9,6 +9,7 @@
 from cranberrywheel.submission.crash_attribution import must_give_up, record_crash
 from cranberrywheel.submission.duration_estimates import DurationEstimates
 from cranberrywheel.submission.executor import Executor, compute_lease_expiry_delay
+from cranberrywheel.submission.fair_shares import PoolShares, counts_towards_share
 from cranberrywheel.submission.features import (
     ALL_OFF,
     NO_FEATURES,
@@ -97,6 +98,8 @@
         arrived, and its expected work in core-milliseconds.
     :ivar shares: use of the organisations' shares. A takeover forgets it, so the
         submissions that it recovers count as within their share.
+    :ivar pool_shares_by_service: use of each pool by the organisations. A successor
+        rebuilds it from the runs that the executors report.
     :ivar features: parts that are on under the configuration in force.
     :ivar actions: decided actions that the leader has not taken yet.
     """
@@ -137,6 +140,7 @@
         self.used_by_organisation: dict[str, Resources] = {}
         self.arrivals_by_service: dict[str, collections.deque[tuple[int, float]]] = {}
         self.shares = OrganisationShares()
+        self.pool_shares_by_service: dict[str, PoolShares] = {}
         self.actions: list[actions.Action] = []
 
     def add_executor(self, executor: Executor) -> None:
@@ -204,11 +208,21 @@
         task.step_run.remove_waiting(task)
         run.zone = executor.entry.zone
         run.rack = executor.entry.rack
+        run.pool = executor.entry.service
         executor.add_run(run)
         live.count_run(run, 1)
         owner = live.submission.organisation
         used = self.used_by_organisation.get(owner, NO_RESOURCES)
         self.used_by_organisation[owner] = used + task.step_run.step.size
+        if counts_towards_share(task.step_run.step):
+            self.shares_of(run.pool).add_use(owner, task.step_run.step.size)
+
+    def shares_of(self, service: str) -> PoolShares:
+        """Return the use of a service's pool by the organisations."""
+        shares = self.pool_shares_by_service.get(service)
+        if shares is None:
+            shares = self.pool_shares_by_service[service] = PoolShares()
+        return shares
 
     def untrack_run(self, run: Run, executor: Executor | None) -> None:
         """Stop tracking a run that is not on its executor any more.
@@ -227,6 +241,8 @@
         owner = live.submission.organisation
         used = self.used_by_organisation.get(owner, NO_RESOURCES)
         self.used_by_organisation[owner] = used - task.step_run.step.size
+        if counts_towards_share(task.step_run.step):
+            self.shares_of(run.pool).remove_use(owner, task.step_run.step.size)
         self.dirty_services |= self.quota_limited_services
         task.available_since_ms = 0
         if live.final_stored and not live.run_count:
--- a/src/cranberrywheel_load/burst_load.py
+++ b/src/cranberrywheel_load/burst_load.py
@@ -3,8 +3,15 @@
 import dataclasses
 import math
 import random
-
-from cranberrywheel.submission.model import Queue, Resources, Step, Submission
+import typing as t
+
+from cranberrywheel.submission.model import (
+    Organisation,
+    Queue,
+    Resources,
+    Step,
+    Submission,
+)
 
 #: Time of day at which replays begin, in Unix milliseconds.
 UNIX_START_MS = 1_700_000_000_000
@@ -38,6 +45,23 @@
     objective_ms: int = 600
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OrganisationLoad:
+    """What one organisation submits to all queues.
+
+    :param share: its part of the arrivals, relative to the other organisations.
+    :param factor: multiple of its usual rate from ``from_ms`` on for ``for_ms``.
+    :param width_factor: multiple of the usual number of tasks of a step.
+    """
+
+    name: str
+    share: float = 1.0
+    factor: float = 1.0
+    from_ms: int = 0
+    for_ms: int = 0
+    width_factor: float = 1.0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class BurstPlan:
     """A deployment and its load.
@@ -48,6 +72,7 @@
     :param idle_load: load between bursts, as a fraction of the mean.
     :param long_running: long-running tasks in each pool.
     :param long_running_limit: largest number of them on one machine; 0 for no limit.
+    :param organisations: senders of the arrivals; without any, no call has an API key.
     """
 
     pools: tuple[int, ...] = (8, 8, 8, 8)
@@ -73,6 +98,7 @@
     long_running_cpu: int = 3_300
     long_running_limit: int = 2
     may_miss: int = 1
+    organisations: tuple[OrganisationLoad, ...] = ()
 
 
 def _alternate(first: QueueLoad, second: QueueLoad) -> tuple[QueueLoad, ...]:
@@ -154,6 +180,30 @@
     long_running_cpu=4_800,
     long_running_limit=1,
 )
+
+
+def add_organisations(
+    plan: BurstPlan, count: int, hot: int, **changes: t.Any
+) -> BurstPlan:
+    """Return a plan with organisations of which some are hot, one after the other.
+
+    :param count: number of organisations.
+    :param hot: number of those that send eight times their rate for six seconds.
+    :param changes: further changes of the hot organisations.
+    """
+    values: dict[str, t.Any] = {"factor": 8.0, "for_ms": 6_000}
+    values |= changes
+    organisations = tuple(
+        OrganisationLoad(
+            name=f"organisation-{number}",
+            from_ms=2 * plan.burst_ms + number * plan.burst_ms,
+            **(values if number < hot else {}),
+        )
+        for number in range(count)
+    )
+    return dataclasses.replace(plan, organisations=organisations)
+
+
 #: Deployments like those of the users.
 PLANS = {
     "four-zones": FOUR_ZONES,
@@ -161,6 +211,8 @@
     "four-zones-grown": FOUR_ZONES_GROWN,
     "three-zones-grown": THREE_ZONES_GROWN,
     "six-zones-large": SIX_ZONES_LARGE,
+    "three-zones-hot": add_organisations(THREE_ZONES, 6, 2),
+    "four-zones-grown-hot": add_organisations(FOUR_ZONES_GROWN, 20, 2),
 }
 
 
@@ -178,6 +230,17 @@
     )
 
 
+def build_organisations(plan: BurstPlan) -> dict[str, Organisation]:
+    """Return the organisations, each with its usual rate as its weight."""
+    count = len(plan.pools)
+    mean_rate = sum(compute_burst_rate(plan, n) / count for n in range(count))
+    shares = sum(row.share for row in plan.organisations)
+    return {
+        row.name: Organisation(row.name, 1_000 * mean_rate * row.share / shares)
+        for row in plan.organisations
+    }
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class BurstArrival:
     """A submission with the true durations of its tasks.
@@ -270,15 +333,20 @@
     )
 
 
+def compute_burst_rate(plan: BurstPlan, number: int) -> float:
+    """Return the submissions per millisecond of a queue's burst."""
+    pool_cores = plan.pools[number] * plan.machine.cpu / 1_000
+    burst_load = plan.queues[number].burst_load
+    return burst_load * pool_cores / _mean_work_core_ms(plan, number)
+
+
 def draw_arrivals(plan: BurstPlan, seed: int) -> list[BurstArrival]:
     """Draw the arrivals of a plan in order of time."""
     rng = random.Random(seed)
     arrivals: list[BurstArrival] = []
     count = len(plan.pools)
-    for number, machines in enumerate(plan.pools):
-        pool_cores = machines * plan.machine.cpu / 1_000
-        burst_load = plan.queues[number].burst_load
-        burst_rate = burst_load * pool_cores / _mean_work_core_ms(plan, number)
+    for number in range(count):
+        burst_rate = compute_burst_rate(plan, number)
         mean_rate = burst_rate / count
         at_ms = 0.0
         while True:
@@ -290,4 +358,43 @@
             if in_burst or rng.random() < plan.idle_load * mean_rate / burst_rate:
                 name = f"{number:x}{len(arrivals):015x}"
                 arrivals.append(_draw_arrival(plan, number, int(at_ms), name, rng))
+    if plan.organisations:
+        arrivals = _assign_organisations(plan, seed, arrivals)
     return sorted(arrivals, key=lambda arrival: arrival.at_ms)
+
+
+def _assign_organisations(
+    plan: BurstPlan, seed: int, arrivals: t.Sequence[BurstArrival]
+) -> list[BurstArrival]:
+    """Give each arrival a sender and add what hot organisations send beyond that.
+
+    The arrivals themselves are those of the plan without organisations.
+    """
+    rng = random.Random(f"organisations-{seed}")
+    shares = [row.share for row in plan.organisations]
+    assigned: list[BurstArrival] = []
+    for arrival in arrivals:
+        load = rng.choices(plan.organisations, shares)[0]
+        copies = 1
+        if load.from_ms <= arrival.at_ms < load.from_ms + load.for_ms:
+            copies = math.floor(load.factor + rng.random())
+        wide = _widen(plan, arrival.queue, load.width_factor)
+        name = arrival.submission.id
+        for copy in range(copies):
+            row = arrival
+            if copy or load.width_factor != 1.0:
+                at_ms = arrival.at_ms + round(copy * rng.uniform(0, 100))
+                row = _draw_arrival(
+                    wide, arrival.queue, at_ms, f"{name[0]}{copy:x}{name[2:]}", rng
+                )
+            submission = dataclasses.replace(row.submission, organisation=load.name)
+            assigned.append(dataclasses.replace(row, submission=submission))
+    return assigned
+
+
+def _widen(plan: BurstPlan, number: int, factor: float) -> BurstPlan:
+    """Return a plan in which the steps of one queue have more tasks."""
+    queues = list(plan.queues)
+    load = queues[number]
+    queues[number] = dataclasses.replace(load, width=load.width * factor)
+    return dataclasses.replace(plan, queues=tuple(queues))
--- a/src/cranberrywheel_load/burst_policies.py
+++ b/src/cranberrywheel_load/burst_policies.py
@@ -2,9 +2,17 @@
 
 import contextlib
 import dataclasses
+import math
 import typing as t
 
-from cranberrywheel.submission import placement, pool_sizing, scheduling_pass
+from cranberrywheel.submission import (
+    fair_shares,
+    overload_order,
+    placement,
+    pool_sizing,
+    scheduling_pass,
+)
+from cranberrywheel.submission.features import ALL_OFF, FeatureSettings, Switch
 from cranberrywheel.submission.live import LiveSubmission, RemainingWork
 from cranberrywheel.submission.queue_order import ON_TIME, compute_scheduling_key
 from cranberrywheel_load.burst_load import PLANS
@@ -41,7 +49,22 @@
         (placement, "SAME_RACK_BONUS", 0.0),
         (placement, "SAME_EXECUTOR_BONUS", 0.0),
     ),
+    "fair-shares": (),
+    "fair-shares-by-objective": (
+        (fair_shares, "ALLOWANCE", math.inf),
+        (overload_order, "BACKLOG_FACTOR", 0.0),
+    ),
+    "fair-shares-by-use": (
+        (fair_shares, "ALLOWANCE", -1.0),
+        (overload_order, "BACKLOG_FACTOR", 0.0),
+    ),
 }
+FAIR_SHARES = dataclasses.replace(ALL_OFF, fair_shares=Switch.ON)
+
+
+def get_feature_settings(policy: str) -> FeatureSettings:
+    """Return the parts of the scheduler that are on under a policy."""
+    return FAIR_SHARES if policy.startswith("fair-shares") else ALL_OFF
 
 
 @contextlib.contextmanager
@@ -61,8 +84,13 @@
     :param plan: name in :data:`.burst_load.PLANS`.
     """
     with apply_policy(policy):
+        settings = get_feature_settings(policy)
         rows = [
-            dataclasses.astuple(BurstReplay(PLANS[plan], seed, cuts=(CUT,)).run())
+            dataclasses.astuple(
+                BurstReplay(
+                    PLANS[plan], seed, cuts=(CUT,), feature_settings=settings
+                ).run()
+            )
             for seed in seeds
         ]
     return Measures(*(sum(column) / len(rows) for column in zip(*rows, strict=True)))
--- a/src/cranberrywheel_load/burst_replay.py
+++ b/src/cranberrywheel_load/burst_replay.py
@@ -22,6 +22,7 @@
     RunningReport,
     RunOutcome,
 )
+from cranberrywheel.submission.features import ALL_OFF, FeatureSettings
 from cranberrywheel.submission.live import Run
 from cranberrywheel.submission.machines import Machine, MachineState
 from cranberrywheel.submission.maintenance import choose_runs_to_move
@@ -44,6 +45,7 @@
     UNIX_START_MS,
     BurstArrival,
     BurstPlan,
+    build_organisations,
     build_queue,
     draw_arrivals,
 )
@@ -111,6 +113,7 @@
     """One replay.
 
     :param sizes_pools: whether machines move between pools.
+    :param feature_settings: parts of the scheduler that are on; none by default.
     """
 
     def __init__(
@@ -119,6 +122,7 @@
         seed: int,
         sizes_pools: bool = True,
         cuts: t.Sequence[Cut] = (),
+        feature_settings: FeatureSettings = ALL_OFF,
     ) -> None:
         self.plan = plan
         self.arrivals = draw_arrivals(plan, seed)
@@ -128,7 +132,7 @@
         self._heap: list[tuple[int, int, t.Callable[[], None]]] = []
         self._order = itertools.count()
         self._machine_order = itertools.count()
-        self.scheduler = Scheduler(1, 0, PlatformTiming(), -10_000)
+        self.scheduler = Scheduler(1, 0, PlatformTiming(), -10_000, feature_settings)
         queues = [build_queue(plan, number) for number in range(len(plan.pools))]
         self.scheduler.set_configuration(
             Configuration(
@@ -139,7 +143,7 @@
                     **{queue.service: Service(queue.service) for queue in queues},
                     STANDBY: Service(STANDBY, True),
                 },
-                organisations_by_name={},
+                organisations_by_name=build_organisations(plan),
                 organisation_by_api_key={},
             )
         )
--- a/tests/leader_harness.py
+++ b/tests/leader_harness.py
@@ -12,6 +12,7 @@
 )
 from cranberrywheel.node.leader import Leader
 from cranberrywheel.platform.executors import ExecutorClient
+from cranberrywheel.submission.features import ALL_OFF
 from cranberrywheel.submission.model import (
     NO_RESOURCES,
     Configuration,
@@ -89,6 +90,7 @@
     """A simulated store and fleet with at most one leader at a time.
 
     :ivar notifies: entry processes tell the leader what they have stored.
+    :ivar feature_settings: parts of the scheduler that are on; none by default.
     :ivar has_valid_lease: the leader's lease in the store is valid.
     :ivar stepped_down: reasons for which a leader has stepped down.
     """
@@ -100,6 +102,7 @@
         self.leader: Leader | None = None
         self.configuration = make_configuration()
         self.has_valid_lease = True
+        self.feature_settings = ALL_OFF
         self.notifies = False
         self._term = -1
         self.stepped_down: list[str] = []
@@ -131,7 +134,11 @@
         self._term += 1
         self.store.put(LEADER_KEY, json.dumps({"term": self._term}).encode())
         scheduler = Scheduler(
-            self.store.revision, self._term, PlatformTiming(), self.loop.clock.now_ms()
+            self.store.revision,
+            self._term,
+            PlatformTiming(),
+            self.loop.clock.now_ms(),
+            self.feature_settings,
         )
         scheduler.trusts_records = True
         scheduler.set_configuration(self.configuration)
