Stop less urgent runs where urgent work would miss its objective

Cause: a queue's priority orders waiting work only; an urgent submission waits until runs of less urgent queues end by themselves, however long they are.

The freed capacity is kept for the submission (Executor.reserve).

--- a/src/cranberrywheel/node/metrics.py
+++ b/src/cranberrywheel/node/metrics.py
@@ -4,6 +4,8 @@
 
 import prometheus_client as prometheus
 
+from cranberrywheel.submission.state import SchedulerState
+
 #: Upper bounds of the latency buckets in seconds: a store call takes 4 to 8 ms, and
 #: callers wait for at most a few seconds.
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0)
@@ -37,6 +39,49 @@
         gauge = prometheus.Gauge(name, help_text, registry=self.registry)
         gauge.set_function(read)
 
+    def add_contention_gauges(
+        self, get_scheduler: t.Callable[[], SchedulerState | None]
+    ) -> None:
+        """Add gauges of shares and preemption.
+
+        :param get_scheduler: returns the scheduler, or ``None`` without leadership.
+        """
+
+        def add(
+            name: str, help_text: str, read: t.Callable[[SchedulerState], float]
+        ) -> None:
+            def read_if_leader() -> float:
+                scheduler = get_scheduler()
+                return float(read(scheduler)) if scheduler is not None else 0.0
+
+            self.gauge(f"cranberrywheel_{name}", help_text, read_if_leader)
+
+        add(
+            "contended_pools",
+            "Pools in which work waits that does not fit, at the leader",
+            lambda state: sum(
+                row.contended for row in list(state.pool_shares_by_service.values())
+            ),
+        )
+        add(
+            "submissions_put_behind",
+            "Waiting submissions that cannot be on time, at the leader",
+            lambda state: sum(
+                row.infeasible_count
+                for row in list(state.pool_shares_by_service.values())
+            ),
+        )
+        add(
+            "preempted_runs",
+            "Runs that this leadership has stopped for urgent work",
+            lambda state: state.preemption.stopped_count,
+        )
+        add(
+            "urgent_reservations",
+            "Submissions for which capacity is kept, at the leader",
+            lambda state: len(state.preemption.reservations_by_submission),
+        )
+
     def render(self) -> bytes:
         """Return all metrics in the text format."""
         return prometheus.generate_latest(self.registry)
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -150,6 +150,9 @@
                 len(self._leader.scheduler.live_by_id) if self._leader else 0
             ),
         )
+        self._metrics.add_contention_gauges(
+            lambda: self._leader.scheduler if self._leader else None
+        )
         host, _, port = settings.caller_address.rpartition(":")
         self._metrics.gauge(
             "cranberrywheel_configuration_version",
--- a/src/cranberrywheel/submission/contention.py
+++ b/src/cranberrywheel/submission/contention.py
@@ -76,6 +76,8 @@
         ]
         if waiting or shares.used or shares.mean_use:
             _update_pool(state, service, waiting, now_ms, unix_ms)
+        else:
+            shares.contended, shares.infeasible_count = False, 0
 
 
 def _update_pool(
--- a/src/cranberrywheel/submission/executor.py
+++ b/src/cranberrywheel/submission/executor.py
@@ -56,7 +56,10 @@
     :ivar runs: runs that may be on it, by name of the task and number of the run.
     :ivar used: capacity that its runs reserve: thousandths of a core, megabytes and
         accelerators.
-    :ivar free: capacity that no run reserves.
+    :ivar free: capacity that no run reserves and that is kept for no submission; less
+        than nothing while more is kept than is left.
+    :ivar reserved: capacity that is kept for :attr:`reserved_for`.
+    :ivar reserved_for: submission that it was freed for, see :mod:`.preemption`.
     :ivar count_by_step: number of runs of each step.
     :ivar cordoned: accepts no new runs, because its machine is due for maintenance or
         a move.
@@ -97,6 +100,8 @@
         self.runs: dict[tuple[str, int], Run] = {}
         self.used: Resources = NO_RESOURCES
         self.free: Resources = entry.capacity
+        self.reserved: Resources = NO_RESOURCES
+        self.reserved_for: LiveSubmission | None = None
         self.count_by_step: dict[StepRun, int] = {}
         self.cordoned = False
         self.clock_offset_ms: int | None = None
@@ -158,7 +163,22 @@
     def set_entry(self, entry: ExecutorEntry) -> None:
         """Replace the entry by a newer one."""
         self.entry = entry
-        self.free = entry.capacity - self.used
+        self._update_free()
+
+    def reserve(self, live: LiveSubmission | None, amount: Resources) -> None:
+        """Keep capacity for a submission, or for none with ``None``.
+
+        Others get what is free beyond the amount, so that capacity that runs release
+        accumulates until it suffices.
+        """
+        self.reserved_for = live
+        self.reserved = amount
+        self._update_free()
+
+    def _update_free(self) -> None:
+        self.free = self.entry.capacity - self.used
+        if self.reserved_for is not None:
+            self.free = self.free - self.reserved
 
     def add_run(self, run: Run) -> None:
         """Track a run that may be on the executor and reserve its capacity."""
@@ -174,7 +194,7 @@
         step_run = run.task.step_run
         step = step_run.step
         self.used = self.used + step.claim if sign > 0 else self.used - step.claim
-        self.free = self.entry.capacity - self.used
+        self._update_free()
         self.background_count += sign * step.fills
         self.latency_sensitive_count += sign * (step.target_ms > 0)
         count = self.count_by_step.get(step_run, 0) + sign
--- a/src/cranberrywheel/submission/live.py
+++ b/src/cranberrywheel/submission/live.py
@@ -133,6 +133,7 @@
         :mod:`.crash_attribution`.
     :ivar crash_record_version: version of the submission's record that contains them.
     :ivar last_run_number: highest number of a run so far.
+    :ivar preempted: a run of it was stopped for urgent work; none will be again.
     :ivar checkpoint: last saved checkpoint, from which the next run resumes.
     :ivar avoid_until_ms_by_executor: until when the task should not start on an
         executor.
@@ -149,6 +150,7 @@
         "index",
         "last_run_number",
         "name",
+        "preempted",
         "runs",
         "step_run",
         "available_since_ms",
@@ -165,6 +167,7 @@
         self.crashes: list[Crash] = []
         self.crash_record_version = 0
         self.last_run_number = 0
+        self.preempted = False
         self.checkpoint = ""
         self.avoid_until_ms_by_executor: dict[str, int] = {}
         #: Since when a long-running task is available; 0 while it is not.
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -6,7 +6,13 @@
 :mod:`.demand`.
 """
 
-from cranberrywheel.submission import actions, contention, reports, scheduling_pass
+from cranberrywheel.submission import (
+    actions,
+    contention,
+    reports,
+    scheduling_pass,
+    urgent_work,
+)
 from cranberrywheel.submission.crash_attribution import end_isolation
 from cranberrywheel.submission.demand import record_arrival
 from cranberrywheel.submission.executor import Executor
@@ -55,6 +61,8 @@
         self.features = select_features(
             self.feature_settings, configuration, self.timing
         )
+        if not self.features.preemption:
+            self.preemption.expire((), 0)
         for live in self.live_by_id.values():
             queue = configuration.queues_by_key.get(live.submission.queue)
             if queue is not None:
@@ -222,6 +230,8 @@
             self._check_executor(executor, now_ms)
         if self.features.fair_shares:
             contention.update_shares(self, now_ms, unix_ms)
+        if self.features.preemption and self.may_start:
+            urgent_work.preempt_for_urgent(self, now_ms, unix_ms)
         if self.may_start:
             self.actions.extend(
                 decide_throttling(self.executors_by_id.values(), now_ms)
--- a/src/cranberrywheel/submission/scheduling_pass.py
+++ b/src/cranberrywheel/submission/scheduling_pass.py
@@ -59,7 +59,13 @@
     if state.features.fair_shares:
         ordered = order_by_share(rows, state.shares_of(service))
     for step_run in ordered:
+        opened = state.preemption.open_for(step_run.live)
+        if opened:
+            pool_capacity.refresh()
         _start_step(state, step_run, pool, pool_capacity, now_ms, unix_ms)
+        if opened:
+            state.preemption.close_for(step_run.live, opened)
+            pool_capacity.refresh()
 
 
 def _find_startable_steps(
@@ -90,7 +96,10 @@
             step_run
             for step_run in ready
             if _may_begin_step(state, step_run, unix_ms)
-            and pool_capacity.may_fit(step_run.step.claim)
+            and (
+                pool_capacity.may_fit(step_run.step.claim)
+                or submission_id in state.preemption.reservations_by_submission
+            )
             and not (
                 live.recovered and unpolled and _may_run_on_unpolled(state, step_run)
             )
@@ -152,7 +161,7 @@
     leaving_machines = state.maintenance_due | state.borrowed_machines
     zone = choose_zone(pool_capacity, step_run)
     for task in list(step_run.waiting.values()):
-        if not pool_capacity.may_fit(step.claim) or not _is_within_quota(
+        if not pool_capacity.may_fit(step.claim) or not is_within_quota(
             state, live, step.size
         ):
             return
@@ -208,7 +217,7 @@
         step.size.memory_mb * step.count,
         step.size.gpu * step.count,
     )
-    if not _is_within_quota(state, step_run.live, gang_size):
+    if not is_within_quota(state, step_run.live, gang_size):
         return
     chosen = choose_gang_executors(pool_capacity.usable, step_run, now_ms)
     if chosen is None:
@@ -254,7 +263,7 @@
     state.actions.append(actions.StartRun(run, ticket))
 
 
-def _is_within_quota(
+def is_within_quota(
     state: SchedulerState, live: LiveSubmission, size: Resources
 ) -> bool:
     """Tell whether a submission's organisation may use further resources.
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -30,6 +30,7 @@
 )
 from cranberrywheel.submission.organisation_shares import OrganisationShares
 from cranberrywheel.submission.platform_timing import PlatformTiming
+from cranberrywheel.submission.preemption import PreemptionState
 
 #: Lease that executors are granted for their runs: longer than a takeover, so that
 #: runs survive it, but short enough that tasks of a lost executor soon start
@@ -101,6 +102,7 @@
     :ivar pool_shares_by_service: use of each pool by the organisations. A successor
         rebuilds it from the runs that the executors report.
     :ivar features: parts that are on under the configuration in force.
+    :ivar preemption: capacity that was freed for urgent submissions.
     :ivar actions: decided actions that the leader has not taken yet.
     """
 
@@ -118,6 +120,7 @@
         self.configuration: Configuration | None = None
         self.feature_settings = feature_settings
         self.features = NO_FEATURES
+        self.preemption = PreemptionState()
         self.handed_over = False
         self.held_back_ids: set[str] = set()
         self.unpolled_until_ms: dict[str, int] = {}
