--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -6,7 +6,13 @@
 :mod:`.demand`.
 """
 
-from cranberrywheel.submission import actions, reports, scheduling_pass
+from cranberrywheel.submission import (
+    actions,
+    contention,
+    reports,
+    scheduling_pass,
+    urgent_work,
+)
 from cranberrywheel.submission.cold_executors import note_cold
 from cranberrywheel.submission.crash_attribution import end_isolation
 from cranberrywheel.submission.demand import record_arrival
@@ -60,10 +66,17 @@
         self.features = select_features(
             self.feature_settings, configuration, self.timing
         )
+        if not self.features.preemption:
+            self.preemption.expire((), 0)
         for live in self.live_by_id.values():
             queue = configuration.queues_by_key.get(live.submission.queue)
             if queue is not None:
                 live.queue = queue
+            if self.features.fair_shares:
+                live.beyond_share = False
+            else:
+                live.is_infeasible = False
+                live.advance_ms = 0
         self.rebuild_waiting_index()
 
     def put_executor(
@@ -146,7 +159,10 @@
             pack_pool(self, live.queue.service)
         if not recovered:
             record_arrival(self, live, now_ms)
-            live.beyond_share = not self._take_share(submission.organisation, now_ms)
+            if not self.features.fair_shares:
+                live.beyond_share = not self._take_share(
+                    submission.organisation, now_ms
+                )
 
     def _take_share(self, owner: str, now_ms: int) -> bool:
         organisation = None
@@ -231,6 +247,10 @@
         if self.features.interference:
             interference = self.interference
             advance(interference, now_ms)
+        if self.features.fair_shares:
+            contention.update_shares(self, now_ms, unix_ms)
+        if self.features.preemption and self.may_start:
+            urgent_work.preempt_for_urgent(self, now_ms, unix_ms)
         if self.may_start:
             for run in choose_runs_to_evacuate(self, now_ms):
                 self.stop_run(run, now_ms, "its availability zone is evacuated")
--- a/src/cranberrywheel/submission/scheduling_pass.py
+++ b/src/cranberrywheel/submission/scheduling_pass.py
@@ -10,6 +10,7 @@
 
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.submission import actions
+from cranberrywheel.submission.contention import order_by_share
 from cranberrywheel.submission.crash_attribution import choose_isolated_executor
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.live import LiveSubmission, Run, StepRun, Task
@@ -53,10 +54,18 @@
     state.quota_limited_services.discard(service)
     pool = list(state.executors_by_service.get(service, {}).values())
     pool_capacity = PoolCapacity(pool)
-    for _, step_run in _find_startable_steps(
-        state, service, pool, pool_capacity, now_ms, unix_ms
-    ):
+    rows = _find_startable_steps(state, service, pool, pool_capacity, now_ms, unix_ms)
+    ordered: t.Iterable[StepRun] = (step_run for _, step_run in rows)
+    if state.features.fair_shares:
+        ordered = order_by_share(rows, state.shares_of(service))
+    for step_run in ordered:
+        opened = state.preemption.open_for(step_run.live)
+        if opened:
+            pool_capacity.refresh()
         _start_step(state, step_run, pool, pool_capacity, now_ms, unix_ms)
+        if opened:
+            state.preemption.close_for(step_run.live, opened)
+            pool_capacity.refresh()
 
 
 def _find_startable_steps(
@@ -87,7 +96,10 @@
             step_run
             for step_run in ready
             if _may_begin_step(state, step_run, unix_ms)
-            and pool_capacity.may_fit(step_run.step.claim)
+            and (
+                pool_capacity.may_fit(step_run.step.claim)
+                or submission_id in state.preemption.reservations_by_submission
+            )
             and not (
                 live.recovered and unpolled and _may_run_on_unpolled(state, step_run)
             )
@@ -151,7 +163,7 @@
     zone = choose_zone(pool_capacity, step_run, now_ms)
     interference = state.interference if state.features.interference else None
     for task in list(step_run.waiting.values()):
-        if not pool_capacity.may_fit(step.claim) or not _is_within_quota(
+        if not pool_capacity.may_fit(step.claim) or not is_within_quota(
             state, live, step.size
         ):
             return
@@ -213,7 +225,7 @@
         step.size.memory_mb * step.count,
         step.size.gpu * step.count,
     )
-    if not _is_within_quota(state, step_run.live, gang_size):
+    if not is_within_quota(state, step_run.live, gang_size):
         return
     chosen = choose_gang_executors(pool_capacity.usable, step_run, now_ms)
     if chosen is None:
@@ -261,7 +273,7 @@
     state.actions.append(actions.StartRun(run, ticket))
 
 
-def _is_within_quota(
+def is_within_quota(
     state: SchedulerState, live: LiveSubmission, size: Resources
 ) -> bool:
     """Tell whether a submission's organisation may use further resources.
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -9,6 +9,7 @@
 from cranberrywheel.submission.crash_attribution import must_give_up, record_crash
 from cranberrywheel.submission.duration_estimates import DurationEstimates
 from cranberrywheel.submission.executor import Executor, compute_lease_expiry_delay
+from cranberrywheel.submission.fair_shares import PoolShares, counts_towards_share
 from cranberrywheel.submission.features import (
     ALL_OFF,
     NO_FEATURES,
@@ -30,6 +31,7 @@
 )
 from cranberrywheel.submission.organisation_shares import OrganisationShares
 from cranberrywheel.submission.platform_timing import PlatformTiming
+from cranberrywheel.submission.preemption import PreemptionState
 from cranberrywheel.submission.turn_forecast import TurnForecastState
 from cranberrywheel.submission.work_ratio import WorkRatio
 
@@ -109,7 +111,10 @@
         submissions that it recovers count as within their share.
     :ivar interference: effects of images on each other; learned only while that part is
         on, and forgotten by a takeover.
+    :ivar pool_shares_by_service: use of each pool by the organisations. A successor
+        rebuilds it from the runs that the executors report.
     :ivar features: parts that are on under the configuration in force.
+    :ivar preemption: capacity that was freed for urgent submissions.
     :ivar actions: decided actions that the leader has not taken yet.
     """
 
@@ -127,6 +132,7 @@
         self.configuration: Configuration | None = None
         self.feature_settings = feature_settings
         self.features = NO_FEATURES
+        self.preemption = PreemptionState()
         self.handed_over = False
         self.held_back_ids: set[str] = set()
         self.unpolled_until_ms: dict[str, int] = {}
@@ -155,6 +161,7 @@
         self.packed_machines_by_service: dict[str, frozenset[str]] = {}
         self.shares = OrganisationShares()
         self.interference = InterferenceEstimates()
+        self.pool_shares_by_service: dict[str, PoolShares] = {}
         self.actions: list[actions.Action] = []
 
     def add_executor(self, executor: Executor) -> None:
@@ -232,11 +239,21 @@
         task.step_run.remove_waiting(task)
         run.zone = executor.entry.zone
         run.rack = executor.entry.rack
+        run.pool = executor.entry.service
         executor.add_run(run)
         live.count_run(run, 1)
         owner = live.submission.organisation
         used = self.used_by_organisation.get(owner, NO_RESOURCES)
         self.used_by_organisation[owner] = used + task.step_run.step.size
+        if counts_towards_share(task.step_run.step):
+            self.shares_of(run.pool).add_use(owner, task.step_run.step.size)
+
+    def shares_of(self, service: str) -> PoolShares:
+        """Return the use of a service's pool by the organisations."""
+        shares = self.pool_shares_by_service.get(service)
+        if shares is None:
+            shares = self.pool_shares_by_service[service] = PoolShares()
+        return shares
 
     def untrack_run(self, run: Run, executor: Executor | None) -> None:
         """Stop tracking a run that is not on its executor any more.
@@ -255,6 +272,8 @@
         owner = live.submission.organisation
         used = self.used_by_organisation.get(owner, NO_RESOURCES)
         self.used_by_organisation[owner] = used - task.step_run.step.size
+        if counts_towards_share(task.step_run.step):
+            self.shares_of(run.pool).remove_use(owner, task.step_run.step.size)
         self.dirty_services |= self.quota_limited_services
         task.available_since_ms = 0
         if live.final_stored and not live.run_count:
--- a/src/cranberrywheel_load/burst_load.py
+++ b/src/cranberrywheel_load/burst_load.py
@@ -3,8 +3,15 @@
 import dataclasses
 import math
 import random
-
-from cranberrywheel.submission.model import Queue, Resources, Step, Submission
+import typing as t
+
+from cranberrywheel.submission.model import (
+    Organisation,
+    Queue,
+    Resources,
+    Step,
+    Submission,
+)
 
 #: Time of day at which replays begin, in Unix milliseconds.
 UNIX_START_MS = 1_700_000_000_000
@@ -43,6 +50,23 @@
     slow_share: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OrganisationLoad:
+    """What one organisation submits to all queues.
+
+    :param share: its part of the arrivals, relative to the other organisations.
+    :param factor: multiple of its usual rate from ``from_ms`` on for ``for_ms``.
+    :param width_factor: multiple of the usual number of tasks of a step.
+    """
+
+    name: str
+    share: float = 1.0
+    factor: float = 1.0
+    from_ms: int = 0
+    for_ms: int = 0
+    width_factor: float = 1.0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class BurstPlan:
     """A deployment and its load.
@@ -62,6 +86,7 @@
         none.
     :param crowding_load: by how much each further long-running task on its machine
         raises a task's tail latency, as a fraction of ``target_ms``.
+    :param organisations: senders of the arrivals; without any, no call has an API key.
     """
 
     pools: tuple[int, ...] = (8, 8, 8, 8)
@@ -93,6 +118,7 @@
     long_running_fills: bool = False
     target_ms: int = 0
     crowding_load: float = 0.0
+    organisations: tuple[OrganisationLoad, ...] = ()
 
 
 def _alternate(first: QueueLoad, second: QueueLoad) -> tuple[QueueLoad, ...]:
@@ -222,6 +248,30 @@
     long_running_cpu=4_000,
     long_running_memory_mb=8_500,
 )
+
+
+def add_organisations(
+    plan: BurstPlan, count: int, hot: int, **changes: t.Any
+) -> BurstPlan:
+    """Return a plan with organisations of which some are hot, one after the other.
+
+    :param count: number of organisations.
+    :param hot: number of those that send eight times their rate for six seconds.
+    :param changes: further changes of the hot organisations.
+    """
+    values: dict[str, t.Any] = {"factor": 8.0, "for_ms": 6_000}
+    values |= changes
+    organisations = tuple(
+        OrganisationLoad(
+            name=f"organisation-{number}",
+            from_ms=2 * plan.burst_ms + number * plan.burst_ms,
+            **(values if number < hot else {}),
+        )
+        for number in range(count)
+    )
+    return dataclasses.replace(plan, organisations=organisations)
+
+
 #: Deployments like those of the users.
 PLANS = {
     "four-zones": FOUR_ZONES,
@@ -231,6 +281,8 @@
     "six-zones-large": SIX_ZONES_LARGE,
     "contended-turns": CONTENDED_TURNS,
     "uneven-turns": UNEVEN_TURNS,
+    "three-zones-hot": add_organisations(THREE_ZONES, 6, 2),
+    "four-zones-grown-hot": add_organisations(FOUR_ZONES_GROWN, 20, 2),
 }
 
 
@@ -248,6 +300,17 @@
     )
 
 
+def build_organisations(plan: BurstPlan) -> dict[str, Organisation]:
+    """Return the organisations, each with its usual rate as its weight."""
+    count = len(plan.pools)
+    mean_rate = sum(compute_burst_rate(plan, n) / count for n in range(count))
+    shares = sum(row.share for row in plan.organisations)
+    return {
+        row.name: Organisation(row.name, 1_000 * mean_rate * row.share / shares)
+        for row in plan.organisations
+    }
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class BurstArrival:
     """A submission with the true durations of its tasks.
@@ -345,15 +408,20 @@
     )
 
 
+def compute_burst_rate(plan: BurstPlan, number: int) -> float:
+    """Return the submissions per millisecond of a queue's burst."""
+    pool_cores = plan.pools[number] * plan.machine.cpu / 1_000
+    burst_load = plan.queues[number].burst_load
+    return burst_load * pool_cores / _mean_work_core_ms(plan, number)
+
+
 def draw_arrivals(plan: BurstPlan, seed: int) -> list[BurstArrival]:
     """Draw the arrivals of a plan in order of time."""
     rng = random.Random(seed)
     arrivals: list[BurstArrival] = []
     count = len(plan.pools)
-    for number, machines in enumerate(plan.pools):
-        pool_cores = machines * plan.machine.cpu / 1_000
-        burst_load = plan.queues[number].burst_load
-        burst_rate = burst_load * pool_cores / _mean_work_core_ms(plan, number)
+    for number in range(count):
+        burst_rate = compute_burst_rate(plan, number)
         mean_rate = burst_rate / count
         at_ms = 0.0
         while True:
@@ -365,4 +433,43 @@
             if in_burst or rng.random() < plan.idle_load * mean_rate / burst_rate:
                 name = f"{number:x}{len(arrivals):015x}"
                 arrivals.append(_draw_arrival(plan, number, int(at_ms), name, rng))
+    if plan.organisations:
+        arrivals = _assign_organisations(plan, seed, arrivals)
     return sorted(arrivals, key=lambda arrival: arrival.at_ms)
+
+
+def _assign_organisations(
+    plan: BurstPlan, seed: int, arrivals: t.Sequence[BurstArrival]
+) -> list[BurstArrival]:
+    """Give each arrival a sender and add what hot organisations send beyond that.
+
+    The arrivals themselves are those of the plan without organisations.
+    """
+    rng = random.Random(f"organisations-{seed}")
+    shares = [row.share for row in plan.organisations]
+    assigned: list[BurstArrival] = []
+    for arrival in arrivals:
+        load = rng.choices(plan.organisations, shares)[0]
+        copies = 1
+        if load.from_ms <= arrival.at_ms < load.from_ms + load.for_ms:
+            copies = math.floor(load.factor + rng.random())
+        wide = _widen(plan, arrival.queue, load.width_factor)
+        name = arrival.submission.id
+        for copy in range(copies):
+            row = arrival
+            if copy or load.width_factor != 1.0:
+                at_ms = arrival.at_ms + round(copy * rng.uniform(0, 100))
+                row = _draw_arrival(
+                    wide, arrival.queue, at_ms, f"{name[0]}{copy:x}{name[2:]}", rng
+                )
+            submission = dataclasses.replace(row.submission, organisation=load.name)
+            assigned.append(dataclasses.replace(row, submission=submission))
+    return assigned
+
+
+def _widen(plan: BurstPlan, number: int, factor: float) -> BurstPlan:
+    """Return a plan in which the steps of one queue have more tasks."""
+    queues = list(plan.queues)
+    load = queues[number]
+    queues[number] = dataclasses.replace(load, width=load.width * factor)
+    return dataclasses.replace(plan, queues=tuple(queues))
--- a/src/cranberrywheel_load/burst_replay.py
+++ b/src/cranberrywheel_load/burst_replay.py
@@ -47,6 +47,7 @@
     UNIX_START_MS,
     BurstArrival,
     BurstPlan,
+    build_organisations,
     build_queue,
     draw_arrivals,
 )
@@ -164,7 +165,7 @@
                     **{queue.service: Service(queue.service) for queue in queues},
                     STANDBY: Service(STANDBY, True),
                 },
-                organisations_by_name={},
+                organisations_by_name=build_organisations(plan),
                 organisation_by_api_key={},
             )
         )
--- a/tests/leader_harness.py
+++ b/tests/leader_harness.py
@@ -92,6 +92,7 @@
     """A simulated store and fleet with at most one leader at a time.
 
     :ivar notifies: entry processes tell the leader what they have stored.
+    :ivar feature_settings: parts of the scheduler that are on; none by default.
     :ivar has_valid_lease: the leader's lease in the store is valid.
     :ivar continues_without_store: no process reaches the store.
     :ivar evacuation_sync: evacuated zones as the leader's process knows them; ``None``
