Protect idle pools against lost zones and wrong forecasts

Cause: after the loss of a zone, idle pools stayed below what their long-running steps need for 7 s and more, since bursts were ahead of them for machines.

Change: a pool below its floor gets machines before any burst. Another queue's turn at the time of an expected one ends the wait for it; two failures in a row, of any queue, end all forecasts for three rounds. The size of a turn includes the error of its work.

--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -26,6 +26,7 @@
     StoreRoute,
 )
 from cranberrywheel.node.submission_calls import SubmissionCalls
+from cranberrywheel.node.turn_metrics import add_turn_gauges
 from cranberrywheel.platform.callers import READY_PATH
 from cranberrywheel.platform.executors import AdvisorClient, ExecutorClient
 from cranberrywheel.platform.machines import MachineClient
@@ -150,6 +151,9 @@
                 len(self._leader.scheduler.live_by_id) if self._leader else 0
             ),
         )
+        add_turn_gauges(
+            self._metrics, lambda: self._leader.scheduler if self._leader else None
+        )
         host, _, port = settings.caller_address.rpartition(":")
         self._metrics.gauge(
             "cranberrywheel_configuration_version",
--- a/src/cranberrywheel/submission/demand.py
+++ b/src/cranberrywheel/submission/demand.py
@@ -88,6 +88,7 @@
         used=demand.used,
         waiting=demand.waiting,
         own_cpu=own_cpu,
+        error=math.sqrt(sum(work * work for _, work in arrivals)) / max(1, core_ms),
     )
 
 
--- a/src/cranberrywheel/submission/pool_floor.py
+++ b/src/cranberrywheel/submission/pool_floor.py
@@ -119,6 +119,7 @@
             key=lambda executor: (
                 executor.entry.machine in leaving,
                 by_domain.get(f"zone {executor.entry.zone}", 0),
+                not count_long_running(executor),
                 by_domain.get(f"rack {executor.entry.rack}", 0),
             ),
         )
--- a/src/cranberrywheel/submission/pool_plans.py
+++ b/src/cranberrywheel/submission/pool_plans.py
@@ -35,6 +35,7 @@
     ArrivalLoad,
     TurnForecast,
     get_forecast,
+    is_contradicted,
     observe,
 )
 
@@ -61,16 +62,21 @@
 
 
 def choose_phase(
-    load: ArrivalLoad, in_turn: bool, forecast: TurnForecast | None, now_ms: int
+    load: ArrivalLoad,
+    in_turn: bool,
+    forecast: TurnForecast | None,
+    now_ms: int,
+    contradicted: bool = False,
 ) -> Phase:
     """Return the phase of a pool.
 
     :param in_turn: its queue has its turn.
+    :param contradicted: another queue has its turn at the time of the expected one.
     :param now_ms: steady time in milliseconds.
     """
     if in_turn or load.has_sign(RESTORE_PRESSURE):
         return Phase.TURN
-    if forecast is None:
+    if forecast is None or contradicted:
         return Phase.UNKNOWN
     if now_ms >= compute_ahead_ms(forecast):
         return Phase.AHEAD
@@ -124,17 +130,18 @@
             scheduler.turns.by_pool[pool].began_ms is not None,
             get_forecast(scheduler.turns, pool, now_ms),
             now_ms,
+            is_contradicted(scheduler.turns, pool, now_ms),
         )
         for pool, load in loads.items()
     }
     idle_floors = {
         pool: floor for pool, floor in floors.items() if phases[pool] is Phase.IDLE
     }
-    reserves = _compute_reserves(scheduler, machines, standby_pools, idle_floors)
+    reserves = compute_reserves(scheduler, machines, standby_pools, idle_floors)
     plans: dict[str, PoolPlan] = {}
     for pool, load in loads.items():
         phase = phases[pool]
-        wanted, keep = _choose_size(
+        wanted, keep = choose_size(
             scheduler,
             pool,
             phase,
@@ -150,12 +157,14 @@
         )
         is_idle = phase is Phase.IDLE and off_ms >= MIN_OFF_MS
         use_ratio = scheduler.turns.by_pool[pool].use_ratio
-        plans[pool] = PoolPlan(wanted, keep, is_idle, ranks, use_ratio)
+        plans[pool] = PoolPlan(
+            wanted, keep, is_idle, ranks, use_ratio, floors[pool].machines
+        )
         _log_phase(sizing, pool, phase, plans[pool], floors[pool], forecast, load)
     return plans
 
 
-def _choose_size(
+def choose_size(
     scheduler: SchedulerState,
     pool: str,
     phase: Phase,
@@ -195,7 +204,7 @@
     return [executor for executor in executors if executor.entry.machine in packed]
 
 
-def _compute_reserves(
+def compute_reserves(
     scheduler: SchedulerState,
     machines: t.Sequence[Machine],
     standby_pools: t.Container[str],
--- a/src/cranberrywheel/submission/pool_sizing.py
+++ b/src/cranberrywheel/submission/pool_sizing.py
@@ -122,6 +122,8 @@
     :param rank_by_machine: machines that may leave, with their position in the order.
     :param use_ratio: what the work of the last turn used, as a fraction of what its
         arrivals declared.
+    :param floor: machines that the long-running steps need; a pool below it gets
+        machines before any burst.
     """
 
     wanted: int
@@ -129,6 +131,7 @@
     is_idle: bool
     rank_by_machine: t.Mapping[str, int]
     use_ratio: float = 1.0
+    floor: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,6 +192,10 @@
     standby_pool = next(
         (machine.pool for machine in machines if machine.pool in standby_pools), None
     )
+    below_floor = {
+        pool: plan.floor - _count_present(state, machines, pool)
+        for pool, plan in plans.items()
+    }
     moves: list[tuple[str, str]] = []
     keep: list[str] = []
 
@@ -196,6 +203,7 @@
         moves.append((machine.id, pool))
         state.destination_by_machine[machine.id] = pool
         state.returning.discard(machine.id)
+        below_floor[pool] = below_floor.get(pool, 0) - 1
         if pool in missing_by_pool:
             missing_by_pool[pool] -= 1
             if missing_by_pool[pool] <= 0:
@@ -203,7 +211,10 @@
 
     def pool_missing_most() -> str | None:
         return (
-            max(missing_by_pool, key=lambda pool: missing_by_pool[pool])
+            max(
+                missing_by_pool,
+                key=lambda pool: (below_floor.get(pool, 0) > 0, missing_by_pool[pool]),
+            )
             if missing_by_pool
             else None
         )
@@ -251,7 +262,8 @@
         destination = pool_missing_most()
         if machine.pool in standby_pools:
             home_pool = state.home_pool_by_machine[machine.id]
-            destination = home_pool if home_pool in missing_by_pool else destination
+            if home_pool in missing_by_pool and not below_floor.get(destination, 0) > 0:
+                destination = home_pool
             if destination is not None:
                 order_move(machine, destination)
         elif machine.pool in plans:
--- a/src/cranberrywheel/submission/turn_forecast.py
+++ b/src/cranberrywheel/submission/turn_forecast.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 import statistics
 import typing as t
 
@@ -57,6 +58,7 @@
     :param used: cpu that runs of short tasks reserve.
     :param waiting: cpu that ready short tasks without a run will reserve.
     :param own_cpu: cpu of the pool's own machines.
+    :param error: relative standard error of ``arriving``.
     """
 
     arriving: int
@@ -66,6 +68,7 @@
     used: int
     waiting: int
     own_cpu: int
+    error: float = 0.0
 
     def has_sign(self, fraction: float) -> bool:
         """Tell whether the arrivals show a load from a fraction of the pool on."""
@@ -78,7 +81,8 @@
 
     :param start_ms: expected start, in steady milliseconds.
     :param error_ms: uncertainty of the start.
-    :param cpu: cpu that its work will use, in thousandths of a core; 0 if unknown.
+    :param cpu: cpu that its work will use, with its error, in thousandths of a core; 0
+        if it is unknown.
     :param confirmed: the order of the turns has repeated.
     """
 
@@ -97,17 +101,18 @@
     :ivar last_start_ms: start of the last turn on which the forecast rests.
     :ivar period_ms: last distance between two of its turns; 0 if unknown.
     :ivar skipped: expected turns that did not come since ``last_start_ms``.
-    :ivar failures: failed forecasts in a row.
-    :ivar abandoned_until_ms: until when no forecast is made.
     :ivar used_core_ms: processor time that short tasks have used since the start of the
         last turn until its work was done; ``arrived_core_ms`` is that of the arrivals.
     :ivar peak_cpu: largest cpu that its short tasks used and waited for.
+    :ivar window_error: relative standard error of the work that arrived in one second
+        of the last turn.
     :ivar is_measured: a turn has ended whose work is not done yet.
     :ivar use_ratio: used processor time of the last turn against that of its arrivals.
     :ivar turn_ms: length of the last turn that has ended.
     :ivar turn_cpu: cpu that the work of the last turn would have used if it had ended
-        with the turn, in thousandths of a core. Declared durations are off by half, so
-        the size of a turn is taken from the use and only its time from the arrivals.
+        with the turn, with its error, in thousandths of a core. Declared durations are
+        off by half, so the size of a turn is taken from the use and only its time from
+        the arrivals.
     :ivar idle_cpu: mean load between turns, and its mean deviation.
     """
 
@@ -116,11 +121,10 @@
     last_start_ms: int | None = None
     period_ms: int = 0
     skipped: int = 0
-    failures: int = 0
-    abandoned_until_ms: int = 0
     used_core_ms: float = 0.0
     arrived_core_ms: float = 0.0
     peak_cpu: int = 0
+    window_error: float = 0.0
     is_measured: bool = False
     use_ratio: float = 1.0
     turn_ms: int = 0
@@ -143,6 +147,8 @@
     :ivar distances_ms: last distances between two turns of different queues.
     :ivar last_turn: pool and start of the last turn of any queue.
     :ivar observed_since_ms: first observation; ``observed_ms`` the last one.
+    :ivar failures: failed forecasts in a row.
+    :ivar abandoned_until_ms: until when no forecast is made.
     :ivar failure_count: failed forecasts of all pools since the takeover.
     """
 
@@ -152,6 +158,8 @@
     last_turn: tuple[str, int] | None = None
     observed_since_ms: int | None = None
     observed_ms: int | None = None
+    failures: int = 0
+    abandoned_until_ms: int = 0
     failure_count: int = 0
 
 
@@ -176,7 +184,7 @@
             and now_ms > forecast.start_ms + forecast.error_ms + GRACE_MS
         ):
             queue.skipped += 1
-            _record_failure(state, pool, queue, "no turn", forecast, now_ms)
+            _record_failure(state, pool, "no turn", forecast, now_ms)
     state.observed_ms = now_ms
 
 
@@ -220,7 +228,9 @@
     if queue.began_ms is None and load.used < IDLE_USE * load.own_cpu:
         if queue.is_measured:
             mean_cpu = round(1_000 * queue.used_core_ms / queue.turn_ms)
-            queue.turn_cpu = min(mean_cpu, queue.peak_cpu)
+            # This turn's work is as random as that of the next one.
+            error = math.sqrt(2_000 / queue.turn_ms) * queue.window_error
+            queue.turn_cpu = round((1 + error) * min(mean_cpu, queue.peak_cpu))
             queue.use_ratio = queue.used_core_ms / max(1, queue.arrived_core_ms)
         queue.is_measured = False
         queue.used_core_ms = queue.arrived_core_ms = 0.0
@@ -230,6 +240,8 @@
         queue.used_core_ms += load.used * elapsed_ms / 1_000
         queue.arrived_core_ms += load.arriving * elapsed_ms / 1_000
         queue.peak_cpu = max(queue.peak_cpu, load.used + load.waiting)
+        if queue.counted and load.arriving >= TURN_LOAD * load.own_cpu:
+            queue.window_error = load.error
 
 
 def _record_turn(
@@ -254,11 +266,11 @@
     if forecast is not None and queue.last_start_ms is not None:
         off_ms = abs(start_ms - forecast.start_ms)
         if off_ms > forecast.error_ms + GRACE_MS:
-            _record_failure(state, pool, queue, "unexpected turn", forecast, now_ms)
+            _record_failure(state, pool, "unexpected turn", forecast, now_ms)
             if forecast.confirmed:
                 return  # the round goes on as before unless this repeats
         else:
-            queue.failures = 0
+            state.failures = 0
         queue.period_ms = (start_ms - queue.last_start_ms) // (queue.skipped + 1)
         _remember(state.periods_ms, queue.period_ms)
     queue.last_start_ms = start_ms
@@ -273,31 +285,41 @@
 def _record_failure(
     state: TurnForecastState,
     pool: str,
-    queue: QueueTurns,
     reason: str,
     forecast: TurnForecast,
     now_ms: int,
 ) -> None:
-    """Count a failed forecast, and abandon the forecast after several in a row."""
+    """Count a failed forecast, and abandon all forecasts after several in a row.
+
+    The turns follow each other, so one that comes at another's time makes every later
+    one doubtful.
+    """
     state.failure_count += 1
-    queue.failures += 1
-    abandoned = queue.failures >= MAX_FAILURES
+    state.failures += 1
+    abandoned = state.failures >= MAX_FAILURES
     _log.event(
         "turn forecast failed",
         pool=pool,
         reason=reason,
         expected_ms=forecast.start_ms,
         error_ms=forecast.error_ms,
-        failures=queue.failures,
+        failures=state.failures,
         abandoned=abandoned,
     )
-    if abandoned:
-        period_ms, _, _ = _estimate_period(state, queue) or (0, 0, False)
-        queue.abandoned_until_ms = now_ms + ABANDONED_ROUNDS * period_ms
+    if not abandoned:
+        return
+    round_ms = max(
+        _estimate_period(state, queue)[0] for queue in state.by_pool.values()
+    )
+    state.abandoned_until_ms = now_ms + ABANDONED_ROUNDS * round_ms
+    state.failures = 0
+    state.periods_ms.clear()
+    state.distances_ms.clear()
+    state.last_turn = None
+    for queue in state.by_pool.values():
         queue.last_start_ms = None
         queue.period_ms = 0
         queue.skipped = 0
-        queue.failures = 0
 
 
 def _estimate_period(
@@ -322,7 +344,7 @@
 def _forecast(
     state: TurnForecastState, queue: QueueTurns, now_ms: int
 ) -> TurnForecast | None:
-    if queue.last_start_ms is None or now_ms < queue.abandoned_until_ms:
+    if queue.last_start_ms is None or now_ms < state.abandoned_until_ms:
         return None
     period = _estimate_period(state, queue)
     if period is None:
@@ -332,6 +354,30 @@
     return TurnForecast(start_ms, error_ms, queue.turn_cpu, confirmed)
 
 
+def is_contradicted(state: TurnForecastState, pool: str, now_ms: int) -> bool:
+    """Tell whether another queue has its turn at the time of a pool's expected one.
+
+    :param now_ms: steady time in milliseconds.
+    """
+    forecast = get_forecast(state, pool, now_ms)
+    if forecast is None:
+        return False
+    for other_pool, other in state.by_pool.items():
+        if other_pool == pool or other.began_ms is None:
+            continue
+        if other.began_ms < forecast.start_ms - forecast.error_ms - OBSERVATION_MS:
+            continue
+        expected = get_forecast(state, other_pool, now_ms)
+        if expected is None or (
+            not other.counted
+            and abs(other.began_ms - expected.start_ms) > expected.error_ms + GRACE_MS
+        ):
+            return True
+        if other.counted and other.last_start_ms != other.began_ms:
+            return True
+    return False
+
+
 def get_forecast(
     state: TurnForecastState, pool: str, now_ms: int
 ) -> TurnForecast | None:
--- a/src/cranberrywheel_load/burst_policies.py
+++ b/src/cranberrywheel_load/burst_policies.py
@@ -4,7 +4,12 @@
 import dataclasses
 import typing as t
 
-from cranberrywheel.submission import placement, pool_sizing, scheduling_pass
+from cranberrywheel.submission import (
+    placement,
+    pool_plans,
+    pool_sizing,
+    scheduling_pass,
+)
 from cranberrywheel.submission.features import ALL_OFF, Switch
 from cranberrywheel.submission.live import LiveSubmission, RemainingWork
 from cranberrywheel.submission.queue_order import ON_TIME, compute_scheduling_key
@@ -30,6 +35,29 @@
     return ON_TIME, live.queue.priority, remaining.core_ms
 
 
+def _scale_size(
+    idle_share: float, turn_share: float
+) -> t.Callable[..., tuple[int, int]]:
+    """Return a rule for the size of pools on the curve of service against machines.
+
+    :param idle_share: part of the machines beyond the floor that an idle pool keeps.
+    :param turn_share: size of a pool ahead of its turn as a multiple of the forecast.
+    """
+    choose_size = pool_plans.choose_size
+
+    def choose_scaled_size(*arguments: t.Any) -> tuple[int, int]:
+        phase, home_count = arguments[2:4]
+        wanted, keep = choose_size(*arguments)
+        if phase is pool_plans.Phase.IDLE:
+            wanted += round(idle_share * (home_count - wanted))
+            return wanted, max(wanted, keep)
+        turn_count = max(home_count, round(turn_share * keep))
+        ahead = phase is pool_plans.Phase.AHEAD
+        return turn_count if ahead else wanted, turn_count
+
+    return choose_scaled_size
+
+
 #: Attributes that each policy replaces, as module, name and value. ``in-force`` is the
 #: product as it is.
 POLICIES: dict[str, tuple[tuple[t.Any, str, t.Any], ...]] = {
@@ -43,11 +71,17 @@
         (placement, "SAME_EXECUTOR_BONUS", 0.0),
     ),
     "turn-forecast": (),
+    "turn-forecast-idle-full": ((pool_plans, "choose_size", _scale_size(1.0, 1.0)),),
+    "turn-forecast-idle-half": ((pool_plans, "choose_size", _scale_size(0.5, 1.0)),),
+    "turn-forecast-small": ((pool_plans, "choose_size", _scale_size(0.0, 0.8)),),
+    "turn-forecast-large": ((pool_plans, "choose_size", _scale_size(0.0, 1.2)),),
 }
 
 #: Switches of the policies that have a part of the scheduler on.
 FEATURES_BY_POLICY = {
-    "turn-forecast": dataclasses.replace(ALL_OFF, turn_forecast=Switch.ON),
+    policy: dataclasses.replace(ALL_OFF, turn_forecast=Switch.ON)
+    for policy in POLICIES
+    if policy.startswith("turn-forecast")
 }
 
 
