--- a/src/cranberrywheel/submission/pool_floor.py
+++ b/src/cranberrywheel/submission/pool_floor.py
@@ -5,6 +5,7 @@
 machines as their steps allow, they leave the others empty between two bursts.
 """
 
+import collections
 import dataclasses
 import math
 import typing as t
@@ -91,13 +92,12 @@
     :param leaving: ids of machines that are borrowed or due for maintenance; they are
         chosen last.
     """
+    held = {executor.id: count_long_running(executor) for executor in executors}
     candidates = sorted(
         executors,
         key=lambda executor: (
-            executor.entry.machine in leaving,
-            not count_long_running(executor),
             executor.entry.machine not in previous,
-            -count_long_running(executor),
+            -held[executor.id],
             executor.entry.machine,
         ),
     )
@@ -106,34 +106,38 @@
         for executor in candidates
         if executor.entry.machine in previous
         and executor.entry.machine not in leaving
-        and count_long_running(executor)
+        and held[executor.id]
     ]
-    chosen: list[Executor] = stays if len(stays) <= count else []
-    by_domain: dict[str, int] = {}
-    for executor in chosen:
-        _count_domains(by_domain, executor)
-    remaining = [executor for executor in candidates if executor not in chosen]
-    while remaining and len(chosen) < count:
+    chosen = stays if len(stays) <= count else []
+    chosen_ids = {executor.id for executor in chosen}
+    # Machines of a group are equal but for the order within it, so that each choice
+    # compares groups and not machines.
+    groups: dict[tuple[bool, str, bool, str], list[Executor]] = {}
+    for executor in reversed(candidates):
+        if executor.id not in chosen_ids:
+            entry = executor.entry
+            key = (
+                entry.machine in leaving,
+                entry.zone,
+                not held[executor.id],
+                entry.rack,
+            )
+            groups.setdefault(key, []).append(executor)
+    by_zone = collections.Counter(executor.entry.zone for executor in chosen)
+    by_rack = collections.Counter(executor.entry.rack for executor in chosen)
+    while groups and len(chosen) < count:
         best = min(
-            remaining,
-            key=lambda executor: (
-                executor.entry.machine in leaving,
-                by_domain.get(f"zone {executor.entry.zone}", 0),
-                not count_long_running(executor),
-                by_domain.get(f"rack {executor.entry.rack}", 0),
-            ),
+            groups,
+            key=lambda key: (key[0], by_zone[key[1]], key[2], by_rack[key[3]], key),
         )
-        remaining.remove(best)
-        chosen.append(best)
-        _count_domains(by_domain, best)
+        chosen.append(groups[best].pop())
+        by_zone[best[1]] += 1
+        by_rack[best[3]] += 1
+        if not groups[best]:
+            del groups[best]
     return frozenset(executor.entry.machine for executor in chosen)
 
 
-def _count_domains(by_domain: dict[str, int], executor: Executor) -> None:
-    for domain in (f"zone {executor.entry.zone}", f"rack {executor.entry.rack}"):
-        by_domain[domain] = by_domain.get(domain, 0) + 1
-
-
 def list_present_executors(state: SchedulerState, service: str) -> list[Executor]:
     """Return the executors of a pool that can hold long-running tasks.
 
