Give no last attempt to an executor that fails its runs

Cause: submissions end as failed where a part of the executors fails each run within 50 ms. Such an executor is empty again at once, so in a full pool it is the only one with capacity, and placement only prefers others. Waiting tasks use up their attempts there.

Executors that are merely slow are not concerned. This rule is not behind a switch.

--- a/src/cranberrywheel/submission/executor.py
+++ b/src/cranberrywheel/submission/executor.py
@@ -78,6 +78,7 @@
         :mod:`.fault_detection`.
     :ivar fault_counted_ms: when ``fault_count`` was last updated.
     :ivar suspect_until_ms: until when other executors are preferred.
+    :ivar failing_until_ms: until when it gets no task whose next failure is final.
     :ivar ended_visibly: its process has closed its connections or its port, and has
         not answered since.
     :ivar ended_ms: when that was first noticed.
@@ -121,6 +122,7 @@
         self.fault_count = 0.0
         self.fault_counted_ms = 0
         self.suspect_until_ms = 0
+        self.failing_until_ms = 0
         self.ended_visibly = False
         self.ended_ms = 0
         self.untracked_runs: frozenset[tuple[str, int]] = frozenset()
--- a/src/cranberrywheel/submission/fault_detection.py
+++ b/src/cranberrywheel/submission/fault_detection.py
@@ -63,6 +63,17 @@
         executor.suspect_until_ms = now_ms + SUSPECT_MS
 
 
+def record_failed_run(executor: Executor, now_ms: int) -> None:
+    """Count a failed run as a fault of its executor.
+
+    A suspect executor with a failed run may not only be slow: it is failing, and gets
+    no last attempts.
+    """
+    record_fault(executor, now_ms)
+    if executor.suspect_until_ms > now_ms:
+        executor.failing_until_ms = executor.suspect_until_ms
+
+
 def is_stalled(
     run: Run, executor: Executor, estimates: DurationEstimates, now_ms: int
 ) -> bool:
--- a/src/cranberrywheel/submission/placement.py
+++ b/src/cranberrywheel/submission/placement.py
@@ -95,6 +95,8 @@
         return False
     if task.avoid_until_ms_by_executor.get(executor.id, 0) > now_ms:
         return False
+    if executor.failing_until_ms > now_ms and _has_one_attempt_left(task):
+        return False
     if executor.cold_until_ms > now_ms and not may_start_cold(executor, step, now_ms):
         return False
     return not step.anti_affinity or (
@@ -102,6 +104,16 @@
     )
 
 
+def _has_one_attempt_left(task: Task) -> bool:
+    """Tell whether the submission fails if the next run of a task does.
+
+    An executor that fails its runs at once always has capacity. In a full pool it would
+    get the last attempts of every task that waits.
+    """
+    attempts = task.step_run.live.queue.attempts
+    return not task.step_run.step.long_running and len(task.failed_runs) + 1 >= attempts
+
+
 def can_start(executor: Executor, task: Task, now_ms: int) -> bool:
     """Tell whether a task may start on an executor now."""
     return (
--- a/src/cranberrywheel/submission/reports.py
+++ b/src/cranberrywheel/submission/reports.py
@@ -13,7 +13,11 @@
     RunningReport,
     RunOutcome,
 )
-from cranberrywheel.submission.fault_detection import is_slow, record_fault
+from cranberrywheel.submission.fault_detection import (
+    is_slow,
+    record_failed_run,
+    record_fault,
+)
 from cranberrywheel.submission.live import LiveSubmission, Run, RunState, Task
 from cranberrywheel.submission.model import SubmissionState
 from cranberrywheel.submission.state import SchedulerState
@@ -248,7 +252,7 @@
             )
         _mark_done(state, task, now_ms)
     elif completion.outcome is RunOutcome.FAILED:
-        record_fault(executor, now_ms)
+        record_failed_run(executor, now_ms)
         task.avoid_until_ms_by_executor[executor.id] = now_ms + AVOID_AFTER_FAULT_MS
         if not long_running and completion.number not in task.failed_runs:
             task.failed_runs.add(completion.number)
