--- a/src/cranberrywheel/submission/reports.py
+++ b/src/cranberrywheel/submission/reports.py
@@ -13,7 +13,11 @@
     RunningReport,
     RunOutcome,
 )
-from cranberrywheel.submission.fault_detection import is_slow, record_fault
+from cranberrywheel.submission.fault_detection import (
+    is_slow,
+    record_failed_run,
+    record_fault,
+)
 from cranberrywheel.submission.interference_readings import record_report
 from cranberrywheel.submission.live import LiveSubmission, Run, RunState, Task
 from cranberrywheel.submission.model import SubmissionState
@@ -252,7 +256,7 @@
             state.work_ratio.record_run(live, step_run.step, now_ms - run.started_ms)
         _mark_done(state, task, now_ms)
     elif completion.outcome is RunOutcome.FAILED:
-        record_fault(executor, now_ms)
+        record_failed_run(executor, now_ms)
         task.avoid_until_ms_by_executor[executor.id] = now_ms + AVOID_AFTER_FAULT_MS
         if not long_running and completion.number not in task.failed_runs:
             task.failed_runs.add(completion.number)
