--- a/src/cranberrywheel/submission/fair_shares.py
+++ b/src/cranberrywheel/submission/fair_shares.py
@@ -147,8 +147,8 @@
     The caller may start work between two items: the level of the organisation of the
     last item is computed again.
 
-    :param rows: items with their keys and organisations; items of one organisation are
-        returned in the order of their keys, and so are those of equal levels.
+    :param rows: items with their keys and organisations, in the order of the keys;
+        organisations of equal levels are served in that order.
     """
     by_organisation: dict[str, list[tuple[_Key, int, _Item]]] = {}
     for number, (key, organisation, item) in enumerate(rows):
@@ -160,7 +160,7 @@
         heapq.heappush(heap, (compute_level(organisation), key, number, organisation))
 
     for organisation, waiting in by_organisation.items():
-        waiting.sort(key=lambda row: row[:2], reverse=True)
+        waiting.reverse()
         push(organisation)
     while heap:
         organisation = heapq.heappop(heap)[-1]
--- a/src/cranberrywheel/submission/scheduling_pass.py
+++ b/src/cranberrywheel/submission/scheduling_pass.py
@@ -56,16 +56,32 @@
     pool_capacity = PoolCapacity(pool)
     rows = _find_startable_steps(state, service, pool, pool_capacity, now_ms, unix_ms)
     ordered: t.Iterable[StepRun] = (step_run for _, step_run in rows)
-    if state.features.fair_shares:
+    reservations = state.preemption.reservations_by_submission
+    smallest: Resources | None = None
+    if state.features.fair_shares and rows:
+        # The order is computed as far as something may still fit.
+        smallest = _compute_smallest_claim(rows)
         ordered = order_by_share(rows, state.shares_of(service))
     for step_run in ordered:
-        opened = state.preemption.open_for(step_run.live)
+        opened = reservations and state.preemption.open_for(step_run.live)
         if opened:
             pool_capacity.refresh()
         _start_step(state, step_run, pool, pool_capacity, now_ms, unix_ms)
         if opened:
             state.preemption.close_for(step_run.live, opened)
             pool_capacity.refresh()
+        if smallest and not reservations and not pool_capacity.may_fit(smallest):
+            return
+
+
+def _compute_smallest_claim(rows: t.Iterable[tuple[t.Any, StepRun]]) -> Resources:
+    """Return the smallest amount of each resource that a task of the steps claims."""
+    claims = [step_run.step.claim for _, step_run in rows]
+    return Resources(
+        min(claim.cpu for claim in claims),
+        min(claim.memory_mb for claim in claims),
+        min(claim.gpu for claim in claims),
+    )
 
 
 def _find_startable_steps(
--- a/src/cranberrywheel_load/decision_cost.py
+++ b/src/cranberrywheel_load/decision_cost.py
@@ -19,6 +19,7 @@
 from cranberrywheel.request.fair_queue import FairQueue
 from cranberrywheel.request.model import Request
 from cranberrywheel.request.retry import RetryBudget
+from cranberrywheel_load.pass_cost import compare_parts
 
 SEED = 20_261_204
 ZONES = 4
@@ -169,7 +170,16 @@
     parser = argparse.ArgumentParser(prog="python -m cranberrywheel_load.decision_cost")
     parser.add_argument("--requests", type=int, default=2_000)
     parser.add_argument("--repeats", type=int, default=12)
+    parser.add_argument(
+        "--parts",
+        action="store_true",
+        help="compare the scheduler with shares and preemption off and on instead",
+    )
     options = parser.parse_args(arguments)
+    if options.parts:
+        for line in compare_parts(options.requests, options.repeats):
+            print(line, flush=True)
+        return
     print(f"seed={SEED} requests={options.requests} repeats={options.repeats}")
     cases = [(workers, 6, False) for workers in WORKER_COUNTS]
     cases += [
