Split the load of the pools from the verdicts of admission

Change: submission/pool_load.py holds what the leader computes, admission.py the verdict for one submission. No behaviour changes.

--- a/src/cranberrywheel/node/admission_messages.py
+++ b/src/cranberrywheel/node/admission_messages.py
@@ -8,7 +8,7 @@
 import typing as t
 
 from cranberrywheel.json_body import FIELD_ERRORS, decode_object
-from cranberrywheel.submission.admission import ORDER_BINS, Backlog, PoolLoad
+from cranberrywheel.submission.pool_load import ORDER_BINS, Backlog, PoolLoad
 from cranberrywheel.submission.turns import Turn
 
 #: Turns in one message; one of 64 turns has about 4 KB.
--- a/src/cranberrywheel/node/admission_sync.py
+++ b/src/cranberrywheel/node/admission_sync.py
@@ -30,13 +30,7 @@
 from cranberrywheel.node.metrics import Metrics
 from cranberrywheel.platform.store import Store
 from cranberrywheel.store_messages import Outcome, StoreReply
-from cranberrywheel.submission.admission import (
-    PoolLoad,
-    Verdict,
-    compute_load_by_service,
-    decide_admission,
-    is_refusable,
-)
+from cranberrywheel.submission.admission import Verdict, decide_admission, is_refusable
 from cranberrywheel.submission.features import (
     NO_FEATURES,
     Features,
@@ -45,6 +39,7 @@
 )
 from cranberrywheel.submission.model import Configuration, Queue, Submission
 from cranberrywheel.submission.platform_timing import PlatformTiming
+from cranberrywheel.submission.pool_load import PoolLoad, compute_load_by_service
 from cranberrywheel.submission.turns import Turns
 
 #: Path on which peers ask the leader for the load.
--- a/src/cranberrywheel/node/pool_moves.py
+++ b/src/cranberrywheel/node/pool_moves.py
@@ -11,11 +11,11 @@
 from cranberrywheel.platform.machines import MachineClient
 from cranberrywheel.platform.store import Store
 from cranberrywheel.store_messages import Outcome, StoreReply, Write
-from cranberrywheel.submission.admission import count_expected_machines
 from cranberrywheel.submission.demand import compute_demand_by_service
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.machines import Machine, MachineOrderVerdict
 from cranberrywheel.submission.maintenance import choose_runs_to_move
+from cranberrywheel.submission.pool_load import count_expected_machines
 from cranberrywheel.submission.pool_sizing import (
     PoolSizingState,
     decide_moves,
@@ -82,7 +82,7 @@
         self._store.read(HOME_POOLS_KEY, on_reply)
 
     def count_expected_machines(self, machines: t.Iterable[Machine]) -> dict[str, int]:
-        """See :func:`.admission.count_expected_machines`."""
+        """See :func:`.pool_load.count_expected_machines`."""
         return count_expected_machines(self._state, machines)
 
     def advance(
--- a/tests/admission_replay.py
+++ b/tests/admission_replay.py
@@ -5,11 +5,11 @@
 import dataclasses
 import random
 
-from cranberrywheel.submission.admission import (
+from cranberrywheel.submission.admission import decide_admission
+from cranberrywheel.submission.pool_load import (
     WORTHLESS_AFTER_OBJECTIVES,
     compute_load_by_service,
     count_expected_machines,
-    decide_admission,
 )
 from cranberrywheel.submission.turns import Turns
 from cranberrywheel_load.burst_load import BurstArrival, BurstPlan, build_queue
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,20 +9,22 @@
 
 from cranberrywheel.submission.admission import (
     MAX_RETRY_AFTER_S,
-    ORDER_BIN_MS,
-    ORDER_BINS,
-    Backlog,
-    PoolLoad,
     compute_drain_ms,
-    compute_load_by_service,
     compute_store_retry_after_s,
-    count_expected_machines,
     decide_admission,
     estimate_wait_ms,
 )
 from cranberrywheel.submission.machines import Machine, MachineState
 from cranberrywheel.submission.model import Organisation, Resources
 from cranberrywheel.submission.platform_timing import PlatformTiming
+from cranberrywheel.submission.pool_load import (
+    ORDER_BIN_MS,
+    ORDER_BINS,
+    Backlog,
+    PoolLoad,
+    compute_load_by_service,
+    count_expected_machines,
+)
 from cranberrywheel.submission.pool_sizing import PoolSizingState
 from cranberrywheel.submission.scheduler import Scheduler
 from cranberrywheel.submission.turns import Turn, Turns
--- a/tests/test_admission_sync.py
+++ b/tests/test_admission_sync.py
@@ -36,9 +36,9 @@
 from cranberrywheel.node.keys import submission_key
 from cranberrywheel.node.leadership import Holder
 from cranberrywheel.node.metrics import Metrics
-from cranberrywheel.submission.admission import ORDER_BINS, Backlog, PoolLoad
 from cranberrywheel.submission.features import ALL_OFF, FeatureSettings, Switch
 from cranberrywheel.submission.platform_timing import PlatformTiming
+from cranberrywheel.submission.pool_load import ORDER_BINS, Backlog, PoolLoad
 from cranberrywheel.submission.turns import Turn
 from cranberrywheel_standin.virtual_fleet import VirtualLoop, VirtualStore
 
