--- a/tests/test_pools_follow_turns.py
+++ b/tests/test_pools_follow_turns.py
@@ -10,6 +10,9 @@
 from cranberrywheel_load.burst_load import PLANS, draw_arrivals
 from cranberrywheel_load.burst_replay import STANDBY, BurstReplay, Loss
 
+#: A replay takes 7 s on a free core, and several times that on a busy machine.
+pytestmark = pytest.mark.timeout(400)
+
 ON = dataclasses.replace(ALL_OFF, turn_forecast=Switch.ON)
 #: One seed decides about a few large submissions, so means of two are compared.
 SEEDS = (1, 2)
