Store the turns for the next leader and end moves into the same pool

An unconfirmed forecast held 50 machines for a turn that did not come. A takeover or a power loss forgot the turns for a whole round.

Change: a borrowed machine stays while its own pool is missing some; a pool ahead of an unconfirmed turn holds what an idle pool without a forecast holds; machines that no pool needs go to the standby pool at once; cw/turns holds the turns, written after each turn.

--- a/src/cranberrywheel/node/keys.py
+++ b/src/cranberrywheel/node/keys.py
@@ -22,6 +22,8 @@
 ORDERED_MACHINES_KEY = "cw/ordered"
 #: Home pool of each machine, in which it is while no queue has a burst.
 HOME_POOLS_KEY = "cw/homes"
+#: Turns of the queues, from which a new leader forecasts the next ones.
+TURNS_KEY = "cw/turns"
 
 
 def submission_key(submission_id: str) -> str:
--- a/src/cranberrywheel/node/pool_moves.py
+++ b/src/cranberrywheel/node/pool_moves.py
@@ -8,6 +8,7 @@
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.node.keys import HOME_POOLS_KEY, LEADER_KEY
 from cranberrywheel.node.machine_orders import MachineOrders
+from cranberrywheel.node.turn_records import TurnRecords
 from cranberrywheel.platform.machines import MachineClient
 from cranberrywheel.platform.store import Store
 from cranberrywheel.store_messages import Outcome, StoreReply, Write
@@ -64,12 +65,13 @@
         self._client = client
         self._scheduler = scheduler
         self._state = PoolSizingState()
+        self._turn_records = TurnRecords(loop, store, scheduler)
         self._loaded = False
         self._stored_home_count = 0
         self._ordered_ms_by_machine: dict[str, int] = {}
 
     def start(self) -> None:
-        """Load the home pool of each machine."""
+        """Load the home pool of each machine and the turns of the queues."""
 
         def on_reply(reply: StoreReply) -> None:
             if not reply.outcome.is_answer:
@@ -79,6 +81,12 @@
                 home_by_machine = _decode_home_pools(reply.items[0].value or b"")
                 self._state.home_pool_by_machine.update(home_by_machine)
                 self._stored_home_count = len(home_by_machine)
+            if self._scheduler.features.turn_forecast:
+                self._turn_records.load(finish)
+            else:
+                finish()
+
+        def finish() -> None:
             self._loaded = True
 
         self._store.read(HOME_POOLS_KEY, on_reply)
@@ -136,6 +144,8 @@
             plans,
         )
         self._store_home_pools()
+        if self._scheduler.features.turn_forecast:
+            self._turn_records.store_changes()
         borrowed = {machine.id for machine in machines if is_borrowed(state, machine)}
         self._scheduler.borrowed_machines = borrowed | set(state.destination_by_machine)
         for machine_id in decision.keep:
--- a/src/cranberrywheel/submission/pool_load.py
+++ b/src/cranberrywheel/submission/pool_load.py
@@ -149,6 +149,7 @@
         executor.registered
         and not executor.reachable
         and not executor.cordoned
+        and not executor.evacuated
         and not executor.entry.draining
     )
 
--- a/src/cranberrywheel/submission/pool_plans.py
+++ b/src/cranberrywheel/submission/pool_plans.py
@@ -24,6 +24,7 @@
     pack_pool,
 )
 from cranberrywheel.submission.pool_sizing import (
+    IDLE_KEEP_FRACTION,
     RESTORE_PRESSURE,
     PoolDemand,
     PoolPlan,
@@ -153,6 +154,12 @@
             now_ms,
         )
         forecast = get_forecast(scheduler.turns, pool, now_ms)
+        if phase is Phase.AHEAD and forecast is not None and not forecast.confirmed:
+            # A turn that was expected wrongly costs no more than an idle pool without a
+            # forecast, and one that comes is met as without it.
+            wanted = keep = min(
+                wanted, math.ceil(IDLE_KEEP_FRACTION * home_counts[pool])
+            )
         off_ms = compute_ahead_ms(forecast) - now_ms if forecast else 0
         ranks = _rank_for_release(
             scheduler, sizing, pool, machines, phase, off_ms, now_ms
--- a/src/cranberrywheel/submission/pool_sizing.py
+++ b/src/cranberrywheel/submission/pool_sizing.py
@@ -250,12 +250,23 @@
             plan.rank_by_machine.get(machine.id, 0) if plan else 0
         )
 
+    def get_return_pool(machine: Machine) -> str | None:
+        """Return where a machine goes that no other pool needs.
+
+        A home pool that follows the turns would send it on to the standby pool.
+        """
+        home_pool = state.home_pool_by_machine[machine.id]
+        if home_pool == machine.pool or (
+            home_pool in plans and home_pool not in missing_by_pool
+        ):
+            return standby_pool or (home_pool if home_pool != machine.pool else None)
+        return home_pool
+
     def release(machine: Machine, plan: PoolPlan, destination: str | None) -> None:
         """Release a machine of a planned pool, or end its drain."""
         pool = machine.pool
         if destination is None or destination == pool:
-            home_pool = state.home_pool_by_machine[machine.id]
-            destination = home_pool if home_pool != pool else standby_pool
+            destination = get_return_pool(machine)
             low_ms = now_ms - state.low_pressure_since_ms.get(pool, now_ms)
             may_leave = plan.is_idle or low_ms >= RETURN_DELAY_MS
         else:
@@ -319,9 +330,12 @@
             low_pressure_ms = now_ms - state.low_pressure_since_ms.get(
                 machine.pool, now_ms
             )
-            if machine.id in state.returning and destination == machine.pool:
-                state.returning.discard(machine.id)
-                keep.append(machine.id)
+            if destination == machine.pool:
+                # Its own pool is missing machines, so it stays. An order to the pool in
+                # which it is would count its executor as ended.
+                if machine.id in state.returning:
+                    state.returning.discard(machine.id)
+                    keep.append(machine.id)
                 continue
             is_excess = (
                 destination not in (None, machine.pool)
--- a/tests/test_pool_floor.py
+++ b/tests/test_pool_floor.py
@@ -275,7 +275,14 @@
 def decide(state, machines, plan, now_ms, is_empty=lambda machine: True):
     demand = {"a": PoolDemand(100, 0, 8_000, 1_000)}
     return decide_moves(
-        state, machines, {"spare"}, demand, set(), is_empty, now_ms, {"a": plan}
+        state,
+        machines,
+        {"spare"},
+        demand,
+        set(),
+        is_empty,
+        now_ms,
+        plans={"a": plan},
     )
 
 
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -408,3 +408,14 @@
         {"x"},
     )
     assert decision.moves == ()
+
+
+def test_borrowed_machine_of_a_pool_that_misses_some_stays():
+    """Guards against an order to the pool in which a machine is, repeated in each
+    round: its executor counted as ended, and the pool ordered another machine."""
+    state = PoolSizingState(home_pool_by_machine={"s0": "spare"})
+    state.home_pool_by_machine |= {f"a{i}": "a" for i in range(8)}
+    machines = [make_machine("s0", "a"), make_machine("a0", "a")]
+    demand = {"a": PoolDemand(0, 0, 2_000, 1_000)}
+    for now_ms in (0, RETURN_DELAY_MS + 1, RETURN_DELAY_MS + 400):
+        assert decide(state, machines, demand, now_ms).moves == ()
