Check a configuration before it is sent

Adds cranberrywheel-config check: rules over the decoded entries of op/config, and what differs from the version in force with its effect on running work.

--- /dev/null
+++ b/src/cranberrywheel/configuration_check/__init__.py
@@ -0,0 +1,1 @@
+"""Check of a configuration before operators send it to the platform's store."""
--- a/src/cranberrywheel/platform/configuration.py
+++ b/src/cranberrywheel/platform/configuration.py
@@ -2,7 +2,8 @@
 
 import pydantic
 
-from cranberrywheel.platform.wire_model import WireModel
+from cranberrywheel.configuration_check.entries import ConfigurationEntries, FormatFault
+from cranberrywheel.platform.wire_model import WireModel, list_format_faults
 from cranberrywheel.submission.model import (
     Configuration,
     Organisation,
@@ -62,28 +63,52 @@
     limits: _Limits = pydantic.Field(default_factory=_Limits)
 
 
+class ConfigurationFormatError(ValueError):
+    """Bytes that :func:`decode_configuration` refuses.
+
+    :param faults: every fault found, in the order of the text.
+    """
+
+    def __init__(self, faults: tuple[FormatFault, ...]) -> None:
+        super().__init__(f"{faults[0].place}: {faults[0].message}")
+        self.faults = faults
+
+
+def _build_queue(route: _Route) -> Queue:
+    return Queue(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        service=route.service,
+        priority=route.priority,
+        attempts=max(1, route.attempts),
+        objective_factor=route.goal_factor,
+        objective_ms=route.goal_ms,
+        timeout_ms=route.timeout_ms,
+        public=route.public,
+        advised=route.advisor is not None,
+    )
+
+
+def _build_service(service: _Service) -> Service:
+    return Service(service.name, service.standby)
+
+
+def _build_organisation(tenant: _Organisation) -> Organisation:
+    return Organisation(
+        tenant.name,
+        tenant.weight,
+        Resources(tenant.cap.cpu, tenant.cap.memory_mb, tenant.cap.gpu),
+    )
+
+
 def decode_configuration(value: bytes) -> Configuration:
     """Decode a configuration.
 
     :raises ValueError: if the bytes are no valid configuration.
     """
     wire = _Configuration.model_validate_json(value)
-    queues = [
-        Queue(
-            name=route.name,
-            host=route.host,
-            prefix=route.prefix,
-            service=route.service,
-            priority=route.priority,
-            attempts=max(1, route.attempts),
-            objective_factor=route.goal_factor,
-            objective_ms=route.goal_ms,
-            timeout_ms=route.timeout_ms,
-            public=route.public,
-            advised=route.advisor is not None,
-        )
-        for route in wire.routes
-    ]
+    queues = [_build_queue(route) for route in wire.routes]
     by_host: dict[str, list[Queue]] = {}
     for queue in sorted(queues, key=lambda queue: -len(queue.prefix)):
         by_host.setdefault(queue.host, []).append(queue)
@@ -92,19 +117,33 @@
         queues_by_host={host: tuple(queues) for host, queues in by_host.items()},
         queues_by_key={queue.key: queue for queue in queues},
         services_by_name={
-            service.name: Service(service.name, service.standby)
-            for service in wire.services
+            service.name: _build_service(service) for service in wire.services
         },
         organisations_by_name={
-            tenant.name: Organisation(
-                tenant.name,
-                tenant.weight,
-                Resources(tenant.cap.cpu, tenant.cap.memory_mb, tenant.cap.gpu),
-            )
-            for tenant in wire.tenants
+            tenant.name: _build_organisation(tenant) for tenant in wire.tenants
         },
         organisation_by_api_key={
             key: tenant.name for tenant in wire.tenants for key in tenant.api_keys
         },
         max_body_bytes=wire.limits.max_body_bytes,
     )
+
+
+def decode_entries(value: bytes) -> ConfigurationEntries:
+    """Decode the entries of a configuration as written, with their duplicates.
+
+    :raises ConfigurationFormatError: if the bytes are no valid configuration.
+    """
+    try:
+        wire = _Configuration.model_validate_json(value)
+    except pydantic.ValidationError as error:
+        raise ConfigurationFormatError(list_format_faults(error)) from None
+    return ConfigurationEntries(
+        version=wire.version,
+        queues=tuple(_build_queue(route) for route in wire.routes),
+        written_attempts=tuple(route.attempts for route in wire.routes),
+        services=tuple(_build_service(service) for service in wire.services),
+        organisations=tuple(_build_organisation(tenant) for tenant in wire.tenants),
+        api_keys=tuple(tuple(tenant.api_keys) for tenant in wire.tenants),
+        max_body_bytes=wire.limits.max_body_bytes,
+    )
--- a/src/cranberrywheel/platform/machines.py
+++ b/src/cranberrywheel/platform/machines.py
@@ -5,16 +5,22 @@
 
 import pydantic
 
+from cranberrywheel.configuration_check.entries import (
+    FormatFault,
+    ListedMachine,
+    MachineList,
+)
 from cranberrywheel.connection.http_loop import HttpLoop, HttpReply, HttpRequest
 from cranberrywheel.json_body import FIELD_ERRORS, decode_object
 from cranberrywheel.logs import ComponentLogger
-from cranberrywheel.platform.wire_model import WireModel
+from cranberrywheel.platform.wire_model import WireModel, list_format_faults
 from cranberrywheel.submission.machines import (
     Machine,
     MachineOrderVerdict,
     MachineState,
     Wave,
 )
+from cranberrywheel.submission.model import Resources
 
 #: Key prefix of the waves that operators request.
 WAVE_PREFIX = "op/wave/"
@@ -47,6 +53,53 @@
     next_page: str | None = pydantic.Field(None, alias="nextPageToken")
 
 
+class _Capacity(WireModel):
+    cpu: int = pydantic.Field(0, ge=0)
+    memory_mb: int = pydantic.Field(0, alias="memMb", ge=0)
+    gpu: int = pydantic.Field(0, ge=0)
+
+
+class _SizedMachine(_Machine):
+    # The platform's list has no capacity. A file may add that of the machine's executor
+    # in the form of the executor's entry.
+    capacity: _Capacity | None = None
+
+
+class _SizedPage(WireModel):
+    machines: list[_SizedMachine]
+    next_page: str | None = pydantic.Field(None, alias="nextPageToken")
+
+
+class MachineListFormatError(ValueError):
+    """Bytes that are no list of machines.
+
+    :param faults: every fault found, in the order of the text.
+    """
+
+    def __init__(self, faults: tuple[FormatFault, ...]) -> None:
+        super().__init__(f"{faults[0].place}: {faults[0].message}")
+        self.faults = faults
+
+
+def decode_machine_list(value: bytes) -> MachineList:
+    """Decode an answer with the list of machines that was saved to a file.
+
+    :raises MachineListFormatError: if the bytes are no list of machines.
+    """
+    try:
+        page = _SizedPage.model_validate_json(value)
+    except pydantic.ValidationError as error:
+        raise MachineListFormatError(list_format_faults(error)) from None
+
+    def build(row: _SizedMachine) -> ListedMachine:
+        size = row.capacity and Resources(
+            row.capacity.cpu, row.capacity.memory_mb, row.capacity.gpu
+        )
+        return ListedMachine(row.pool, size)
+
+    return MachineList(tuple(map(build, page.machines)), not page.next_page)
+
+
 def decode_wave(value: bytes) -> Wave | None:
     """Decode a maintenance wave requested by operators; ``None`` if it is invalid."""
     try:
