--- a/src/cranberrywheel/configuration_check/rules.py
+++ b/src/cranberrywheel/configuration_check/rules.py
@@ -49,10 +49,14 @@
 
 def find_duplicate_names(entries: ConfigurationEntries) -> t.Iterator[Finding]:
     """Find routes, services or tenants of the same name."""
-    for kind, named in (
-        ("routes", entries.queues),
-        ("services", entries.services),
-        ("tenants", entries.organisations),
+    for kind, named, effect in (
+        ("routes", entries.queues, "logs do not tell them apart"),
+        ("services", entries.services, "only the last one counts"),
+        (
+            "tenants",
+            entries.organisations,
+            "weight and quota of the last one hold for the keys of both",
+        ),
     ):
         first_by_name: dict[str, int] = {}
         for number, entry in enumerate(named):
@@ -60,8 +64,7 @@
             if first != number:
                 yield build_error(
                     f"{kind}[{number}] {quote(entry.name)}",
-                    f"{kind}[{first}] has the same name"
-                    + ("." if kind == "routes" else "; only the last one counts."),
+                    f"{kind}[{first}] has the same name; {effect}.",
                     "Rename or remove one of them.",
                 )
 
