--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -507,7 +507,16 @@
 @settings(max_examples=200, deadline=None, derandomize=True)
 @given(build_configurations(False))
 def test_what_passes_loses_nothing_in_the_decoder(configuration):
-    """Guards against an entry that the decoder drops without an error of the check."""
+    """Guards against an entry that the decoder drops without an error of the check.
+
+    The version and the services of the routes are completed, since few generated
+    configurations would pass otherwise.
+    """
+    configuration["version"] = 1
+    services = configuration.setdefault("services", [])
+    names = {service["name"] for service in services}
+    used = {route["service"] for route in configuration.get("routes", [])}
+    services.extend({"name": name} for name in sorted(used - names))
     value = json.dumps(configuration).encode()
     if check_configuration(value).count(Severity.ERROR):
         return
