Bound the weights of organisations and order candidates as they are served

A weight of 0 raised ZeroDivisionError in a tick, and a negative or infinite one made its organisation always least served. Candidates are ordered by the priority of the queue before the level of the organisation, as a pass serves them.

--- a/src/cranberrywheel/submission/admission.py
+++ b/src/cranberrywheel/submission/admission.py
@@ -14,6 +14,7 @@
 import math
 import typing as t
 
+from cranberrywheel.submission.fair_shares import clamp_weight
 from cranberrywheel.submission.model import Configuration, Queue, Submission
 from cranberrywheel.submission.pool_load import WORTHLESS_AFTER_OBJECTIVES, PoolLoad
 from cranberrywheel.submission.queue_order import DELAY_WEIGHT
@@ -193,7 +194,7 @@
         by_name = configuration.organisations_by_name
 
         def weight(name: str) -> float:
-            return max(1e-6, by_name[name].weight) if name in by_name else 1.0
+            return clamp_weight(by_name[name].weight) if name in by_name else 1.0
 
         own_weight = weight(organisation)
         work = {
--- a/src/cranberrywheel/submission/contention.py
+++ b/src/cranberrywheel/submission/contention.py
@@ -13,6 +13,7 @@
     DEFAULT_WEIGHT,
     LOG_INTERVAL_MS,
     PoolShares,
+    clamp_weight,
     iterate_least_served,
 )
 from cranberrywheel.submission.live import LiveSubmission, StepRun
@@ -145,7 +146,7 @@
     if state.configuration is None:
         return DEFAULT_WEIGHT
     organisation = state.configuration.organisations_by_name.get(owner)
-    return organisation.weight if organisation else DEFAULT_WEIGHT
+    return clamp_weight(organisation.weight) if organisation else DEFAULT_WEIGHT
 
 
 def _find_infeasible(
@@ -170,7 +171,8 @@
         candidates.append(
             Candidate(
                 live.submission.id,
-                (shares.compute_level(live.submission.organisation), key),
+                # As order_by_share serves them: a more urgent queue goes first.
+                (key[1], shares.compute_level(live.submission.organisation), key),
                 live.started,
                 latest_begin_ms - unix_ms,
                 remaining.pool_ms,
--- a/src/cranberrywheel/submission/fair_shares.py
+++ b/src/cranberrywheel/submission/fair_shares.py
@@ -33,6 +33,10 @@
 #: an API key.
 DEFAULT_WEIGHT = Organisation("").weight
 
+#: Range of the weights that are used. A weight of 0 has no share to compare a use with,
+#: and the sum of very large ones is not finite.
+MIN_WEIGHT, MAX_WEIGHT = 1e-6, 1e12
+
 _Key = t.TypeVar("_Key", bound=tuple[t.Any, ...])
 _Item = t.TypeVar("_Item")
 
@@ -42,6 +46,13 @@
     return not step.long_running and not step.fills
 
 
+def clamp_weight(weight: float) -> float:
+    """Return a weight within its range; the minimum for one that is not finite."""
+    if not math.isfinite(weight):
+        return MIN_WEIGHT
+    return min(max(weight, MIN_WEIGHT), MAX_WEIGHT)
+
+
 @dataclasses.dataclass
 class PoolShares:
     """Use of one pool by the organisations. Times are steady milliseconds.
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -6,7 +6,13 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from leader_harness import LeaderHarness, make_configuration, make_step, make_submission
+from leader_harness import (
+    QUEUE,
+    LeaderHarness,
+    make_configuration,
+    make_step,
+    make_submission,
+)
 
 from cranberrywheel.node.metrics import Metrics
 from cranberrywheel.submission.fair_shares import (
@@ -212,6 +218,52 @@
     assert 1 <= len(lines) <= 6
 
 
+@pytest.mark.parametrize("weight", [0.0, -1.0, float("nan"), float("inf")])
+def test_unusable_weight_counts_as_a_very_small_one(monkeypatch, weight):
+    """Guards against a weight that ends a tick with an error or is served first."""
+    harness = start_leader(monkeypatch)
+    owners = harness.configuration.organisations_by_name
+    owners["hot"] = Organisation("hot", weight)
+    harness.scheduler.set_configuration(harness.configuration)
+    for number in range(20):
+        submit(harness, f"hot{number}", "hot")
+    harness.run_for(500)
+    assert len(harness.scheduler.waiting_by_service["pool"]) == 4
+    submit(harness, "usual", "usual")
+    harness.run_for(200)
+    assert harness.scheduler.shares_of("pool").compute_level("hot") > 1.0
+    harness.run_for(10_000)
+    assert len(harness.fleet.done_ms_by_task) == 42
+
+
+def test_work_of_a_more_urgent_queue_is_not_put_behind_for_its_level(monkeypatch):
+    """Guards against urgent work that counts as infeasible although it goes first."""
+    harness = start_leader(monkeypatch)
+    urgent = dataclasses.replace(QUEUE, name="urgent", prefix="/u/", priority=0)
+    usual = dataclasses.replace(QUEUE, priority=5)
+    harness.configuration = dataclasses.replace(
+        make_configuration([urgent, usual]),
+        organisations_by_name=harness.configuration.organisations_by_name,
+    )
+    harness.scheduler.set_configuration(harness.configuration)
+
+    def send(name, owner, queue, step):
+        row = make_submission(name, step, queue=queue, accepted_ms=harness.unix_ms())
+        harness.submit(dataclasses.replace(row, organisation=owner), 60_000)
+
+    for number in range(16):
+        send(f"full{number}", "hot", urgent, make_step(2, estimated_ms=60_000))
+    harness.run_for(300)
+    harness.scheduler.shares_of("pool").mean_use["hot"] = 1.0
+    send("urgent", "hot", urgent, make_step(1))
+    for number in range(60):
+        send(f"usual{number}", "usual", usual, make_step(2))
+    harness.run_for(200)
+    assert harness.scheduler.shares_of("pool").compute_level("hot") > 0
+    assert harness.scheduler.shares_of("pool").infeasible_count
+    assert not harness.scheduler.live_by_id["urgent"].is_infeasible
+
+
 SMALL, LARGE = PLANS["three-zones"], PLANS["four-zones-grown"]
 
 
