Report no load of pools with room, and bound what one run or task adds to it

Executors that a new leader has not polled or that stop earlier runs count as serving, and no load is reported until each reachable executor has answered. Declared amounts of a task have upper limits, so that sums over a pool stay finite.

--- a/src/cranberrywheel/platform/callers.py
+++ b/src/cranberrywheel/platform/callers.py
@@ -24,14 +24,19 @@
 MAX_STEPS = 200
 MAX_TASKS = 10_000
 MAX_REPEATS = 10_000
+#: Limits of one task, so that sums over the work of a pool stay finite as floats.
+MAX_ESTIMATED_MS = 30 * 24 * 3_600 * 1_000
+MAX_AMOUNT = 10**9
 
 
 class _Step(WireModel):
     count: int = pydantic.Field(ge=1, le=MAX_TASKS)
-    cpu: int = pydantic.Field(0, ge=0)
-    memory_mb: int = pydantic.Field(0, ge=0, alias="memMb")
-    gpu: int = pydantic.Field(0, ge=0)
-    estimated_ms: int = pydantic.Field(0, ge=0, alias="estimatedMs")
+    cpu: int = pydantic.Field(0, ge=0, le=MAX_AMOUNT)
+    memory_mb: int = pydantic.Field(0, ge=0, le=MAX_AMOUNT, alias="memMb")
+    gpu: int = pydantic.Field(0, ge=0, le=MAX_AMOUNT)
+    estimated_ms: int = pydantic.Field(
+        0, ge=0, le=MAX_ESTIMATED_MS, alias="estimatedMs"
+    )
     after: list[int] = pydantic.Field(default_factory=list)
     checkpointing: bool = False
     gang: bool = False
--- a/src/cranberrywheel/submission/pool_load.py
+++ b/src/cranberrywheel/submission/pool_load.py
@@ -13,7 +13,7 @@
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.live import LiveSubmission
 from cranberrywheel.submission.machines import Machine, MachineState
-from cranberrywheel.submission.model import NO_RESOURCES, Queue
+from cranberrywheel.submission.model import NO_RESOURCES, Queue, Resources
 from cranberrywheel.submission.pool_sizing import PoolSizingState
 from cranberrywheel.submission.queue_order import (
     ON_TIME,
@@ -31,6 +31,10 @@
 #: last step is not counted as ahead of anything.
 ORDER_BIN_MS = 500
 ORDER_BINS = 10
+#: Place in the order from which work is not counted as ahead of anything. Of a run,
+#: too, no more is counted: otherwise a few long runs refuse work in a pool that has
+#: free capacity.
+ORDER_HORIZON_MS = ORDER_BIN_MS * (ORDER_BINS - 1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,22 +149,62 @@
 
 def _may_serve(executor: Executor) -> bool:
     """Tell whether an executor serves now, or may do so again at any moment."""
-    return executor.is_available or (
+    # Executors that a new leader has not polled yet, or that stop runs of the previous
+    # one, serve again within a poll or two.
+    return (
         executor.registered
-        and not executor.reachable
         and not executor.cordoned
         and not executor.evacuated
         and not executor.entry.draining
     )
 
 
+def _count_fitting(claim: Resources, amount: Resources, limit: int) -> int:
+    """Return how many times a claim fits in an amount, up to a limit."""
+    pairs = (
+        (claim.cpu, amount.cpu),
+        (claim.memory_mb, amount.memory_mb),
+        (claim.gpu, amount.gpu),
+    )
+    return max(0, min([limit, *(has // asks for asks, has in pairs if asks)]))
+
+
+def _fits_waiting(
+    waiting: t.Iterable[LiveSubmission],
+    executors: t.Sequence[Executor],
+    unix_ms: int,
+) -> bool:
+    """Tell whether all tasks that are ready and wait fit in the free capacity.
+
+    The tasks are assigned to the first executor with room. Labels and other constraints
+    do not count, nor do tasks that are larger than any executor.
+    """
+    free = [executor.free for executor in executors if executor.is_usable]
+    for live in waiting:
+        if live.get_due_ms(0) > unix_ms:
+            continue
+        for step_run in live.list_ready_steps():
+            claim, count = step_run.step.claim, len(step_run.waiting)
+            if not any(claim.fits_in(row.entry.capacity) for row in executors):
+                continue
+            for number, amount in enumerate(free):
+                taken = _count_fitting(claim, amount, count)
+                free[number] = amount - Resources(
+                    claim.cpu * taken, claim.memory_mb * taken, claim.gpu * taken
+                )
+                count -= taken
+            if count:
+                return False
+    return True
+
+
 @dataclasses.dataclass(slots=True)
 class _Running:
     """Runs of short work on one pool.
 
     :ivar long_running_cpu: cpu that long-running tasks reserve.
     :ivar begun_core_ms: expected work of the running tasks, by submission id.
-    :ivar left_core_ms: the part of it that is not done.
+    :ivar left_core_ms: the part of it that is not done, up to the horizon of the order.
     :ivar cpu_by_organisation: cpu that short tasks reserve.
     """
 
@@ -184,6 +228,7 @@
             key = live.submission.id
             duration_ms = step.estimated_ms * state.work_ratio.get_factor(live)
             left_ms = max(0.0, duration_ms - (now_ms - run.started_ms))
+            left_ms = min(left_ms, ORDER_HORIZON_MS)
             cores = step.size.cpu / 1_000
             running.begun_core_ms[key] = (
                 running.begun_core_ms.get(key, 0.0) + cores * duration_ms
@@ -207,11 +252,15 @@
     unix_ms: int,
 ) -> PoolLoad | None:
     """Return the load of one pool; ``None`` if nothing can be said about it."""
-    executors = [
-        executor
-        for executor in state.executors_by_service.get(service, {}).values()
-        if _may_serve(executor)
-    ]
+    pool = state.executors_by_service.get(service, {}).values()
+    if any(
+        executor.registered and executor.reachable and not executor.fence_confirmed
+        for executor in pool
+    ):
+        return None  # its runs are not known yet
+    executors = [executor for executor in pool if _may_serve(executor)]
+    if _fits_waiting(state.waiting_by_service[service].values(), executors, unix_ms):
+        return None
     running = _measure_runs(state, executors, now_ms)
     machine_cpu = max((row.entry.capacity.cpu for row in executors), default=0)
     total_cpu = sum(row.entry.capacity.cpu for row in executors)
--- a/tests/test_admission_sync.py
+++ b/tests/test_admission_sync.py
@@ -37,8 +37,14 @@
 from cranberrywheel.node.leadership import Holder
 from cranberrywheel.node.metrics import Metrics
 from cranberrywheel.submission.features import ALL_OFF, FeatureSettings, Switch
+from cranberrywheel.submission.model import Resources
 from cranberrywheel.submission.platform_timing import PlatformTiming
-from cranberrywheel.submission.pool_load import ORDER_BINS, Backlog, PoolLoad
+from cranberrywheel.submission.pool_load import (
+    ORDER_BINS,
+    Backlog,
+    PoolLoad,
+    compute_load_by_service,
+)
 from cranberrywheel.submission.turns import Turn
 from cranberrywheel_standin.virtual_fleet import VirtualLoop, VirtualStore
 
@@ -377,6 +383,69 @@
     assert 45_000 < load.wait_ms < 60_000
 
 
+def compute_load(harness):
+    return compute_load_by_service(
+        harness.scheduler, {}, harness.loop.clock.now_ms(), harness.unix_ms()
+    ).get("pool")
+
+
+def submit_long(harness, count):
+    step = make_step(count, estimated_ms=600_000)
+    row = make_submission("long", step, accepted_ms=harness.unix_ms())
+    harness.submit(row, 600_000)
+    harness.run_for(300)
+
+
+def test_pool_with_room_for_all_waiting_work_has_no_load(leading):
+    """Guards against refusals while half of a pool is free.
+
+    The waiting tasks are beyond the quota of an organisation with long runs.
+    """
+    leading.configuration = make_configuration(quota=Resources(2_000, 0, 0))
+    leading.scheduler.set_configuration(leading.configuration)
+    submit_long(leading, 2)
+    add_backlog(leading, 1)
+    pool = leading.scheduler.executors_by_service["pool"]
+    assert pool["x0"].free.cpu == 2_000
+    live = leading.scheduler.live_by_id[f"{0:016x}"]
+    waiting = live.list_ready_steps()[0].waiting
+    assert len(waiting) == 4
+    assert compute_load(leading) is not None  # two of the four tasks do not fit
+    for key in list(waiting)[:2]:
+        del waiting[key]
+    assert compute_load(leading) is None
+
+
+def test_long_runs_count_up_to_the_horizon_of_the_order(leading):
+    """Guards against refusals because of runs that last for minutes."""
+    submit_long(leading, 4)
+    add_backlog(leading)
+    load = compute_load(leading)
+    assert sum(row.on_time_core_ms[0] for row in load.backlogs) <= 4 * 4_500
+
+
+def test_executor_that_stops_runs_of_the_previous_leader_counts_as_serving(leading):
+    """Guards against the load of a part of the pool just after a takeover."""
+    add_backlog(leading)
+    load = compute_load(leading)
+    (executor,) = leading.scheduler.executors_by_service["pool"].values()
+    executor.set_untracked([("old.0.0.0", 1)])
+    assert compute_load(leading).drain_cpu == load.drain_cpu == 4_000
+
+
+def test_no_load_until_each_reachable_executor_has_answered(leading):
+    """Guards against refusals by a leader that does not know the runs yet."""
+    add_backlog(leading)
+    leading.fleet.add("x1", "pool", cpu=4_000)
+    leading.run_for(500)
+    assert compute_load(leading).drain_cpu == 8_000
+    executor = leading.scheduler.executors_by_service["pool"]["x1"]
+    executor.fence_confirmed = False
+    assert compute_load(leading) is None
+    executor.reachable = False  # it may be away for long
+    assert compute_load(leading).drain_cpu == 8_000
+
+
 def test_leader_passes_turns_on_between_processes(leading):
     """Guards against a caller that loses its place because it returns elsewhere."""
     sync = build_leader_sync(leading)
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -14,6 +14,9 @@
 from cranberrywheel.node.caller_api import CallerApi
 from cranberrywheel.node.metrics import Metrics
 from cranberrywheel.node.watch import PrefixWatch
+from cranberrywheel.platform.callers import (
+    decode_submission as decode_caller_submission,
+)
 from cranberrywheel.platform.executors import AdvisorClient, ExecutorClient
 from cranberrywheel.platform.machines import MachineClient
 from cranberrywheel.platform.store import Store
@@ -276,6 +279,21 @@
     assert json.loads(response.data)["outcome"] == "unknown"
 
 
+@pytest.mark.parametrize("field", ["estimatedMs", "cpu", "memMb", "gpu"])
+def test_amounts_of_a_step_are_bounded(field):
+    """Guards against a submission that makes the sums over a pool infinite."""
+
+    def decode(value):
+        body = json.dumps({"steps": [{"count": 1, field: value}]}).encode()
+        return decode_caller_submission(body, "a" * 16, QUEUE, "org", 0)
+
+    limit = 30 * 86_400_000 if field == "estimatedMs" else 10**9
+    decode(limit)
+    for value in (limit + 1, 10**400):
+        with pytest.raises(ValueError, match=field):
+            decode(value)
+
+
 def test_store_reply_keeps_readable_items():
     """Guards against one unreadable entry that hides the readable ones."""
     body = {"asOf": 9, "items": [{"key": "p/1"}, {"key": "p/2", "value": "YQ=="}]}
