Keep one bad turn or failed decision from hiding the load or other submissions

Two cases of the test of malformed loads expected that a bad turn discards the whole answer. They move to a test that expects the load and the other turns to be used.

--- a/src/cranberrywheel/node/admission_messages.py
+++ b/src/cranberrywheel/node/admission_messages.py
@@ -16,6 +16,9 @@
 #: Longest time in the future that a message may name.
 MAX_AHEAD_MS = 120_000
 
+#: Errors that fields raise which are to be numbers; whole numbers may exceed floats.
+_NUMBER_ERRORS = (*FIELD_ERRORS, OverflowError)
+
 #: A turn that a process gave, or ``None`` for one that has ended, by submission id.
 TurnChange = tuple[str, Turn | None]
 
@@ -67,33 +70,56 @@
             turn.expires_ms - now_ms,
         ]
         for key, turn in changes
+        if turn is None or _is_sendable(turn, now_ms)
     ]
 
 
+def _is_sendable(turn: Turn, now_ms: int) -> bool:
+    """Tell whether a turn has not expired and its times are within their limits."""
+    return (
+        turn.core_ms >= 0
+        and 0 <= now_ms - turn.refused_ms <= MAX_AHEAD_MS
+        and turn.due_ms <= turn.expires_ms
+        and now_ms <= turn.expires_ms <= now_ms + MAX_AHEAD_MS
+    )
+
+
 def _decode_changes(rows: t.Any, now_ms: int) -> tuple[TurnChange, ...]:
+    """Decode changes of turns; a row that is none is skipped.
+
+    Without the rest of the message, submissions would be decided without the load.
+    """
+    if not isinstance(rows, list):
+        raise ValueError("not a list of turns")
     changes: list[TurnChange] = []
-    for key, *fields in rows[:MAX_TURNS_PER_MESSAGE]:
-        if not fields:
-            changes.append((str(key), None))
+    for row in rows[:MAX_TURNS_PER_MESSAGE]:
+        try:
+            change = _decode_change(row, now_ms)
+        except _NUMBER_ERRORS:
             continue
-        service, core_ms, refused_ago_ms, due_in_ms, expires_in_ms = fields
-        turn = Turn(
-            str(service),
-            float(core_ms),
-            now_ms - int(refused_ago_ms),
-            now_ms + int(due_in_ms),
-            now_ms + int(expires_in_ms),
-        )
-        if (
-            turn.core_ms < 0
-            or not 0 <= now_ms - turn.refused_ms <= MAX_AHEAD_MS
-            or not turn.due_ms <= turn.expires_ms <= now_ms + MAX_AHEAD_MS
-        ):
-            raise ValueError(f"not a turn: {fields!r}")
-        changes.append((str(key), turn))
+        changes.append(change)
     return tuple(changes)
 
 
+def _decode_change(row: t.Any, now_ms: int) -> TurnChange:
+    key, *fields = row
+    if not isinstance(key, str):
+        raise ValueError("not the id of a submission")
+    if not fields:
+        return key, None
+    service, core_ms, refused_ago_ms, due_in_ms, expires_in_ms = fields
+    turn = Turn(
+        str(service),
+        float(core_ms),
+        now_ms - int(refused_ago_ms),
+        now_ms + int(due_in_ms),
+        now_ms + int(expires_in_ms),
+    )
+    if not _is_sendable(turn, now_ms):
+        raise ValueError("not a turn")
+    return key, turn
+
+
 def encode_request(request: LoadRequest, now_ms: int) -> bytes:
     """Encode a request; ``now_ms`` is the sender's steady time in milliseconds."""
     return json.dumps(
@@ -120,7 +146,7 @@
             int(row["seen"]),
             _decode_changes(row["turns"], now_ms),
         )
-    except FIELD_ERRORS as error:
+    except _NUMBER_ERRORS as error:
         raise ValueError(f"not a request for the load: {error!r}") from None
 
 
@@ -196,7 +222,7 @@
             int(row["seen"]),
             _decode_changes(row["turns"], now_ms),
         )
-    except FIELD_ERRORS as error:
+    except _NUMBER_ERRORS as error:
         raise ValueError(f"not the load of the pools: {error!r}") from None
     if answer.age_ms < 0:
         raise ValueError("the load has a negative age")
--- a/src/cranberrywheel/node/admission_sync.py
+++ b/src/cranberrywheel/node/admission_sync.py
@@ -129,6 +129,7 @@
             collections.deque(maxlen=MAX_CHANGES)
         )
         self._change_count = 0
+        self._changes_fence = 0
         self.refusals = 0
         self.kept_turns = 0
 
@@ -206,18 +207,23 @@
         done: t.Callable[[Submission | Refusal], None],
     ) -> None:
         now_ms = self._loop.clock.now_ms()
-        known = self._get_load(now_ms)
-        had_turn = self._turns.find(submission.id, now_ms) is not None
-        verdict = decide_admission(
-            known.load_by_service.get(queue.service) if known else None,
-            now_ms - known.as_of_ms if known else 0,
-            submission,
-            queue,
-            configuration,
-            self._select_features().fair_shares,
-            self._turns,
-            now_ms,
-        )
+        try:
+            known = self._get_load(now_ms)
+            had_turn = self._turns.find(submission.id, now_ms) is not None
+            verdict = decide_admission(
+                known.load_by_service.get(queue.service) if known else None,
+                now_ms - known.as_of_ms if known else 0,
+                submission,
+                queue,
+                configuration,
+                self._select_features().fair_shares,
+                self._turns,
+                now_ms,
+            )
+        except Exception as error:
+            _log.failure("admission not decided", error, request=submission.id)
+            self._accept(submission, done)
+            return
         if not verdict.is_refused:
             self._accept(submission, done)
             return
@@ -353,7 +359,10 @@
                 self._unreported.extendleft(reversed(changes))
             waiting, self._waiting = self._waiting, []
             for then in waiting:
-                then()
+                try:
+                    then()
+                except Exception as error:  # of one caller; the others still wait
+                    _log.failure("admission of a submission failed", error)
 
         self._loop.call(request, on_reply)
 
@@ -410,11 +419,22 @@
     def _report(self, submission_id: str) -> None:
         """Pass the turn of a submission on, or that it has none any more."""
         change = (submission_id, self._turns.by_id.get(submission_id))
-        if self._find_leader() is not None:
+        leader = self._find_leader()
+        if leader is not None:
+            self._begin_term(leader.scheduler.fence)
             self._record_change(self._own_address, change)
         else:
             self._unreported.append(change)
 
+    def _begin_term(self, fence: int) -> None:
+        """Forget the changes of an earlier leadership of this process.
+
+        Turns may have ended since without its knowledge.
+        """
+        if fence != self._changes_fence:
+            self._changes_fence = fence
+            self._changes.clear()
+
     def _record_change(self, address: str, change: TurnChange) -> None:
         self._change_count += 1
         self._changes.append((self._change_count, address, change))
@@ -462,6 +482,7 @@
         except ValueError as error:
             _log.warning("request of a peer cannot be decoded", error=str(error)[:200])
             return {}
+        self._begin_term(leader.scheduler.fence)
         for change in request.changes:
             self._apply_change(change, now_ms)
             self._record_change(request.address, change)
