Bound the searches for room for urgent work, and stop only what makes room

Background tasks claim no cpu, so they were stopped without need and did not count towards the rate of stops. What is kept for a submission is never negative and includes accelerators.

--- a/src/cranberrywheel/submission/preemption.py
+++ b/src/cranberrywheel/submission/preemption.py
@@ -81,7 +81,8 @@
         kept: list[Reservation] = []
         for row in opened:
             left = row.amount - (row.executor.used - row.used_before)
-            if left.cpu > 0 or left.memory_mb > 0:
+            left = Resources(max(0, left.cpu), max(0, left.memory_mb), max(0, left.gpu))
+            if left != NO_RESOURCES:
                 row.executor.reserve(live, left)
                 kept.append(dataclasses.replace(row, amount=left))
         if kept:
@@ -189,6 +190,8 @@
         if claim.fits_in(free):
             break
         step_run = run.task.step_run
+        if not _frees_lacking(step_run.step.claim, claim - free):
+            continue
         if step_run.step.long_running:
             if id(step_run) in steps:
                 continue  # the next tick counts what is away by then
@@ -199,6 +202,15 @@
     return (lost, chosen) if claim.fits_in(free) else None
 
 
+def _frees_lacking(freed: Resources, lacking: Resources) -> bool:
+    """Tell whether a run frees some of what is lacking; background runs free no cpu."""
+    return (
+        (freed.cpu > 0 and lacking.cpu > 0)
+        or (freed.memory_mb > 0 and lacking.memory_mb > 0)
+        or (freed.gpu > 0 and lacking.gpu > 0)
+    )
+
+
 def _ends_soon(run: Run, duration_factor: float, now_ms: int) -> bool:
     if run.state is RunState.STOPPING:
         return True
--- a/src/cranberrywheel/submission/urgent_work.py
+++ b/src/cranberrywheel/submission/urgent_work.py
@@ -4,6 +4,7 @@
 """
 
 import math
+import typing as t
 
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.submission.executor import Executor
@@ -27,6 +28,9 @@
 #: Work that may be lost for urgent work, as a multiple of it, so that at least a third
 #: of the capacity spent on both is of use.
 MAX_LOSS = 2.0
+#: Submissions of a pool for which the executors are searched per tick: each search
+#: examines all runs of the pool. The others follow in the next ticks.
+MAX_PLANS_PER_TICK = 4
 #: An executor, what is kept on it, the work that is lost and the runs that are stopped.
 _Room = tuple[Executor, Resources, float, list[Run]]
 
@@ -45,17 +49,68 @@
     preemption.refill(now_ms)
     for service, waiting in state.waiting_by_service.items():
         executors = state.executors_by_service.get(service, {}).values()
+        cpu_by_priority = _find_smallest_runs(executors)
+        if not cpu_by_priority:
+            continue
+        lowest_priority = max(cpu_by_priority)
         pool = PoolCapacity(executors)
         rows = sorted(
             (
                 row
                 for live in waiting.values()
-                if (row := _find_urgent(state, live, pool, unix_ms))
+                if live.queue.priority < lowest_priority
+                and (row := _find_urgent(state, live, pool, unix_ms))
             ),
             key=lambda row: row[:2],
         )
+        plans = 0
         for _, _, step_run in rows:
+            priority = step_run.live.queue.priority
+            smallest_cpu = min(
+                cpu for other, cpu in cpu_by_priority.items() if other > priority
+            )
+            if not _may_plan(state, service, step_run, pool, smallest_cpu):
+                continue
             _make_room(state, service, step_run, pool, now_ms)
+            plans += 1
+            if plans == MAX_PLANS_PER_TICK:
+                break
+
+
+def _find_smallest_runs(executors: t.Iterable[Executor]) -> dict[int, int]:
+    """Return the cpu of the smallest run by the priority of its queue."""
+    found: dict[int, int] = {}
+    for executor in executors:
+        for run in executor.runs.values():
+            step_run = run.task.step_run
+            priority, cpu = step_run.live.queue.priority, step_run.step.size.cpu
+            found[priority] = min(cpu, found.get(priority, cpu))
+    return found
+
+
+def _sum_sizes(step_run: StepRun) -> Resources:
+    """Return the resources that the waiting tasks of a step use together."""
+    size, count = step_run.step.size, len(step_run.waiting)
+    return Resources(size.cpu * count, size.memory_mb * count, size.gpu * count)
+
+
+def _may_plan(
+    state: SchedulerState,
+    service: str,
+    step_run: StepRun,
+    pool: PoolCapacity,
+    smallest_cpu: int,
+) -> bool:
+    """Tell whether the quota and the rate may allow to make room for a step.
+
+    :param smallest_cpu: cpu of the smallest run that may be stopped for it.
+    """
+    budget = state.preemption.budget_by_service.get(service, MAX_AT_ONCE)
+    return (
+        bool(pool.usable)
+        and smallest_cpu / max(1, pool.total_cpu) <= budget
+        and is_within_quota(state, step_run.live, _sum_sizes(step_run))
+    )
 
 
 def _find_urgent(
@@ -96,7 +151,7 @@
     plan = _plan_room(state, service, step_run, pool, now_ms)
     live = step_run.live
     for executor, claim, lost_core_ms, runs in plan:
-        cpu = sum(run.task.step_run.step.claim.cpu for run in runs)
+        cpu = sum(run.task.step_run.step.size.cpu for run in runs)
         _log.event(
             "making room for urgent work",
             request=step_run.name,
@@ -123,15 +178,12 @@
 ) -> list[_Room]:
     """Return where the waiting tasks of a step get room.
 
-    :returns: nothing if not all of them get room within the quota and the rate, or if
-        much more work would be lost than they have.
+    :returns: nothing if not all of them get room within the rate, or if much more work
+        would be lost than they have.
     """
     step = step_run.step
     count = len(step_run.waiting)
-    size, per_task = step.size, step.claim
-    total = Resources(size.cpu * count, size.memory_mb * count, size.gpu * count)
-    if not pool.usable or not is_within_quota(state, step_run.live, total):
-        return []
+    per_task = step.claim
     per_executor = math.ceil(count / len(pool.usable))
     if step.anti_affinity:
         per_executor = min(per_executor, step.anti_affinity)
@@ -142,11 +194,12 @@
     )
     rooms = _list_rooms(state, step_run, claim, pool, now_ms)
     rooms = _drop_shared_steps(rooms)[: math.ceil(count / per_executor)]
-    cpu = sum(run.task.step_run.step.claim.cpu for room in rooms for run in room[3])
+    # By the size, since background tasks claim no cpu but lose the work all the same.
+    cpu = sum(run.task.step_run.step.size.cpu for room in rooms for run in room[3])
     share = cpu / max(1, pool.total_cpu)
     budgets = state.preemption.budget_by_service
     budget = budgets.setdefault(service, MAX_AT_ONCE)
-    work_core_ms = step.estimated_ms * total.cpu / 1_000
+    work_core_ms = step.estimated_ms * step.size.cpu * count / 1_000
     if (
         len(rooms) * per_executor < count
         or share > budget
--- a/tests/test_urgent_work.py
+++ b/tests/test_urgent_work.py
@@ -1,5 +1,6 @@
 """Preemption: runs of less urgent queues that make room for urgent submissions."""
 
+import collections
 import dataclasses
 import logging
 
@@ -11,7 +12,7 @@
     make_submission,
 )
 
-from cranberrywheel.submission import preemption
+from cranberrywheel.submission import preemption, urgent_work
 from cranberrywheel.submission.features import ALL_OFF, Switch
 from cranberrywheel.submission.live import RunState
 from cranberrywheel.submission.model import (
@@ -270,3 +271,103 @@
     for name in ("full", "urgent"):
         assert harness.scheduler.get_state(name) is SubmissionState.COMPLETED
     assert harness.fleet.rejections == 0
+
+
+def count_searches(harness, monkeypatch):
+    """Return the number of searches for room by the time of the tick."""
+    counts = collections.Counter()
+    list_rooms = urgent_work._list_rooms
+
+    def count(*arguments):
+        counts[harness.loop.clock.now_ms()] += 1
+        return list_rooms(*arguments)
+
+    monkeypatch.setattr(urgent_work, "_list_rooms", count)
+    return counts
+
+
+def test_searches_per_tick_are_bounded(monkeypatch):
+    """Guards against a tick that examines the pool once for each waiting submission."""
+    harness = start(monkeypatch, executors=1)
+    submit(harness, "old", USUAL, make_step(4, 2_000, estimated_ms=60_000), 60_000)
+    harness.run_for(9_000)
+    counts = count_searches(harness, monkeypatch)
+    for number in range(30):
+        submit_urgent(harness, f"urgent{number}", cpu=2_000)
+    harness.run_for(2_000)
+    assert max(counts.values()) <= 4
+
+
+def test_pool_without_less_urgent_runs_is_not_searched(monkeypatch):
+    """Guards against ticks that take long in a burst of urgent work alone."""
+    harness = start(monkeypatch)
+    counts = count_searches(harness, monkeypatch)
+    submit(harness, "full", URGENT, make_step(8, 2_000, estimated_ms=8_000), 8_000)
+    harness.run_for(500)
+    submit_urgent(harness)
+    harness.run_for(3_000)
+    assert not counts
+
+
+def test_exhausted_budget_is_noticed_before_the_search(monkeypatch):
+    """Guards against searches whose result the rate of stops forbids."""
+    harness = start(monkeypatch)
+    fill(harness)
+    monkeypatch.setattr(preemption, "MAX_RATE_PER_S", 0.0)
+    harness.scheduler.preemption.budget_by_service["pool"] = 0.05
+    counts = count_searches(harness, monkeypatch)
+    submit_urgent(harness)
+    harness.run_for(3_000)
+    assert not counts
+
+
+def test_background_task_that_frees_no_cpu_is_not_stopped(monkeypatch):
+    """Guards against stopped work that makes no room for the urgent task."""
+    harness = start(monkeypatch, executors=1)
+    step = make_step(1, 100, fills=True, estimated_ms=60_000)
+    submit(harness, "background", USUAL, step, 60_000)
+    fill(harness, count=3)
+    assert harness.scheduler.executors_by_id["x0"].background_count == 1
+    submit_urgent(harness, cpu=4_000)
+    harness.run_for(3_000)
+    assert count_stopped(harness) == 1
+    assert not harness.scheduler.find_task("background.0.0.0").preempted
+
+
+def test_stopped_background_work_counts_towards_the_rate(monkeypatch):
+    """Guards against background work that is stopped without a limit for its memory."""
+    harness = start(monkeypatch, executors=1)
+    (executor,) = harness.scheduler.executors_by_id.values()
+    size = Resources(2_000, executor.entry.capacity.memory_mb // 4, 0)
+    step = make_step(4, fills=True, estimated_ms=60_000)
+    submit(harness, "full", USUAL, dataclasses.replace(step, size=size), 60_000)
+    harness.run_for(500)
+    monkeypatch.setattr(preemption, "MAX_RATE_PER_S", 0.0)
+    submit(
+        harness, "urgent", URGENT, dataclasses.replace(make_step(), size=size), 1_000
+    )
+    harness.run_for(1_500)
+    assert count_stopped(harness) == 1
+    left = harness.scheduler.preemption.budget_by_service["pool"]
+    assert left == pytest.approx(preemption.MAX_AT_ONCE - 0.25)
+
+
+def test_kept_amounts_are_not_negative(monkeypatch):
+    """Guards against a reservation that adds to what is free, or that drops its gpu."""
+    harness = start(monkeypatch)
+    submit(harness, "large", URGENT, make_step(1, 100_000), 1_000)
+    harness.run_for(200)
+    live = harness.scheduler.live_by_id["large"]
+    executor = harness.scheduler.executors_by_id["x0"]
+    state = preemption.PreemptionState()
+    for used, left in [
+        (Resources(1_000, 500, 0), Resources(1_000, 0, 1)),
+        (Resources(2_000, 100, 0), Resources(0, 0, 1)),
+    ]:
+        state.reserve(live, executor, Resources(2_000, 100, 1), 0)
+        opened = state.open_for(live)
+        executor.used = used
+        state.close_for(live, opened)
+        assert executor.reserved_for is live and executor.reserved == left
+        state.open_for(live)
+        executor.used = NO_RESOURCES
