Withhold last attempts from failing executors only where executor_speed is on

The rule acted with all switches off, and the failing tasks of one queue could mark most of a pool and block the others.

--- a/src/cranberrywheel/submission/executor.py
+++ b/src/cranberrywheel/submission/executor.py
@@ -90,7 +90,9 @@
         :mod:`.fault_detection`.
     :ivar fault_counted_ms: when ``fault_count`` was last updated.
     :ivar suspect_until_ms: until when other executors are preferred.
-    :ivar failing_until_ms: until when it gets no task whose next failure is final.
+    :ivar failing_until_ms: until when it counts as failing its runs.
+    :ivar withholds_last_attempts: while it is failing, it gets no task whose next
+        failure is final.
     :ivar ended_visibly: its process has closed its connections or its port, and has
         not answered since.
     :ivar ended_ms: when that was first noticed.
@@ -139,6 +141,7 @@
         self.fault_counted_ms = 0
         self.suspect_until_ms = 0
         self.failing_until_ms = 0
+        self.withholds_last_attempts = False
         self.ended_visibly = False
         self.ended_ms = 0
         self.untracked_runs: frozenset[tuple[str, int]] = frozenset()
--- a/src/cranberrywheel/submission/fault_detection.py
+++ b/src/cranberrywheel/submission/fault_detection.py
@@ -1,5 +1,7 @@
 """Detection of executors that fail, slow down or stall runs but seem healthy."""
 
+import typing as t
+
 from cranberrywheel.submission.duration_estimates import DurationEstimates
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.live import Run
@@ -11,6 +13,9 @@
 #: How long other executors are preferred. The periods in which an executor fails, slows
 #: down or stalls runs last five to eight seconds.
 SUSPECT_MS = 5_000
+#: Fraction of a pool above which failing executors get last attempts too. If more fail
+#: runs, the cause is rather the tasks of a queue, which must not block other queues.
+MAX_FAILING_FRACTION = 1 / 3
 #: Time without progress after which a run counts as stalled. Progress is read with
 #: each poll, at least every 1.5 s.
 STALL_MS = 4_000
@@ -66,14 +71,28 @@
 def record_failed_run(executor: Executor, now_ms: int) -> None:
     """Count a failed run as a fault of its executor.
 
-    A suspect executor with a failed run may not only be slow: it is failing, and gets
-    no last attempts.
+    A suspect executor with a failed run may not only be slow: it is failing, see
+    :func:`update_last_attempts`.
     """
     record_fault(executor, now_ms)
     if executor.suspect_until_ms > now_ms:
         executor.failing_until_ms = executor.suspect_until_ms
 
 
+def update_last_attempts(
+    executors: t.Sequence[Executor], is_on: bool, now_ms: int
+) -> None:
+    """Decide whether the failing executors of a pool get last attempts.
+
+    :param executors: the usable executors of the pool.
+    :param is_on: placement depends on how executors have performed.
+    """
+    failing = sum(executor.failing_until_ms > now_ms for executor in executors)
+    withholds = is_on and failing <= MAX_FAILING_FRACTION * len(executors)
+    for executor in executors:
+        executor.withholds_last_attempts = withholds
+
+
 def is_stalled(
     run: Run, executor: Executor, estimates: DurationEstimates, now_ms: int
 ) -> bool:
--- a/src/cranberrywheel/submission/placement.py
+++ b/src/cranberrywheel/submission/placement.py
@@ -101,7 +101,11 @@
         return False
     if task.avoid_until_ms_by_executor.get(executor.id, 0) > now_ms:
         return False
-    if executor.failing_until_ms > now_ms and _has_one_attempt_left(task):
+    if (
+        executor.withholds_last_attempts
+        and executor.failing_until_ms > now_ms
+        and _has_one_attempt_left(task)
+    ):
         return False
     if executor.cold_until_ms > now_ms and not may_start_cold(executor, step, now_ms):
         return False
--- a/src/cranberrywheel/submission/scheduling_pass.py
+++ b/src/cranberrywheel/submission/scheduling_pass.py
@@ -13,6 +13,7 @@
 from cranberrywheel.submission.contention import order_by_share
 from cranberrywheel.submission.crash_attribution import choose_isolated_executor
 from cranberrywheel.submission.executor import Executor
+from cranberrywheel.submission.fault_detection import update_last_attempts
 from cranberrywheel.submission.live import LiveSubmission, Run, StepRun, Task
 from cranberrywheel.submission.model import NO_RESOURCES, Resources
 from cranberrywheel.submission.placement import (
@@ -54,6 +55,7 @@
     state.quota_limited_services.discard(service)
     pool = list(state.executors_by_service.get(service, {}).values())
     pool_capacity = PoolCapacity(pool)
+    update_last_attempts(pool_capacity.usable, state.features.executor_speed, now_ms)
     rows = _find_startable_steps(state, service, pool, pool_capacity, now_ms, unix_ms)
     ordered: t.Iterable[StepRun] = (step_run for _, step_run in rows)
     reservations = state.preemption.reservations_by_submission
