--- a/src/cranberrywheel/node/admission_sync.py
+++ b/src/cranberrywheel/node/admission_sync.py
@@ -235,10 +235,15 @@
                     self._turns.end(submission.id)
                 self._accept(submission, done)
                 return
-            if not had_turn:
-                self._report(submission.id)
+            try:
+                if not had_turn:
+                    self._report(submission.id)
+                self._log_refusal(submission, queue, verdict, known, had_turn)
+            except Exception as error:
+                _log.failure("refusal not recorded", error, request=submission.id)
+                self._accept(submission, done)
+                return
             self.refusals += 1
-            self._log_refusal(submission, queue, verdict, known, had_turn)
             done(Refusal(verdict.retry_after_s))
 
         # Another process may have stored the id, also after this process refused it.
--- a/src/cranberrywheel/submission/urgent_work.py
+++ b/src/cranberrywheel/submission/urgent_work.py
@@ -48,6 +48,8 @@
         state.mark_all_dirty()
     preemption.refill(now_ms)
     for service, waiting in state.waiting_by_service.items():
+        if not waiting:
+            continue
         executors = state.executors_by_service.get(service, {}).values()
         cpu_by_priority = _find_smallest_runs(executors)
         if not cpu_by_priority:
--- a/tests/test_admission_sync.py
+++ b/tests/test_admission_sync.py
@@ -305,6 +305,17 @@
     assert isinstance(verdicts["b" * 16], Refusal)
 
 
+def test_error_in_recording_a_refusal_accepts_the_submission(entry, monkeypatch):
+    """Guards against a caller that gets no answer after the store has been asked."""
+
+    def fail(*arguments):
+        raise RuntimeError("defect")
+
+    monkeypatch.setattr(entry.sync, "_log_refusal", fail)
+    assert entry.check("a" * 16).id == "a" * 16
+    assert entry.sync.refusals == 0
+
+
 @pytest.mark.parametrize("suffix", ["", "/p", "/f"])
 def test_stored_id_is_never_refused(entry, suffix):
     """Guards against ``not-run`` for an id that another process has stored."""
