Keep half of an idle pool and smooth the work that arrives

Change: an idle pool keeps half of its own machines in any case; the work that arrives is mostly judged by the number of submissions and their mean work (mean_work.py).

--- a/src/cranberrywheel/submission/demand.py
+++ b/src/cranberrywheel/submission/demand.py
@@ -8,6 +8,7 @@
 
 from cranberrywheel.submission.failure_domains import find_unreachable_zones
 from cranberrywheel.submission.live import LiveSubmission
+from cranberrywheel.submission.mean_work import MeanWork
 from cranberrywheel.submission.pool_sizing import PoolDemand
 from cranberrywheel.submission.queue_order import estimate_remaining_work
 from cranberrywheel.submission.state import SchedulerState
@@ -35,6 +36,9 @@
         live.queue.service, collections.deque()
     )
     arrivals.append((now_ms, remaining.core_ms))
+    state.mean_work_by_service.setdefault(live.queue.service, MeanWork()).add(
+        remaining.core_ms
+    )
 
 
 def _compute_offered(state: SchedulerState, service: str, now_ms: int) -> int:
@@ -49,6 +53,8 @@
     if not arrivals:
         return 0
     core_ms = sum(core_ms for _, core_ms in arrivals)
+    if state.features.turn_forecast:
+        core_ms = state.mean_work_by_service[service].smooth(core_ms, len(arrivals))
     certainty = 1 - 1 / math.sqrt(len(arrivals))
     return round(1_000 * certainty * core_ms / OFFERED_WINDOW_MS)
 
--- a/src/cranberrywheel/submission/pool_plans.py
+++ b/src/cranberrywheel/submission/pool_plans.py
@@ -46,6 +46,9 @@
 #: Shortest time off for which machines are sent away: two moves of a machine.
 MIN_OFF_MS = 3_000
 
+#: Fraction of its own machines that an idle pool keeps in any case. While the leader is
+#: lost, nobody orders machines for about 5 s: a turn that begins then has only these.
+MIN_IDLE_FRACTION = 0.5
 #: Machines of a pool that cannot be emptied after which no others are examined. Each
 #: costs a look at all packed machines.
 MAX_REJECTED = 8
@@ -159,7 +162,11 @@
         )
         if phase is Phase.IDLE:
             # Lost machines are replaced: only machines that are there can be packed.
-            wanted = max(wanted, min(home_counts[pool], floors[pool].machines))
+            least = max(
+                floors[pool].machines,
+                math.ceil(MIN_IDLE_FRACTION * home_counts[pool]),
+            )
+            wanted = max(wanted, min(home_counts[pool], least))
             keep = max(keep, wanted)
         forecast = get_forecast(scheduler.turns, pool, now_ms)
         if phase is Phase.AHEAD and forecast is not None and not forecast.confirmed:
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -23,6 +23,7 @@
     Task,
     parse_task_name,
 )
+from cranberrywheel.submission.mean_work import MeanWork
 from cranberrywheel.submission.model import (
     NO_RESOURCES,
     Configuration,
@@ -104,6 +105,7 @@
     :ivar used_by_organisation: resources in use by the runs of each organisation.
     :ivar arrivals_by_service: for each recent submission with short work only, when it
         arrived, and its expected work in core-milliseconds.
+    :ivar mean_work_by_service: mean work of the submissions to each pool.
     :ivar turns: what is known about the turns of the queues.
     :ivar packed_machines_by_service: ids of the machines on which a pool packs its
         long-running tasks, see :mod:`.pool_plans`.
@@ -157,6 +159,7 @@
         self.advice_by_step: dict[str, Advice] = {}
         self.used_by_organisation: dict[str, Resources] = {}
         self.arrivals_by_service: dict[str, collections.deque[tuple[int, float]]] = {}
+        self.mean_work_by_service: dict[str, MeanWork] = {}
         self.turns = TurnForecastState()
         self.packed_machines_by_service: dict[str, frozenset[str]] = {}
         self.shares = OrganisationShares()
