--- a/src/cranberrywheel/submission/features.py
+++ b/src/cranberrywheel/submission/features.py
@@ -35,8 +35,7 @@
     fair_shares: Switch = Switch.AUTO
     admission: Switch = Switch.AUTO
     preemption: Switch = Switch.AUTO
-    task_durations: Switch = Switch.AUTO
-    executor_speed: Switch = Switch.AUTO
+    failing_executors: Switch = Switch.AUTO
     turn_forecast: Switch = Switch.AUTO
     interference: Switch = Switch.AUTO
 
@@ -56,8 +55,8 @@
     :param fair_shares: organisations share a contended pool by what they use.
     :param admission: submissions that cannot be served in time are refused at once.
     :param preemption: short work of a less urgent queue makes room for urgent work.
-    :param task_durations: durations are learned as distributions by program image.
-    :param executor_speed: placement prefers executors that were seen to be fast.
+    :param failing_executors: executors that fail each run at once get no task with a
+        last attempt.
     :param turn_forecast: machines move to a pool ahead of its next burst.
     :param interference: images that slow each other down are kept apart.
     """
@@ -66,8 +65,7 @@
     fair_shares: bool = False
     admission: bool = False
     preemption: bool = False
-    task_durations: bool = False
-    executor_speed: bool = False
+    failing_executors: bool = False
     turn_forecast: bool = False
     interference: bool = False
 
@@ -100,8 +98,7 @@
         preemption=settings.preemption.resolve(
             any(len(priorities) > 1 for priorities in priorities_by_service.values())
         ),
-        task_durations=settings.task_durations.resolve(has_objectives),
-        executor_speed=settings.executor_speed.resolve(has_objectives),
+        failing_executors=settings.failing_executors.resolve(has_objectives),
         turn_forecast=settings.turn_forecast.resolve(has_standby),
         interference=settings.interference.resolve(True),
     )
--- a/src/cranberrywheel/submission/scheduling_pass.py
+++ b/src/cranberrywheel/submission/scheduling_pass.py
@@ -55,7 +55,7 @@
     state.quota_limited_services.discard(service)
     pool = list(state.executors_by_service.get(service, {}).values())
     pool_capacity = PoolCapacity(pool)
-    update_last_attempts(pool_capacity.usable, state.features.executor_speed, now_ms)
+    update_last_attempts(pool_capacity.usable, state.features.failing_executors, now_ms)
     rows = _find_startable_steps(state, service, pool, pool_capacity, now_ms, unix_ms)
     ordered: t.Iterable[StepRun] = (step_run for _, step_run in rows)
     reservations = state.preemption.reservations_by_submission
--- a/tests/test_failing_executors.py
+++ b/tests/test_failing_executors.py
@@ -15,7 +15,7 @@
 from cranberrywheel.submission.features import ALL_OFF, Switch
 from cranberrywheel.submission.model import SubmissionState
 
-SETTINGS = dataclasses.replace(ALL_OFF, executor_speed=Switch.ON)
+SETTINGS = dataclasses.replace(ALL_OFF, failing_executors=Switch.ON)
 #: Largest number of failed submissions by attempts. With one attempt the runs that an
 #: executor fails before it is known to be failing are final: 19 and 18 of 400 failed
 #: with the rule, 81 and 83 without.
