--- a/tests/test_features.py
+++ b/tests/test_features.py
@@ -33,7 +33,7 @@
 
 def test_deployed_settings_are_valid():
     """A key that the program does not know would keep every node from starting."""
-    expected = FeatureSettings(turn_forecast=Switch.OFF)
+    expected = FeatureSettings(admission=Switch.OFF, turn_forecast=Switch.OFF)
     assert load_feature_settings(str(DEPLOYED)) == expected
 
 
