--- a/review/rig.py
+++ b/review/rig.py
@@ -16,7 +16,6 @@
 import random
 import signal
 import socket
-import struct
 import subprocess
 import sys
 import tempfile
@@ -417,6 +416,8 @@
         self.cut = False
         #: Called with a task and its run when it begins.
         self.on_start = lambda task, run: None
+        #: Called with a task and a run when a stop of a run there arrives.
+        self.on_stop = lambda task, run: None
         self.last_beat = 0.0
 
     @property
@@ -579,6 +580,8 @@
         task, number = value["task"], value["run"]
         present = self.runs.get(task)
         if present and present["run"] <= number:
+            if not present["stop"]:
+                self.on_stop(task, number)
             present["stop"] = present["stop"] or now() + STOP_S
         self.last[task] = max(self.last.get(task, 0), number)
         return 200, {}
@@ -968,7 +971,11 @@
         self.record("sent", to=node.name, call=f"{method} {path}")
         status, answer = await call(node.front, method, path, body, headers, timeout)
         self.record(
-            "answered", by=node.name, call=f"{method} {path}", status=status, **answer
+            "answered",
+            by=node.name,
+            call=f"{method} {path}",
+            status=status,
+            answer=json.dumps(answer),
         )
         return status, answer
 
@@ -1025,7 +1032,7 @@
                 rig.record("deployment ready", trouble=TROUBLE)
                 await play(rig)
             code = 1 if rig.broken else 0
-        except (RigError, TimeoutError, OSError, struct.error) as error:
+        except Exception as error:
             rig.record("case could not run", error=repr(error))
             print(f"could not run: {error!r}")
         finally:
