--- a/review/rig.py
+++ b/review/rig.py
@@ -343,6 +343,7 @@
         self.open = asyncio.Event()
         self.open.set()
         self.pairs = set()
+        self._tasks = set()
 
     async def start(self):
         """Listen on the port."""
@@ -362,36 +363,39 @@
             pair["silent"] = True
 
     async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
         pair = _Pair(silent=False)
         self.pairs.add(pair)
         up = None
+        pumps = []
         try:
             await self.open.wait()
             up_reader, up = await asyncio.open_connection(*self.target)
-            await asyncio.gather(
-                self._pump(reader, up, pair), self._pump(up_reader, writer, pair)
-            )
+            pumps = [
+                asyncio.create_task(self._pump(reader, up, pair)),
+                asyncio.create_task(self._pump(up_reader, writer, pair)),
+            ]
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
         except (OSError, asyncio.CancelledError):
             pass
         finally:
+            for pump in pumps:
+                pump.cancel()
             self.pairs.discard(pair)
+            self._tasks.discard(asyncio.current_task())
             for end in (writer, up):
                 if end is not None:
                     with contextlib.suppress(Exception):
                         end.close()
 
     async def _pump(self, reader, writer, pair):
-        try:
+        with contextlib.suppress(OSError):
             while data := await reader.read(65536):
                 await self.open.wait()
                 if not pair["silent"]:
                     writer.write(data)
                     await writer.drain()
-        except OSError:
-            pass
-        if not pair["silent"]:
-            with contextlib.suppress(Exception):
-                writer.close()
+            await self.open.wait()
 
 
 class _Pair(dict):
