--- a/review/rig.py
+++ b/review/rig.py
@@ -794,6 +794,7 @@
         environment["CRANBERRYWHEEL_BOOT"] = str(path)
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
+        environment["CRANBERRYWHEEL_METRICS_PORT"] = str(free_port(self.ip))
         self.log = (self.rig.folder / f"{self.name}.log").open("ab")
         self.process = subprocess.Popen(
             ["python3", "deploy/node.py", "--settings", "deploy/node.ini"],
