--- a/review/rig.py
+++ b/review/rig.py
@@ -136,7 +136,8 @@
                 data = json.dumps(value).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(data)}\r\n\r\n".encode() + data
+                    f"Content-Length: {len(data)}\r\n\r\n".encode()
+                    + data
                 )
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
@@ -789,7 +790,9 @@
         path = self.rig.folder / f"{self.name}.json"
         path.write_text(json.dumps(settings))
         environment = {
-            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+            key: os.environ[key]
+            for key in ("PATH", "HOME", "LANG")
+            if key in os.environ
         }
         environment["CRANBERRYWHEEL_BOOT"] = str(path)
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
