--- a/review/rig.py
+++ b/review/rig.py
@@ -81,10 +81,21 @@
 
 
 def free_port(host: str) -> int:
-    """Return a free port of a loopback address."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    """Return a free port below those that the kernel gives to outgoing connections."""
+    while True:
+        port = random.randint(12_000, 31_000)
+        if port in _taken_ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
+        _taken_ports.add(port)
+        return port
+
+
+_taken_ports: set[int] = set()
 
 
 # HTTP
@@ -363,6 +374,12 @@
         for pair in self.pairs:
             pair["silent"] = True
 
+    def stop(self):
+        """Stop listening, and end all connections."""
+        self.server.close()
+        for task in list(self._tasks):
+            task.cancel()
+
     async def _serve(self, reader, writer):
         self._tasks.add(asyncio.current_task())
         pair = _Pair(silent=False)
@@ -848,6 +865,7 @@
             NodeProcess(self, number, zones[number % len(zones)])
             for number in range(nodes)
         ]
+        self.servers = []
         self.version = 0
         self.routes, self.tenants, self.services = [], [], []
         self.broken = []
@@ -915,7 +933,9 @@
             (self.machines_port, self.machines.handle),
         )
         for port, handler in handlers:
-            await HttpServer(HOST, port, handler).start()
+            server = HttpServer(HOST, port, handler)
+            self.servers.append(server)
+            await server.start()
         self.spawn(self.store.expire())
         self.services = self.services or sorted(
             {executor.service for executor in self.executors.values()}
@@ -1013,6 +1033,14 @@
                 node.kill()
         for task in self.tasks:
             task.cancel()
+        for node in self.nodes:
+            if node.process is not None:
+                node.proxy.stop()
+        for server in self.servers:
+            await server.stop()
+        for executor in self.executors.values():
+            await executor.server.stop()
+        await asyncio.sleep(0.2)
 
     def write_record(self):
         """Write ``record.txt``."""
