--- a/review/rig.py
+++ b/review/rig.py
@@ -441,6 +441,7 @@
         #: Called with a task and a run when a stop of a run there arrives.
         self.on_stop = lambda task, run: None
         self.last_beat = 0.0
+        self.lives = 0
 
     @property
     def address(self):
@@ -450,7 +451,9 @@
     async def boot(self):
         """Start a life of the executor, which knows nothing of before."""
         self.born = int(time.time() * 1000)
-        self.steady0 = now() - random.uniform(50, 500)
+        # The clock of a life starts anew; the first one began long before the case.
+        self.steady0 = now() - (0 if self.lives else random.uniform(50, 500))
+        self.lives += 1
         self.fence = self.deadline = self.sequence = self.ends = 0
         self.runs, self.last, self.finished = {}, {}, []
         self.changed = asyncio.Event()
@@ -1062,13 +1065,15 @@
     async def main():
         rig = build()
         code = 2
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(110):
                 await rig.start()
                 rig.record("deployment ready", trouble=TROUBLE)
                 await play(rig)
             code = 1 if rig.broken else 0
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             rig.record("case could not run", error=repr(error))
             print(f"could not run: {error!r}")
         finally:
