--- a/review/rig.py
+++ b/review/rig.py
@@ -410,7 +410,8 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
                 await self.open.wait()
-                if not pair["silent"]:
+                # What is held up is lost if its sender has reset the channel meanwhile.
+                if not pair["silent"] and reader.exception() is None:
                     writer.write(data)
                     await writer.drain()
             await self.open.wait()
