--- a/review/rig.py
+++ b/review/rig.py
@@ -14,6 +14,7 @@
 import os
 import pathlib
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -1047,9 +1048,13 @@
         await asyncio.sleep(0.2)
 
     def write_record(self):
-        """Write ``record.txt``."""
+        """Write ``record.txt``; a task ID.0.1.2 is written as ID.K0.1.2."""
         lines = [
-            " ".join(f"{key}={value}" for key, value in row.items())
+            re.sub(
+                r"\b([0-9a-f]{16})\.(\d+)\.",
+                r"\1.K\2.",
+                " ".join(f"{key}={value}" for key, value in row.items()),
+            )
             for row in self.lines
         ]
         (self.case / "record.txt").write_text("\n".join(lines) + "\n")
