Log what tells how a cancelled submission came into being

Four explanations fit what callers see, and no line told them apart: the first write arrives late (1), the process that took the submission writes it again (2), the cancel read an old state (3), or a notice reaches the leader late (4).

Intake now logs each write without an answer with its ids and duration (2 shows a line after the cancel), a cancel logs what it found and the revision (3 and 4 show a submission with an earlier revision), and the leader logs the revision and age of each submission it adds.

--- a/src/cranberrywheel/node/intake.py
+++ b/src/cranberrywheel/node/intake.py
@@ -103,12 +103,22 @@
             conditions += [(key, 0), (key + FINAL_SUFFIX, 0)]
             puts.append((key, encode_submission(item.submission), 0))
 
+        sent_ms = self._loop.clock.now_ms()
+
         def on_reply(reply: StoreReply) -> None:
             self._active_writes -= 1
             if reply.outcome is Outcome.OK:
                 self._on_stored(
                     [Item(key, value, reply.revision) for key, value, _ in puts]
                 )
+            elif not reply.outcome.is_answer:
+                _log.warning(
+                    "write of submissions not confirmed",
+                    requests=",".join(item.submission.id for item in pending),
+                    outcome=reply.outcome.value,
+                    error=reply.error,
+                    took_ms=self._loop.clock.now_ms() - sent_ms,
+                )
             self._on_written(pending, reply)
             self._start_writes()
 
--- a/src/cranberrywheel/node/leader.py
+++ b/src/cranberrywheel/node/leader.py
@@ -294,12 +294,17 @@
         scheduler = self.scheduler
         if not suffix:
             # Items are sorted by key, so a submission precedes its other records.
+            submission = decode_submission(value)
             scheduler.add_submission(
-                decode_submission(value),
-                now_ms,
-                recovered=not self._submissions_loaded,
+                submission, now_ms, recovered=not self._submissions_loaded
             )
             if self._submissions_loaded:
+                _log.event(
+                    "submission added",
+                    request=submission_id,
+                    revision=item.revision,
+                    age_ms=unix_ms() - submission.accepted_ms,
+                )
                 self.request_pass()
         elif suffix == CANCEL_SUFFIX:
             if self._submissions_loaded:
--- a/src/cranberrywheel/node/submission_calls.py
+++ b/src/cranberrywheel/node/submission_calls.py
@@ -6,6 +6,7 @@
 
 from cranberrywheel.connection.http_loop import HttpLoop, HttpReply, HttpRequest
 from cranberrywheel.json_body import FIELD_ERRORS, decode_object
+from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.node.admission_sync import AdmissionSync, Refusal
 from cranberrywheel.node.intake import Acceptance, Intake
 from cranberrywheel.node.keys import (
@@ -34,6 +35,8 @@
 
 T = t.TypeVar("T")
 
+_log = ComponentLogger("submissions")
+
 
 class SubmissionCalls:
     """Stores, reads and cancels submissions; futures complete on the loop's thread.
@@ -171,6 +174,12 @@
                 retry()
                 return
             item_by_key = {item.key: item for item in reply.items}
+            _log.event(
+                "records read for a cancellation",
+                request=submission_id,
+                found=",".join(item_by_key) or "none",
+                revision=reply.revision,
+            )
             if key + FINAL_SUFFIX in item_by_key or key + CANCEL_SUFFIX in item_by_key:
                 future.set_result(True)
             elif key not in item_by_key:
