Keep a cancelled submission from being stored later

Cause: the 410 rested on a read that found nothing, while the write of the submission was still under way.

A cancel that finds nothing now stores a withdrawal record before it answers. The record takes the key that each write of a submission requires to be absent, so every copy fails, whoever sends or repeats it and whenever it arrives. A conflict with that record is answered 410, not-run, where all conflicts counted as duplicates.

--- a/src/cranberrywheel/node/caller_api.py
+++ b/src/cranberrywheel/node/caller_api.py
@@ -10,6 +10,7 @@
 
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.node.admission_sync import Refusal
+from cranberrywheel.node.cancellation import CancelResult
 from cranberrywheel.node.intake import Acceptance
 from cranberrywheel.node.metrics import Metrics
 from cranberrywheel.platform import callers as wire
@@ -63,11 +64,15 @@
     ) -> "Future[SubmissionState | None]":
         """Read the state of a submission; ``None`` if it does not exist."""
 
-    def cancel(self, submission_id: str, wait_ms: int) -> "Future[bool]":
-        """Cancel a submission; the result is false if it does not exist.
+    def cancel(
+        self, submission_id: str, organisation: str, wait_ms: int
+    ) -> "Future[CancelResult]":
+        """Cancel a submission, or keep it from being stored if it does not exist.
 
         The future stays open if the cancellation cannot be stored within ``wait_ms``
         milliseconds.
+
+        :param organisation: name of the caller's organisation.
         """
 
     def count_waiting(self, queue: Queue) -> "Future[int]":
@@ -203,12 +208,27 @@
                 raise _Rejection(410, "no-such-submission", "not-run")
             return _json_response(200, wire.encode_state(state))
         if request.method == "DELETE":
-            if not self._backend.cancel(submission_id, wait_ms).result(wait_ms / 1000):
-                raise _Rejection(410, "no-such-submission", "not-run")
-            _log.event("cancelled", request=submission_id, queue=queue.name)
-            return _json_response(200, {})
+            return self._cancel(queue, submission_id, organisation, wait_ms)
         raise _Rejection(405, "method-not-allowed", "not-run")
 
+    def _cancel(
+        self, queue: Queue, submission_id: str, organisation: str, wait_ms: int
+    ) -> Response:
+        result = self._backend.cancel(submission_id, organisation, wait_ms).result(
+            wait_ms / 1000
+        )
+        if result is CancelResult.TOO_MANY:
+            raise _Rejection(
+                429,
+                "too-many-cancellations",
+                "not-run",
+                "too many submissions that do not exist were cancelled; send it again",
+            )
+        if result is CancelResult.WITHDRAWN:
+            raise _Rejection(410, "no-such-submission", "not-run")
+        _log.event("cancelled", request=submission_id, queue=queue.name)
+        return _json_response(200, {})
+
     def _submit(
         self,
         request: Request,
@@ -250,6 +270,13 @@
                 "not-run",
                 retry_after_s=self._estimate_store_retry_s(),
             )
+        if acceptance is Acceptance.WITHDRAWN:
+            raise _Rejection(
+                410,
+                "submission-cancelled",
+                "not-run",
+                "it was cancelled before it was stored; submit it with another id",
+            )
         if acceptance is Acceptance.UNKNOWN:
             raise _Rejection(504, "store-answer-lost", "unknown")
         _log.event(
--- a/src/cranberrywheel/node/intake.py
+++ b/src/cranberrywheel/node/intake.py
@@ -11,11 +11,10 @@
 from cranberrywheel.platform.store import Store
 from cranberrywheel.store_messages import Item, Outcome, StoreReply, Write
 from cranberrywheel.submission.model import Submission
-from cranberrywheel.submission.record import encode_submission
+from cranberrywheel.submission.record import decode_withdrawal, encode_submission
 
-#: Submissions in one write: each takes two conditions and one put, and a write holds
-#: at most 32 entries.
-SUBMISSIONS_PER_WRITE = 10
+#: Conditions, puts and deletions that the store accepts in one write.
+MAX_WRITE_ENTRIES = 32
 #: Concurrent writes; while they run, further submissions collect into a larger batch.
 MAX_CONCURRENT_WRITES = 3
 #: Delay before a write that failed is retried.
@@ -27,11 +26,13 @@
 class Acceptance(enum.Enum):
     """Whether a submission was stored.
 
-    ``NOT_STORED``: it is not stored and never will be. ``UNKNOWN``: it may be stored.
+    ``NOT_STORED``: it is not stored and never will be. ``WITHDRAWN``: neither, since
+    its organisation has cancelled it before. ``UNKNOWN``: it may be stored.
     """
 
     STORED = "stored"
     NOT_STORED = "not-stored"
+    WITHDRAWN = "withdrawn"
     UNKNOWN = "unknown"
 
 
@@ -41,6 +42,13 @@
     done: t.Callable[[Acceptance], None]
     deadline_ms: int
     may_be_stored: bool = False
+    #: Revision of the withdrawal record of other organisations; 0 if there is none.
+    withdrawal_revision: int = 0
+
+    @property
+    def entries(self) -> int:
+        """Entries in a write: two conditions, a put and sometimes a deletion."""
+        return 4 if self.withdrawal_revision else 3
 
 
 class Intake:
@@ -85,23 +93,28 @@
     def _start_writes(self) -> None:
         while self._pending and self._active_writes < MAX_CONCURRENT_WRITES:
             by_id: dict[str, _PendingSubmission] = {}
-            # One write may contain each record only once.
-            while self._pending and len(by_id) < SUBMISSIONS_PER_WRITE:
-                if self._pending[0].submission.id in by_id:
+            entries = 0
+            while self._pending:
+                item = self._pending[0]
+                entries += item.entries
+                # One write may contain each record only once.
+                if item.submission.id in by_id or entries > MAX_WRITE_ENTRIES:
                     break
-                item = self._pending.popleft()
-                by_id[item.submission.id] = item
+                by_id[item.submission.id] = self._pending.popleft()
             self._write(list(by_id.values()))
 
     def _write(self, pending: list[_PendingSubmission]) -> None:
         self._active_writes += 1
         conditions: list[tuple[str, int]] = []
         puts: list[tuple[str, bytes, int]] = []
+        deletes: list[str] = []
         for item in pending:
             key = submission_key(item.submission.id)
             # Revision 0 requires that the key is absent; lease 0 means no lease.
-            conditions += [(key, 0), (key + FINAL_SUFFIX, 0)]
+            conditions += [(key, 0), (key + FINAL_SUFFIX, item.withdrawal_revision)]
             puts.append((key, encode_submission(item.submission), 0))
+            if item.withdrawal_revision:
+                deletes.append(key + FINAL_SUFFIX)
 
         sent_ms = self._loop.clock.now_ms()
 
@@ -122,15 +135,15 @@
             self._on_written(pending, reply)
             self._start_writes()
 
-        self._store.write(Write(tuple(conditions), tuple(puts)), on_reply)
+        write = Write(tuple(conditions), tuple(puts), tuple(deletes))
+        self._store.write(write, on_reply)
 
     def _on_written(self, pending: list[_PendingSubmission], reply: StoreReply) -> None:
         if reply.outcome is Outcome.OK:
             for item in pending:
                 item.done(Acceptance.STORED)
         elif reply.outcome is Outcome.CONFLICT and len(pending) == 1:
-            # The submission is already stored, so this one is a duplicate.
-            pending[0].done(Acceptance.STORED)
+            self._on_conflict(pending[0], reply)
         elif reply.outcome is Outcome.CONFLICT:
             for item in pending:
                 self._write([item])
@@ -139,6 +152,27 @@
                 item.may_be_stored |= reply.outcome is not Outcome.NOT_DONE
                 self._retry_or_fail(item)
 
+    def _on_conflict(self, item: _PendingSubmission, reply: StoreReply) -> None:
+        """Tell a duplicate of a stored submission from one that was withdrawn."""
+        key = submission_key(item.submission.id)
+        found_by_key = {found.key: found for found in reply.items}
+        final = found_by_key.get(key + FINAL_SUFFIX)
+        withdrawn_by = decode_withdrawal(final.value or b"") if final else frozenset()
+        if item.submission.organisation in withdrawn_by:
+            _log.event(
+                "submission was withdrawn before",
+                request=item.submission.id,
+                organisation=item.submission.organisation,
+            )
+            item.done(Acceptance.WITHDRAWN)
+        elif key in found_by_key or (final and not withdrawn_by):
+            item.done(Acceptance.STORED)
+        else:
+            # Only other organisations have withdrawn this id, or the record was deleted
+            # in the meantime.
+            item.withdrawal_revision = final.revision if final else 0
+            self._retry_or_fail(item)
+
     def _retry_or_fail(self, item: _PendingSubmission) -> None:
         has_time_left = self._loop.clock.now_ms() + RETRY_MS < item.deadline_ms
         # After an attempt with an unknown outcome a retry shows whether it was stored.
--- a/src/cranberrywheel/node/keys.py
+++ b/src/cranberrywheel/node/keys.py
@@ -13,6 +13,7 @@
 #: Submissions; records that belong to one add a suffix to its key.
 SUBMISSION_PREFIX = "cw/j/"
 PROGRESS_SUFFIX = "/p"
+#: How a submission ended or, as a withdrawal record, that it must not be stored.
 FINAL_SUFFIX = "/f"
 CANCEL_SUFFIX = "/x"
 #: Progress of maintenance waves, from which a new leader learns the completed machines.
--- a/src/cranberrywheel/node/leader.py
+++ b/src/cranberrywheel/node/leader.py
@@ -21,6 +21,7 @@
 from cranberrywheel.node.maintenance import MaintenanceController
 from cranberrywheel.node.progress_writer import ProgressWriter
 from cranberrywheel.node.watch import PrefixWatch
+from cranberrywheel.node.withdrawal_cleanup import WithdrawalCleanup
 from cranberrywheel.platform import executors as wire
 from cranberrywheel.platform.evacuations import EVACUATION_PREFIX
 from cranberrywheel.platform.machines import MachineClient
@@ -42,6 +43,7 @@
     decode_final_state,
     decode_progress,
     decode_submission,
+    decode_withdrawal,
 )
 from cranberrywheel.submission.scheduler import Scheduler
 
@@ -139,6 +141,7 @@
         self._progress_writer = ProgressWriter(
             loop, store, scheduler, self.request_pass, step_down
         )
+        self._withdrawal_cleanup = WithdrawalCleanup(loop, store, scheduler.fence)
         self.maintenance: MaintenanceController | None = None
         if machines is not None:
             self.maintenance = MaintenanceController(
@@ -189,6 +192,7 @@
         self._executor_calls.stop()
         self._executor_records.stop()
         self._progress_writer.stop()
+        self._withdrawal_cleanup.stop()
         if self.maintenance:
             self.maintenance.stop()
 
@@ -278,6 +282,7 @@
     def _on_submission_item(self, item: Item) -> None:
         submission_id, suffix = split_submission_key(item.key)
         if item.value is None:
+            self._withdrawal_cleanup.remove(item.key)
             return
         try:
             self._apply_record(submission_id, suffix, item)
@@ -314,6 +319,8 @@
                 self._cancelled_while_loading.add(submission_id)
         elif suffix == PROGRESS_SUFFIX and not self._submissions_loaded:
             scheduler.restore(submission_id, decode_progress(value), item.revision)
+        elif suffix == FINAL_SUFFIX and decode_withdrawal(value):
+            self._withdrawal_cleanup.add(item)
         elif suffix == FINAL_SUFFIX:
             scheduler.final_state_by_id[submission_id] = decode_final_state(value)
 
@@ -343,6 +350,7 @@
             self._log_load()
             self._log_evacuations()
         self._executor_calls.poll_all()
+        self._withdrawal_cleanup.delete_due()
 
     def _log_load(self) -> None:
         """Log the load of each pool, so that a late submission can be explained."""
--- a/src/cranberrywheel/node/submission_calls.py
+++ b/src/cranberrywheel/node/submission_calls.py
@@ -6,8 +6,8 @@
 
 from cranberrywheel.connection.http_loop import HttpLoop, HttpReply, HttpRequest
 from cranberrywheel.json_body import FIELD_ERRORS, decode_object
-from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.node.admission_sync import AdmissionSync, Refusal
+from cranberrywheel.node.cancellation import Cancellations, CancelResult
 from cranberrywheel.node.intake import Acceptance, Intake
 from cranberrywheel.node.keys import (
     CANCEL_SUFFIX,
@@ -25,18 +25,16 @@
 )
 from cranberrywheel.node.store_route import PEER_TIMEOUT_MS
 from cranberrywheel.platform.store import Store
-from cranberrywheel.store_messages import Item, Outcome, StoreReply, Write
+from cranberrywheel.store_messages import Item, Outcome, StoreReply
 from cranberrywheel.submission.demand import count_waiting_submissions
 from cranberrywheel.submission.model import Queue, Submission, SubmissionState
-from cranberrywheel.submission.record import decode_final_state
+from cranberrywheel.submission.record import decode_final_state, decode_withdrawal
 
 #: Delay before a failed store or peer call is repeated.
 RETRY_MS = 250
 
 T = t.TypeVar("T")
 
-_log = ComponentLogger("submissions")
-
 
 class SubmissionCalls:
     """Stores, reads and cancels submissions; futures complete on the loop's thread.
@@ -64,6 +62,7 @@
         self._own_address = own_address
         self._find_leader = find_leader
         self._intake = Intake(loop, store, can_write, self.notify_leader)
+        self._cancellations = Cancellations(loop, store, self.notify_leader)
 
     def _run_on_loop(self, begin: t.Callable[["Future[T]"], None]) -> "Future[T]":
         future: Future[T] = Future()
@@ -112,7 +111,7 @@
             self._store.read_all(key, on_items)
 
         def on_items(reply: StoreReply) -> None:
-            # After the deadline the future stays open, as in _cancel().
+            # After the deadline the future stays open: CallerApi has stopped waiting.
             if reply.outcome is Outcome.OK:
                 value_by_key = {item.key: item.value or b"" for item in reply.items}
                 future.set_result(_state_from_records(key, value_by_key))
@@ -143,60 +142,18 @@
         self._loop.call(request, on_reply)
         return True
 
-    def cancel(self, submission_id: str, wait_ms: int) -> "Future[bool]":
-        """Cancel a submission; see ``Backend.cancel``.
-
-        :returns: true once the cancellation is stored or the submission has ended;
-            false if the submission does not exist. The future stays open if neither
-            is known within ``wait_ms`` milliseconds.
-        """
-        return self._run_on_loop(
-            lambda future: self._cancel(
-                submission_id, self._loop.clock.now_ms() + wait_ms, future
-            )
-        )
+    def cancel(
+        self, submission_id: str, organisation: str, wait_ms: int
+    ) -> "Future[CancelResult]":
+        """Cancel a submission; see ``Backend.cancel``."""
 
-    def _cancel(
-        self, submission_id: str, deadline_ms: int, future: "Future[bool]"
-    ) -> None:
-        key = submission_key(submission_id)
-
-        def retry() -> None:
-            # After the deadline the future stays open: CallerApi stops waiting for it
-            # and tells the caller that the outcome is unknown.
-            if self._loop.clock.now_ms() + RETRY_MS < deadline_ms:
-                self._loop.after(
-                    RETRY_MS, lambda: self._cancel(submission_id, deadline_ms, future)
-                )
-
-        def on_items(reply: StoreReply) -> None:
-            if reply.outcome is not Outcome.OK:
-                retry()
-                return
-            item_by_key = {item.key: item for item in reply.items}
-            _log.event(
-                "records read for a cancellation",
-                request=submission_id,
-                found=",".join(item_by_key) or "none",
-                revision=reply.revision,
+        def begin(future: "Future[CancelResult]") -> None:
+            deadline_ms = self._loop.clock.now_ms() + wait_ms
+            self._cancellations.cancel(
+                submission_id, organisation, deadline_ms, future.set_result
             )
-            if key + FINAL_SUFFIX in item_by_key or key + CANCEL_SUFFIX in item_by_key:
-                future.set_result(True)
-            elif key not in item_by_key:
-                future.set_result(False)
-            else:
-                conditions = ((key, item_by_key[key].revision),)
-                put = (key + CANCEL_SUFFIX, b"{}", 0)  # 0: no lease
-                self._store.write(Write(conditions, (put,)), on_written)
-
-        def on_written(reply: StoreReply) -> None:
-            if reply.outcome is Outcome.OK:
-                self.notify_leader([Item(key + CANCEL_SUFFIX, b"{}", reply.revision)])
-                future.set_result(True)
-            else:
-                retry()
 
-        self._store.read_all(key, on_items)
+        return self._run_on_loop(begin)
 
     def notify_leader(self, items: t.Sequence[Item]) -> None:
         """Pass records that were just stored on to the leader, ahead of its watch.
@@ -251,7 +208,7 @@
 ) -> SubmissionState | None:
     final = value_by_key.get(key + FINAL_SUFFIX)
     if final is not None:
-        return decode_final_state(final)
+        return None if decode_withdrawal(final) else decode_final_state(final)
     if key not in value_by_key:
         return None
     if key + CANCEL_SUFFIX in value_by_key:
--- a/src/cranberrywheel/submission/record.py
+++ b/src/cranberrywheel/submission/record.py
@@ -1,7 +1,8 @@
 """Encoding of the submission records in the store.
 
 A submission has a record of its own and one of its progress, which a final record
-replaces when it ends.
+replaces when it ends. A withdrawal record under the key of the final record keeps a
+submission from being stored that was cancelled before.
 """
 
 import dataclasses
@@ -215,6 +216,25 @@
     return _encode_compact_json({"state": state.value, "queue": queue})
 
 
+def encode_withdrawal(organisations: t.Collection[str]) -> bytes:
+    """Encode a withdrawal record.
+
+    :param organisations: those that have cancelled the submission.
+    """
+    return _encode_compact_json({"withdrawn_by": sorted(organisations)})
+
+
+def decode_withdrawal(value: bytes) -> frozenset[str]:
+    """Return the organisations in a withdrawal record; empty for any other record."""
+    try:
+        names = decode_object(value).get("withdrawn_by", ())
+    except ValueError:
+        return frozenset()
+    if type(names) is not list:
+        return frozenset()
+    return frozenset(name for name in names if type(name) is str)
+
+
 def decode_final_state(value: bytes) -> SubmissionState:
     """Decode the state in a final record.
 
--- a/tests/leader_harness.py
+++ b/tests/leader_harness.py
@@ -68,13 +68,14 @@
     *steps: Step,
     queue: Queue = QUEUE,
     accepted_ms: int = UNIX_START_MS,
+    organisation: str = "org",
 ) -> Submission:
-    """Build a submission of ``org``; by default one step with one task."""
+    """Build a submission; by default one step with one task."""
     return Submission(
         id=submission_id,
         queue=queue.key,
         service=queue.service,
-        organisation="org",
+        organisation=organisation,
         payload="work",
         steps=steps or (make_step(),),
         accepted_ms=accepted_ms,
