Discard writes to the store whose calls have been given up

A write that a partition held up was delivered when it ended, however long after its call had timed out or its process had ended: the socket was closed in an orderly way, and the system went on sending. The conditions of writes decide what a late one may do; this bounds how late it can be, on which the retention time of withdrawal records rests.

Connections to the store, and to the peer that relays for it, are now closed with a reset like those of machine orders. Reads share them, so theirs are reset too.

test_unanswered_write_to_the_store_resets_its_connection failed before and passes.

--- a/src/cranberrywheel/platform/store.py
+++ b/src/cranberrywheel/platform/store.py
@@ -93,6 +93,9 @@
 ) -> HttpRequest:
     """Build a request, whose answer may be large if it is a read.
 
+    A write that a partition holds up is discarded when its call is given up. Reads use
+    the same connections, so theirs are reset too.
+
     :param timeout_ms: longest time until the answer begins.
     """
     progress_timeout_ms = PROGRESS_TIMEOUT_MS if method == "GET" else 0
@@ -104,6 +107,7 @@
         data,
         timeout_ms=timeout_ms,
         progress_timeout_ms=progress_timeout_ms,
+        resets_connection=True,
         sent_once=is_write,
     )
 
--- a/tests/test_resetting_connections.py
+++ b/tests/test_resetting_connections.py
@@ -8,6 +8,8 @@
 from cranberrywheel.clock import Clock
 from cranberrywheel.connection.http_loop import HttpLoop, HttpRequest
 from cranberrywheel.platform.machines import MachineClient
+from cranberrywheel.platform.store import Store
+from cranberrywheel.store_messages import Outcome, Write
 
 #: Of calls that get no answer.
 TIMEOUT_MS = 100
@@ -19,17 +21,20 @@
 class Server(SocketServer):
     """Answers nothing until told to, and records how its connections end.
 
+    :param answers: whether requests are answered.
+    :param answers_reads: whether those that read are answered nevertheless.
     :ivar ends: how each connection ended: an error or ``None`` for an orderly end.
     """
 
-    def __init__(self, answers):
+    def __init__(self, answers, answers_reads=False):
         self._answers = answers
+        self._answers_reads = answers_reads
         self.ends = []
         self.ended = threading.Event()
         super().__init__()
 
     def answer(self, connection, request):
-        if self._answers:
+        if self._answers or (self._answers_reads and request.startswith(b"GET")):
             connection.sendall(ANSWER)
             return
         error = None
@@ -103,3 +108,33 @@
     client.begin_maintenance("m", 1, 1, lambda verdict: None)
     client.read_all(lambda machines: None)
     assert [request.resets_connection for request in requests] == [True] * 3
+
+
+def test_unanswered_write_to_the_store_resets_its_connection(loop):
+    """Guards against a write that a partition holds up and delivers minutes later.
+
+    The write uses a connection that a read has opened.
+    """
+    server = Server(answers=False, answers_reads=True)
+    replies = []
+    replied = threading.Event()
+    timeouts_ms = iter([ANSWER_TIMEOUT_MS, TIMEOUT_MS])
+    store = Store(
+        loop, server.address, lambda result: None, timeout=lambda: next(timeouts_ms)
+    )
+
+    def on_written(reply):
+        replies.append(reply)
+        replied.set()
+
+    def write_after_read():
+        store.read(
+            "key", lambda reply: store.write(Write(puts=(("key", b"", 0),)), on_written)
+        )
+
+    loop.post(write_after_read)
+    assert replied.wait(30) and server.ended.wait(30)
+    assert [reply.outcome for reply in replies] == [Outcome.UNKNOWN]
+    assert len(server.connections) == 1
+    assert [isinstance(error, ConnectionResetError) for error in server.ends] == [True]
+    server.close()
