Apply cancellations that are reported before their submissions

Cause: the leader ignored the cancellation of a submission that it did not know, and took it for reported. Notices overtake each other, one is lost, or a read in pages finds the second record without the first.

The leader keeps such a cancellation until the submission is reported, as it did while loading, and logs which state the submission had.

--- a/src/cranberrywheel/node/leader.py
+++ b/src/cranberrywheel/node/leader.py
@@ -110,7 +110,9 @@
         self._load_logged_ms = 0
         self._executors_loaded = False
         self._submissions_loaded = False
-        self._cancelled_while_loading: set[str] = set()
+        #: Submissions whose cancellation was reported before their record: notices may
+        #: overtake each other, and the pages of a read are no snapshot.
+        self._cancelled_before_added: set[str] = set()
         self._executor_watch = PrefixWatch(
             loop,
             store,
@@ -236,9 +238,8 @@
             scheduler, self._handover_record, self._loop.clock.now_ms()
         )
         self._handover_record = EMPTY_HANDOVER_RECORD
-        for submission_id in self._cancelled_while_loading:
-            scheduler.cancel(submission_id, self._loop.clock.now_ms())
-        self._cancelled_while_loading.clear()
+        for submission_id in list(self._cancelled_before_added):
+            self._cancel_if_added(submission_id)
         if self.maintenance:
             self.maintenance.start()
         self._executor_calls.start()
@@ -283,6 +284,8 @@
         submission_id, suffix = split_submission_key(item.key)
         if item.value is None:
             self._withdrawal_cleanup.remove(item.key)
+            if suffix == CANCEL_SUFFIX:
+                self._cancelled_before_added.discard(submission_id)
             return
         try:
             self._apply_record(submission_id, suffix, item)
@@ -310,13 +313,14 @@
                     revision=item.revision,
                     age_ms=unix_ms() - submission.accepted_ms,
                 )
+                if submission_id in self._cancelled_before_added:
+                    self._cancel_if_added(submission_id)
                 self.request_pass()
         elif suffix == CANCEL_SUFFIX:
+            self._cancelled_before_added.add(submission_id)
             if self._submissions_loaded:
-                scheduler.cancel(submission_id, now_ms)
+                self._cancel_if_added(submission_id)
                 self.request_pass()
-            else:
-                self._cancelled_while_loading.add(submission_id)
         elif suffix == PROGRESS_SUFFIX and not self._submissions_loaded:
             scheduler.restore(submission_id, decode_progress(value), item.revision)
         elif suffix == FINAL_SUFFIX and decode_withdrawal(value):
@@ -324,6 +328,18 @@
         elif suffix == FINAL_SUFFIX:
             scheduler.final_state_by_id[submission_id] = decode_final_state(value)
 
+    def _cancel_if_added(self, submission_id: str) -> None:
+        """Cancel a submission, or keep the cancellation until it is added."""
+        state = self.scheduler.get_state(submission_id)
+        _log.event(
+            "cancellation reported",
+            request=submission_id,
+            state=state.value if state else "not-added",
+        )
+        if state is not None:
+            self._cancelled_before_added.discard(submission_id)
+            self.scheduler.cancel(submission_id, self._loop.clock.now_ms())
+
     # Scheduling passes and orders, which are commands to executors
 
     def request_pass(self) -> None:
--- a/tests/test_leader_notices.py
+++ b/tests/test_leader_notices.py
@@ -45,6 +45,38 @@
     assert not any(x.runs for x in harness.fleet.executors_by_id.values())
 
 
+def test_cancellation_that_overtakes_its_submission_is_applied(harness):
+    """Guards against a cancelled submission that runs until the leader changes.
+
+    The notice of the submission is lost and that of its cancellation is not, while the
+    watch of the leader is silent.
+    """
+    harness.notifies = False
+    harness.submit(make_submission("s1", make_step(4)), long_running=True)
+    harness.notifies = True
+    harness.cancel("s1")
+    harness.leader_client.watches_silent = False
+    harness.run_for(5_000)
+    assert not any(x.runs for x in harness.fleet.executors_by_id.values())
+    assert harness.scheduler.get_state("s1") is SubmissionState.CANCELLED
+    assert "cw/j/s1/x" not in harness.store.item_by_key
+
+
+def test_cancellation_that_is_read_before_its_submission_is_applied(harness):
+    """Guards against the same fault after a read whose pages are no snapshot.
+
+    A later page holds the cancellation of a submission that was stored after the page
+    on which it would be.
+    """
+    harness.store.put("cw/j/s1/x", b"{}")
+    harness.start_leader()
+    harness.run_for(500)
+    harness.submit(make_submission("s1", make_step(4)), long_running=True)
+    harness.run_for(5_000)
+    assert not any(x.runs for x in harness.fleet.executors_by_id.values())
+    assert harness.scheduler.get_state("s1") is SubmissionState.CANCELLED
+
+
 def test_late_notice_of_an_ended_submission_starts_nothing(harness):
     """Guards against a second run after a notice that arrives late or twice."""
     harness.submit(make_submission("s1"), 300)
