Repeat the stop of a start without an answer until it is confirmed

Two runs of one task were possible: a start without an answer is given up once its stop is confirmed, the executor restarts, and the stop that is sent to the new process is lost. Nothing repeated it, so the new process would carry the late start out. An unanswered start now keeps its run for the time in which it may arrive, and its stop is repeated like that of a tracked run.

test_stop_of_a_given_up_start_at_a_new_boot_is_repeated_until_confirmed failed before and passes; test_confirmed_stop_of_a_given_up_start_is_not_repeated guards the cost.

--- a/src/cranberrywheel/submission/executor.py
+++ b/src/cranberrywheel/submission/executor.py
@@ -5,7 +5,7 @@
 import typing as t
 
 from cranberrywheel.submission.executor_orders import ExecutorEntry
-from cranberrywheel.submission.live import LiveSubmission, Run, StepRun
+from cranberrywheel.submission.live import LiveSubmission, Run, RunState, StepRun
 from cranberrywheel.submission.model import NO_RESOURCES, Resources
 
 #: An executor's clock may be 2% slow, so a lease may last that much longer there.
@@ -55,6 +55,17 @@
         return live is None or live.final_stored or live.stored_version >= self.version
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnansweredStart:
+    """A start that got no answer, so that a stop of its run was ordered.
+
+    :param until_ms: steady time until which it may be carried out, in milliseconds.
+    """
+
+    run: Run
+    until_ms: int
+
+
 class Executor:
     """An executor and the runs that may be on it. Times are steady milliseconds.
 
@@ -112,8 +123,8 @@
     :ivar untracked_runs: runs that it listed last and that the leader does not track,
         such as those of ended submissions after a takeover; they are being stopped.
         Their size may be unknown, so nothing starts beside them.
-    :ivar unanswered_starts: when starts without an answer were given up, by name of the
-        task and number of the run; the executor may carry them out late.
+    :ivar unanswered_starts: starts without an answer, by name of the task and number of
+        the run; the executor may carry them out late.
     :ivar isolated_for: only this submission may begin runs on it, because it may crash
         its executors; ``None`` for all, see :mod:`.crash_attribution`.
     :ivar isolated_until_ms: until when it is kept free for that submission.
@@ -166,7 +177,7 @@
         self.ended_visibly = False
         self.ended_ms = 0
         self.untracked_runs: frozenset[tuple[str, int]] = frozenset()
-        self.unanswered_starts: dict[tuple[str, int], int] = {}
+        self.unanswered_starts: dict[tuple[str, int], UnansweredStart] = {}
         self.isolated_for: LiveSubmission | None = None
         self.isolated_until_ms = 0
         self.background_count = 0
@@ -220,22 +231,26 @@
     def note_unanswered_start(self, run: Run, now_ms: int) -> None:
         """Remember a start without an answer, which may be carried out late."""
         self.unanswered_starts = {
-            key: self.unanswered_starts[key]
-            for key in self.list_unanswered_starts(now_ms)
+            key: start
+            for key, start in self.unanswered_starts.items()
+            if now_ms < start.until_ms
         }
-        self.unanswered_starts[run.key] = now_ms
-
-    def list_unanswered_starts(self, now_ms: int) -> list[tuple[str, int]]:
-        """Return the starts that may still be carried out."""
-        return [
-            key
-            for key, noted_ms in self.unanswered_starts.items()
-            if now_ms - noted_ms < LATE_START_MS
-        ]
+        self.unanswered_starts[run.key] = UnansweredStart(run, now_ms + LATE_START_MS)
 
     def has_unanswered_starts(self, now_ms: int) -> bool:
         """Tell whether a start may still be carried out."""
-        return bool(self.list_unanswered_starts(now_ms))
+        return any(now_ms < start.until_ms for start in self.unanswered_starts.values())
+
+    def list_stopping_runs(self, now_ms: int) -> list[Run]:
+        """Return the runs that it must stop, or must not start if they arrive late."""
+        untracked = [
+            start.run
+            for key, start in self.unanswered_starts.items()
+            if now_ms < start.until_ms and key not in self.runs
+        ]
+        return untracked + [
+            run for run in self.runs.values() if run.state is RunState.STOPPING
+        ]
 
     def is_behind(self, clock_ms: int, sent_ms: int) -> bool:
         """Tell whether an answer's clock is too early for the known boot.
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -286,18 +286,18 @@
             self.forget_executor(executor)
             self.actions.append(actions.DeleteExecutorRecord(executor.id))
             return
+        for run in executor.list_stopping_runs(now_ms):
+            if (
+                not run.stop_confirmed_ms
+                and now_ms - run.stop_sent_ms > STOP_RETRY_MS
+                and executor.reachable
+            ):
+                run.stop_sent_ms = now_ms
+                self.actions.append(
+                    actions.StopRun(executor.id, run.task.name, run.number, run)
+                )
         for run in list(executor.runs.values()):
-            if run.state is RunState.STOPPING:
-                if (
-                    not run.stop_confirmed_ms
-                    and now_ms - run.stop_sent_ms > STOP_RETRY_MS
-                    and executor.reachable
-                ):
-                    run.stop_sent_ms = now_ms
-                    self.actions.append(
-                        actions.StopRun(executor.id, run.task.name, run.number, run)
-                    )
-            elif run.state is RunState.RUNNING and is_stalled(
+            if run.state is RunState.RUNNING and is_stalled(
                 run, executor, self.duration_estimates, now_ms
             ):
                 record_fault(executor, now_ms)
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -389,16 +389,12 @@
         The new boot knows nothing of these stops, so it would carry out a start that
         arrives late.
         """
-        for run in executor.runs.values():
-            if run.state is RunState.STOPPING:
-                run.stop_confirmed_ms = 0
-                run.stop_sent_ms = now_ms
-                self.actions.append(
-                    actions.StopRun(executor.id, run.task.name, run.number, run)
-                )
-        for task, number in executor.list_unanswered_starts(now_ms):
-            if (task, number) not in executor.runs:
-                self.actions.append(actions.StopRun(executor.id, task, number))
+        for run in executor.list_stopping_runs(now_ms):
+            run.stop_confirmed_ms = 0
+            run.stop_sent_ms = now_ms
+            self.actions.append(
+                actions.StopRun(executor.id, run.task.name, run.number, run)
+            )
 
     def stop_run(self, run: Run, now_ms: int, reason: str) -> None:
         """Order the stop of a run, unless one is ordered already.
--- a/tests/test_evidence_of_ends.py
+++ b/tests/test_evidence_of_ends.py
@@ -64,7 +64,6 @@
     assert [s.number for s in stops(scheduler) if s.task == run.task.name] == [1]
 
 
-@pytest.mark.known_red
 def test_stop_of_a_given_up_start_at_a_new_boot_is_repeated_until_confirmed():
     """Guards against a late start at a new process that never got the stop."""
     scheduler = make_scheduler("a", "b")
@@ -80,6 +79,19 @@
     raise AssertionError("the stop is never sent again")
 
 
+def test_confirmed_stop_of_a_given_up_start_is_not_repeated():
+    """Guards against a stop every half second for each start without an answer."""
+    scheduler = make_scheduler("a", "b")
+    a, run = given_up(scheduler)
+    scheduler.put_executor(make_entry(a, 200), NOW_MS + 1_000)
+    (stop,) = stops(scheduler)
+    scheduler.on_poll_reply(a, make_poll_reply(10, 200), NOW_MS + 1_010, NOW_MS + 1_012)
+    scheduler.on_stop_reply(stop.run, OrderReply(OrderVerdict.OK, 20), NOW_MS + 1_020)
+    for ms in range(1_100, 4_000, 100):
+        scheduler.tick(NOW_MS + ms, 0)
+    assert stops(scheduler) == []
+
+
 def test_forgotten_executor_that_comes_back_gets_stops_of_late_starts():
     """Guards against a late start at an executor that was forgotten meanwhile."""
     scheduler = make_scheduler("a", "b")
