Count a machine as down until a later reading shows that it is up

Cause: a reading of the list that was requested before an order took effect was applied after its answer, so the machine was neither draining nor down. An order without an answer that is repeated and answered busy, and an order of the leader before, had the same effect.

An answered order counts until a reading that was requested later is applied, and a machine at which an order of an earlier leader may arrive counts too. Both log lines name the reading.

--- a/src/cranberrywheel/node/machine_occupants.py
+++ b/src/cranberrywheel/node/machine_occupants.py
@@ -18,12 +18,14 @@
     The platform also answers an order with success if it was carried out before, when
     another executor may be on the machine. The end of an executor is therefore taken
     from the list only.
+
+    :ivar applied_reading: number of the last reading that was applied.
     """
 
     def __init__(self, scheduler: Scheduler) -> None:
         self._scheduler = scheduler
         self._reading_count = 0
-        self._applied_reading = 0
+        self.applied_reading = 0
         self._executor_id_by_machine: dict[str, str] = {}
         #: Executors that a reading has shown to have ended, by machine.
         self._ended_ids_by_machine: dict[str, set[str]] = {}
@@ -31,6 +33,11 @@
         #: that were requested before.
         self._ordered_by_machine: dict[str, tuple[Executor, int]] = {}
 
+    @property
+    def last_reading(self) -> int:
+        """Number of the last reading that was requested."""
+        return self._reading_count
+
     def begin_reading(self) -> int:
         """Return the number of a reading that is requested now."""
         self._reading_count += 1
@@ -52,9 +59,9 @@
         :param number: its number from :meth:`begin_reading`.
         :returns: false if a later reading has been applied before.
         """
-        if number <= self._applied_reading:
+        if number <= self.applied_reading:
             return False
-        self._applied_reading = number
+        self.applied_reading = number
         for machine in machines:
             ended_ids = self._ended_ids_by_machine.setdefault(machine.id, set())
             if machine.executor_id in ended_ids:
--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -154,6 +154,7 @@
                 machines, self._map_executors_by_machine(), reserved
             )
         for key, state in self._state_by_key.items():
+            state.settle_orders(number)
             if not state.completed:
                 self._advance_wave(key, state)
 
@@ -181,9 +182,15 @@
             compute_pressure_by_service(self._scheduler, now_ms),
             self._scheduler.timing.maintenance_ms,
             now_ms,
+            lambda machine_id: not self._orders.may_order(machine_id),
         ):
             state.draining_since_ms[machine_id] = now_ms
-            _log.event("draining machine", wave=state.wave.number, machine=machine_id)
+            _log.event(
+                "draining machine",
+                wave=state.wave.number,
+                machine=machine_id,
+                reading=self._occupants.applied_reading,
+            )
         for machine_id, since_ms in list(state.draining_since_ms.items()):
             executor = executors.get(machine_id)
             if executor is not None:
@@ -233,7 +240,9 @@
                 runs=len(executor.runs) if executor else 0,
                 outcome=verdict.value,
                 fence=self._scheduler.fence,
+                reading=self._occupants.last_reading,
             )
+            state.last_reading_by_ordered[machine_id] = self._occupants.last_reading
             if (
                 verdict is MachineOrderVerdict.OK
                 or verdict is MachineOrderVerdict.OTHER_WAVE
--- a/src/cranberrywheel/submission/maintenance.py
+++ b/src/cranberrywheel/submission/maintenance.py
@@ -43,6 +43,8 @@
     :ivar begun: machines whose maintenance has begun.
     :ivar draining_since_ms: machines that accept no new runs, and since when.
     :ivar orders_in_flight: machines with an order that is not settled.
+    :ivar last_reading_by_ordered: number of the last reading of the machine list that
+        was requested before an order for a machine was answered.
     :ivar missing_since_ms: machines missing from the platform's list, and since when.
     :ivar completed: the wave needs nothing more.
     :ivar reported_status: status that was last stored for the operators.
@@ -54,6 +56,7 @@
     begun: set[str] = dataclasses.field(default_factory=set)
     draining_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     orders_in_flight: set[str] = dataclasses.field(default_factory=set)
+    last_reading_by_ordered: dict[str, int] = dataclasses.field(default_factory=dict)
     missing_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     completed: bool = False
     reported_status: bytes = b""
@@ -70,6 +73,17 @@
             else:
                 self.missing_since_ms.setdefault(machine, now_ms)
 
+    def settle_orders(self, reading: int) -> None:
+        """Forget the orders whose effect a reading of the machine list shows.
+
+        :param reading: number of the reading.
+        """
+        self.last_reading_by_ordered = {
+            machine: last_reading
+            for machine, last_reading in self.last_reading_by_ordered.items()
+            if last_reading >= reading
+        }
+
     def is_finished(self, now_ms: int) -> bool:
         """Tell whether maintenance has begun on every machine that was not removed."""
         return all(
@@ -122,17 +136,25 @@
     pressure_by_pool: t.Mapping[str, float],
     maintenance_ms: int,
     now_ms: int,
+    may_go_down: t.Callable[[str], bool] = lambda machine_id: False,
 ) -> list[str]:
     """Return the machines that should be drained next, from the idlest pool on.
 
+    A machine whose order is not settled counts as down, whatever the list shows: the
+    reading may be older than the order.
+
     :param pressure_by_pool: cpu that short work uses and waits for, as a fraction of
         the pool's capacity.
     :param maintenance_ms: duration of the maintenance of one machine.
+    :param may_go_down: tells whether an order of an earlier leader for a machine may
+        still arrive.
     """
     down = sum(
-        _is_down_for(state, machines_by_id[machine])
+        machine in state.last_reading_by_ordered
+        or may_go_down(machine)
+        or (machine in machines_by_id and _is_down_for(state, machines_by_id[machine]))
         for machine in state.wave.machines
-        if machine in machines_by_id and machine not in state.draining_since_ms
+        if machine not in state.draining_since_ms
     )
     free_slots = state.wave.max_concurrent - down - len(state.draining_since_ms)
     remaining_by_pool: dict[str, list[str]] = {}
