Blame a task only for crashes that were seen just after its start

Cause: any restart of an executor counted that came before its next sign of life, which takes 0.9 s while a poll is held open, and no count ever expired.

A crash now counts only if the process was seen to end within 0.4 s of the start, within 0.1 s for tasks that last, and a run that outlives the time of suspicion clears its task.

--- a/src/cranberrywheel/submission/crash_attribution.py
+++ b/src/cranberrywheel/submission/crash_attribution.py
@@ -6,7 +6,8 @@
 
 A crash is held against the runs that had just begun. Their tasks start again on
 isolated executors, on which nothing else begins meanwhile, so that a second crash shows
-which submission causes them.
+which submission causes them. A task that crashes its executors does so whenever it
+starts, so one run that outlives the time of suspicion clears its task.
 """
 
 import typing as t
@@ -40,24 +41,28 @@
 
 
 def may_have_crashed(run: Run, executor: Executor) -> bool:
-    """Tell whether a run may be the cause if its executor has crashed.
+    """Tell whether a run may be the cause of the end of its executor's process.
 
-    It is not if the executor has shown a sign of life long enough after the run began.
+    It is not if the process was seen to end long enough after the run began.
+
+    :param executor: one whose process has ended visibly.
     """
     if not run.confirmed_ms:
         return True
-    return executor.last_alive_ms - run.confirmed_ms < SUSPECT_MS
+    return executor.ended_ms - run.confirmed_ms < SUSPECT_MS
 
 
-def record_crash(executor: Executor, now_ms: int) -> list[Task]:
+def record_crash(executor: Executor) -> list[Task]:
     """Hold the crash of an executor against the tasks that may have caused it.
 
-    A planned end of its process is no crash. One process crashes once, however often
-    that is noticed.
+    A planned end of its process is no crash. Neither is silence before a new process:
+    one that a task crashes closes its connections, and one that loses power does not.
+    One process crashes once, however often that is noticed. Tasks that last are to be
+    restarted however they end, so only prompt crashes count for them.
 
     :returns: the tasks of which the count has changed; their records must be stored.
     """
-    if executor.entry.draining or executor.cordoned:
+    if executor.entry.draining or executor.cordoned or not executor.ended_visibly:
         return []
     # Runs that are being stopped may be the cause, too.
     runs = [run for run in executor.runs.values() if may_have_crashed(run, executor)]
@@ -70,16 +75,15 @@
         for run in runs
         if not run.task.done and not run.task.step_run.live.final_state
     ]
-    ended_ms = executor.ended_ms if executor.ended_visibly else now_ms
     changed = []
     for run in suspects:
         task = run.task
+        ran_ms = executor.ended_ms - (run.confirmed_ms or run.started_ms)
+        is_prompt = ran_ms < PROMPT_MS
+        if task.step_run.step.long_running and not is_prompt:
+            continue
         crash = Crash(
-            executor.id,
-            executor.boot,
-            executor.entry.machine,
-            is_attributed,
-            ended_ms - (run.confirmed_ms or run.started_ms) < PROMPT_MS,
+            executor.id, executor.boot, executor.entry.machine, is_attributed, is_prompt
         )
         if not any(crash.is_same_process(other) for other in task.crashes):
             task.crashes.append(crash)
@@ -97,6 +101,30 @@
     return changed
 
 
+def clear_survivors(executor: Executor) -> list[Task]:
+    """Forget the crashes of tasks whose runs have outlived the time of suspicion.
+
+    :param executor: one that has just answered a poll.
+    :returns: the tasks of which the count has changed; their records must be stored.
+    """
+    survivors = [
+        run.task
+        for run in executor.runs.values()
+        if run.task.crashes
+        and run.confirmed_ms
+        and executor.last_alive_ms - run.confirmed_ms >= SUSPECT_MS
+    ]
+    for task in survivors:
+        _log.event(
+            "run outlived the time of suspicion",
+            request=task.name,
+            executor=executor.id,
+            crashes=len(task.crashes),
+        )
+        task.crashes.clear()
+    return survivors
+
+
 def must_give_up(task: Task) -> bool:
     """Tell whether a task may not be started again, because it crashes executors."""
     crashes = task.crashes
--- a/src/cranberrywheel/submission/reports.py
+++ b/src/cranberrywheel/submission/reports.py
@@ -3,7 +3,10 @@
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.submission import actions
 from cranberrywheel.submission.cold_executors import ran_cold
-from cranberrywheel.submission.crash_attribution import may_have_crashed
+from cranberrywheel.submission.crash_attribution import (
+    clear_survivors,
+    may_have_crashed,
+)
 from cranberrywheel.submission.executor import Executor, PendingCompletion
 from cranberrywheel.submission.executor_orders import (
     CompletionReport,
@@ -92,6 +95,8 @@
         # that never was.
         if key not in running and not reply.is_truncated:
             _handle_missing_run(state, executor, run, sent_ms, now_ms)
+    for task in clear_survivors(executor):
+        state.mark_changed(task.step_run.live)
     if state.features.interference:
         record_report(state.interference, executor, running, reply.clock_ms, now_ms)
     executor.advance_acknowledged()
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -357,7 +357,7 @@
 
         A submission with a task that crashes its executors fails.
         """
-        for task in record_crash(executor, now_ms):
+        for task in record_crash(executor):
             live = task.step_run.live
             self.mark_changed(live)
             task.crash_record_version = live.version
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -194,8 +194,11 @@
     harness.cancel("cancelled")
     harness.run_for(20)
     harness.fleet.crash_and_return(harness.fleet.executors_by_id["x0"])
-    harness.run_for(5_000)
     task = harness.scheduler.live_by_id["beside"].find_task(0, 0, 0)
+    for _ in range(500):
+        if task.crashes:
+            break
+        harness.run_for(10)
     assert [crash.is_attributed for crash in task.crashes] == [False]
 
 
@@ -326,3 +329,84 @@
     harness.run_for(20_000)
     assert len(harness.fleet.crashes_by_task[task]) == 2
     assert harness.scheduler.get_state("deadly") is SubmissionState.FAILED
+
+
+def lose_power(harness, executor):
+    """Let an executor be silent for 0.7 s and come back as another process."""
+    executor.isolated = True
+    executor.crash()
+    executor.crashed = False
+    harness.run_for(700)
+    executor.isolated = False
+    executor.restart(registers=True)
+
+
+def wait_for(harness, read):
+    """Advance the time until a function returns something true; return that."""
+    for _ in range(1_000):
+        found = read()
+        if found:
+            return found
+        harness.run_for(10)
+    raise AssertionError(f"not within 10 s: {read}")
+
+
+def find_busy(harness, task):
+    """Return the executor on which a task runs, once it does."""
+    executors = harness.fleet.executors_by_id.values()
+    return wait_for(
+        harness,
+        lambda: next((x for x in executors if any(t == task for t, _ in x.runs)), None),
+    )
+
+
+@pytest.mark.parametrize("long_running", [True, False])
+@pytest.mark.parametrize("up_ms", [30, 200, 700])
+def test_executors_that_lose_power_fail_no_submission(harness, long_running, up_ms):
+    """Guards against a submission that is given up although no run of it failed.
+
+    An executor loses power soon after each start of one task; the other tasks, at work
+    on sound executors, were stopped with it.
+    """
+    step = make_step(5, long_running=long_running, may_miss=1, anti_affinity=1)
+    harness.submit(make_submission("s1", step), 1_500, long_running)
+    harness.run_for(1_000 if long_running else 0)
+    for _ in range(6):
+        busy = find_busy(harness, "s1.0.0.0")
+        harness.run_for(up_ms)
+        lose_power(harness, busy)
+    harness.run_for(10_000)
+    state = SubmissionState.RUNNING if long_running else SubmissionState.COMPLETED
+    assert harness.scheduler.get_state("s1") is state
+    if long_running:
+        assert all(harness.fleet.has_run(f"s1.0.0.{index}") for index in range(5))
+
+
+@pytest.mark.parametrize("long_running", [True, False])
+@pytest.mark.parametrize("changes_leader", [True, False])
+def test_crashes_before_a_run_that_outlived_them_do_not_count(
+    harness, long_running, changes_leader
+):
+    """Guards against a task that collects crashes by chance for as long as it lives."""
+    step = make_step(2, long_running=long_running)
+    harness.submit(make_submission("s1", step), 200_000, long_running)
+
+    def find_task():
+        return harness.scheduler.live_by_id["s1"].find_task(0, 0, 0)
+
+    harness.run_for(2_500)
+    for _ in range(6):
+        # The first crash ends a run that is at work, the second one its successor.
+        harness.fleet.crash_and_return(find_busy(harness, "s1.0.0.0"))
+        busy = find_busy(harness, "s1.0.0.0")
+        harness.run_for(20)
+        harness.fleet.crash_and_return(busy)
+        wait_for(harness, lambda: find_task().crashes)
+        find_busy(harness, "s1.0.0.0")
+        harness.run_for(2_500)
+        assert find_task().crashes == []
+        if changes_leader:
+            harness.start_leader()
+            harness.run_for(2_500)
+            assert find_task().crashes == []
+    assert harness.scheduler.get_state("s1") is SubmissionState.RUNNING
