--- a/src/cranberrywheel_load/soak.py
+++ b/src/cranberrywheel_load/soak.py
@@ -83,6 +83,8 @@
 #: Bounds of the time after which such a call is carried out, as the platform has them.
 LATE_EXECUTOR_DELAY_S = (2.0, 12.0)
 LATE_STORE_DELAY_S = (1.0, 6.0)
+#: Share of the callers that cancel after an attempt without an answer.
+GIVE_UP_SHARE = 0.5
 
 
 @dataclasses.dataclass
@@ -94,6 +96,8 @@
     :param possibly_accepted: whether an attempt ended without an answer, or with one
         that does not rule out that the submission runs.
     :param cancelled: whether a cancellation was accepted or got no answer.
+    :param withdrawn: whether a cancellation was answered with 410, so that no task of
+        the submission may ever start.
     :param states: states that nodes reported, in order of arrival.
     """
 
@@ -102,6 +106,7 @@
     accepted: bool = False
     possibly_accepted: bool = False
     cancelled: bool = False
+    withdrawn: bool = False
     states: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -493,6 +498,7 @@
                 submission.submission_id, 1_000, duration_ms
             )
         self.submissions.append(submission)
+        gives_up = random.Random(submission.submission_id).random() < GIVE_UP_SHARE
         for _ in range(3):
             front_address = self._rng.choice(self._deployment.front_addresses)
             status, _ = send_call(
@@ -503,8 +509,22 @@
                 return
             # Only 429 and 503 guarantee that no task of the submission will run.
             submission.possibly_accepted |= status not in (429, 503)
+            if submission.possibly_accepted and gives_up:
+                self._withdraw(submission)
+                return
             time.sleep(0.1)
 
+    def _withdraw(self, submission: TrackedSubmission) -> None:
+        """Cancel a submission that may be stored or not."""
+        path = ROUTE_PREFIX + submission.submission_id
+        rng = random.Random(submission.submission_id)
+        for address in rng.sample(self._deployment.front_addresses, 2):
+            status, _ = send_call("DELETE", address, path)
+            submission.cancelled |= status in (200, 0)
+            submission.withdrawn |= status == 410
+            if status in (200, 410):
+                return
+
     def cancel(self) -> None:
         """Cancel a random submission that was accepted."""
         candidates = [c for c in self.submissions if c.accepted and not c.cancelled]
@@ -660,4 +680,6 @@
         if not submission.accepted and not submission.possibly_accepted:
             if submission.submission_id in started:
                 violations.append(f"{submission.submission_id} was refused, but ran")
+        if submission.withdrawn and submission.submission_id in started:
+            violations.append(f"{submission.submission_id} was withdrawn, but ran")
     return violations
