Keep the state of a wave when its record is written again

What callers saw: a second machine of a wave could go down beside the first (LIMIT) after an operator had repeated or changed the record of the wave.

Cause: each revision of the record built a new state. The machines that were down, drained or ordered were forgotten, so that a reading of the list older than an order showed a free slot. A deleted record did the same when it came back, and left its drained machines closed and due for maintenance.

A record with the same wave number now replaces the wave in its state. A deleted one ends the drains and stays known with its orders.

--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -110,24 +110,48 @@
         return self._pool_moves.count_expected_machines(self._machine_by_id.values())
 
     def _on_wave(self, item: Item) -> None:
+        now_ms = self._loop.clock.now_ms()
+        state = self._state_by_key.get(item.key)
         if item.value is None:
-            self._state_by_key.pop(item.key, None)
+            if state is not None:
+                state.withdrawn = True
+                self._end_needless_drains(state)
+                self._update_due_machines()
+                _log.event("maintenance wave withdrawn", wave=state.wave.number)
             return
         wave = wire.decode_wave(item.value)
         if wave is None:
             return
-        state = WaveState(wave, self._loop.clock.now_ms())
-        state.begun = set(self._recorded_done_by_key.get(item.key, ()))
-        self._state_by_key[item.key] = state
-        self._scheduler.maintenance_due.update(state.list_remaining())
+        if state is not None and state.wave.number == wave.number:
+            state.replace_wave(wave, now_ms)
+        else:
+            if state is not None:
+                state.withdrawn = True
+                self._end_needless_drains(state)
+            state = WaveState(wave, now_ms)
+            state.begun = set(self._recorded_done_by_key.get(item.key, ()))
+            self._state_by_key[item.key] = state
+        self._update_due_machines()
         _log.event(
             "maintenance wave received",
             wave=wave.number,
             machines=len(wave.machines),
             at_once=wave.max_concurrent,
             duration_ms=wave.duration_ms,
+            begun=len(state.begun),
         )
 
+    def _update_due_machines(self) -> None:
+        """Tell the scheduler which machines a wave still takes down."""
+        due = {
+            machine
+            for state in self._state_by_key.values()
+            if not state.withdrawn
+            for machine in state.list_remaining()
+        }
+        self._scheduler.maintenance_due.clear()
+        self._scheduler.maintenance_due.update(due)
+
     def _on_timer(self) -> None:
         if self._stopped:
             return
@@ -148,6 +172,7 @@
             reserved = {
                 machine
                 for state in self._state_by_key.values()
+                if not state.withdrawn
                 for machine in state.list_remaining()
             }
             self._pool_moves.advance(
@@ -155,7 +180,8 @@
             )
         for key, state in self._state_by_key.items():
             state.settle_orders(number)
-            if not state.completed:
+            self._end_needless_drains(state)
+            if not state.completed and not state.withdrawn:
                 self._advance_wave(key, state)
 
     def _map_executors_by_machine(self) -> dict[str, Executor]:
@@ -215,6 +241,13 @@
             state.completed = True
         self._store_status(key, state)
 
+    def _end_needless_drains(self, state: WaveState) -> None:
+        """End the drain of machines that the wave does not take any more."""
+        for machine_id in list(state.draining_since_ms):
+            is_wanted = not state.withdrawn and machine_id in state.wave.machines
+            if not is_wanted and machine_id not in state.orders_in_flight:
+                self._stop_draining(state, machine_id)
+
     def _log_waiting(self, state: WaveState) -> None:
         """Log the machines that a wave waits for, if they have changed."""
         waiting = {
@@ -249,7 +282,7 @@
             ):
                 state.begun.add(machine_id)
                 state.draining_since_ms.pop(machine_id, None)
-                self._scheduler.maintenance_due.discard(machine_id)
+                self._update_due_machines()
                 if verdict is MachineOrderVerdict.OK:
                     present = self._map_executors_by_machine().get(machine_id)
                     self._occupants.note_order(machine_id, present)
@@ -278,6 +311,8 @@
             executor.cordoned = False
 
     def _store_progress(self, key: str, state: WaveState) -> None:
+        if self._state_by_key.get(key) is not state:
+            return  # the record has been replaced by that of another wave
         name = key[len(wire.WAVE_PREFIX) :]
         value = json.dumps(sorted(state.begun)).encode()
         self._write(WAVE_PROGRESS_PREFIX + name, value)
--- a/src/cranberrywheel/submission/maintenance.py
+++ b/src/cranberrywheel/submission/maintenance.py
@@ -45,6 +45,7 @@
     :ivar orders_in_flight: machines with an order that is not settled.
     :ivar last_reading_by_ordered: number of the last reading of the machine list that
         was requested before an order for a machine was answered.
+    :ivar withdrawn: operators have deleted the wave.
     :ivar missing_since_ms: machines missing from the platform's list, and since when.
     :ivar completed: the wave needs nothing more.
     :ivar reported_status: status that was last stored for the operators.
@@ -58,6 +59,7 @@
     orders_in_flight: set[str] = dataclasses.field(default_factory=set)
     last_reading_by_ordered: dict[str, int] = dataclasses.field(default_factory=dict)
     missing_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    withdrawn: bool = False
     completed: bool = False
     reported_status: bytes = b""
     logged_waiting: dict[str, str] = dataclasses.field(default_factory=dict)
@@ -84,6 +86,17 @@
             if last_reading >= reading
         }
 
+    def replace_wave(self, wave: Wave, now_ms: int) -> None:
+        """Apply a changed record of the wave, or one that was deleted and came back.
+
+        Orders and what has begun stay, since the machines that are down still are.
+        """
+        if self.withdrawn:
+            self.received_ms = now_ms
+        self.wave = wave
+        self.withdrawn = False
+        self.completed = False
+
     def is_finished(self, now_ms: int) -> bool:
         """Tell whether maintenance has begun on every machine that was not removed."""
         return all(
--- /dev/null
+++ b/tests/test_wave_orders.py
@@ -0,0 +1,96 @@
+"""Machines of a wave that count as down, whatever the list of machines shows."""
+
+from maintenance_rig import MaintenanceRig
+
+from cranberrywheel.node.machine_orders import LATE_ORDER_MARGIN_MS
+from cranberrywheel.submission.platform_timing import PlatformTiming
+
+#: Answers with the list take this long in the tests of readings that are too old.
+SLOW_READING_MS = 900
+#: Longest time after which the platform carries out an order without an answer.
+LONGEST_LATE_MS = 12_000
+TAKEOVER_WAIT_MS = PlatformTiming().order_lease_ms + LATE_ORDER_MARGIN_MS
+
+
+def make_rig(count=10, **wave):
+    """Build a rig with a leader and a wave over all machines."""
+    rig = MaintenanceRig(*(f"m{number}" for number in range(count)))
+    rig.put_wave(**wave)
+    rig.start_leader()
+    return rig
+
+
+def put_wave_anew(rig, **wave):
+    """Write the record of the wave so that the leader prefers other machines."""
+    rig.put_wave(machines=list(reversed(rig.machines.by_id)), **wave)
+
+
+def run_until_ordered(rig):
+    rig.run_until(lambda: bool(rig.machines.orders))
+
+
+def test_rewritten_record_keeps_the_machines_that_are_down():
+    """Guards against a second machine that goes down since the record was repeated.
+
+    A reading that is older than the order arrives after the record.
+    """
+    rig = make_rig()
+    rig.machines.reading_ms = SLOW_READING_MS
+    rig.run_until_begun(1, 10_000)
+    rig.loop.run_for(100)
+    put_wave_anew(rig)
+    rig.loop.run_for(20_000)
+    assert rig.machines.violations == []
+    assert len(rig.machines.begun) > 3
+
+
+def test_rewritten_record_keeps_an_order_that_is_under_way():
+    """Guards against a second machine that goes down beside an unanswered order."""
+    rig = make_rig()
+    rig.loop.run_for(TAKEOVER_WAIT_MS - 500)
+    rig.machines.late_ms_by_machine = dict.fromkeys(rig.machines.by_id, 1_000)
+    run_until_ordered(rig)
+    rig.machines.late_ms_by_machine.clear()
+    put_wave_anew(rig)
+    rig.loop.run_for(20_000)
+    assert rig.machines.violations == []
+    assert len(rig.machines.begun) > 3
+
+
+def test_lowered_cap_counts_the_machines_that_were_ordered_before():
+    """Guards against a machine that goes down beside those of the earlier cap."""
+    rig = make_rig(cap=3)
+    rig.loop.run_for(TAKEOVER_WAIT_MS - 500)
+    rig.machines.late_ms_by_machine = dict.fromkeys(rig.machines.by_id, 1_000)
+    run_until_ordered(rig)
+    rig.machines.late_ms_by_machine.clear()
+    put_wave_anew(rig, cap=1)
+    rig.loop.run_for(20_000)
+    assert rig.machines.violations == []
+    assert len(rig.machines.begun) > 5
+
+
+def test_deleted_record_that_comes_back_finds_the_machines_that_are_down():
+    """Guards against a second machine that goes down since the wave seems new."""
+    rig = make_rig()
+    rig.machines.reading_ms = SLOW_READING_MS
+    rig.run_until_begun(1, 10_000)
+    rig.loop.run_for(100)
+    rig.delete_wave()
+    rig.loop.run_for(200)
+    put_wave_anew(rig)
+    rig.loop.run_for(20_000)
+    assert rig.machines.violations == []
+    assert len(rig.machines.begun) > 3
+
+
+def test_deleted_wave_drains_nothing_any_more():
+    """Guards against executors that stay closed for a wave that was withdrawn."""
+    rig = MaintenanceRig("m0", "m1")
+    rig.put_wave()
+    scheduler = rig.start_leader()
+    rig.run_until_begun(1, 10_000)
+    rig.delete_wave()
+    rig.loop.run_for(10_000)
+    assert len(rig.machines.begun) == 1
+    assert scheduler.maintenance_due == set()
