Count a machine from its maintenance order until the maintenance is over

What callers saw: an upkeep beyond the cap of its wave (LIMIT) after an order without an answer, and waves that stood still.

Cause: how many machines are down was derived from the list, with exceptions. An order without an answer whose repetition was answered busy was forgotten at the next reading, although it may be carried out up to 12 s later. A machine that was not listed during its maintenance did not count. One that broke down after its maintenance counted for good.

The wave now keeps its orders: a machine counts from the moment its order is sent until a later reading shows it up, or the duration of the maintenance has passed since the answer. An order without an answer counts until its repetition tells the outcome, which comes first, or until it cannot be carried out any more.

The log lines name the machines that may be down, and the reading and its age.

Evidence: the three tests fail before: a second machine begins at 9,018, 13,018 and 17,018 ms beside a late order, one at 5,423 ms beside a machine that is not listed; and 1 of 3 machines begins beside one that broke down.

--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -130,6 +130,8 @@
                 self._end_needless_drains(state)
             state = WaveState(wave, now_ms)
             state.begun = set(self._recorded_done_by_key.get(item.key, ()))
+            for machine_id in state.begun:
+                state.orders.note_begun_earlier(machine_id, now_ms)
             self._state_by_key[item.key] = state
         self._update_due_machines()
         _log.event(
@@ -139,6 +141,7 @@
             at_once=wave.max_concurrent,
             duration_ms=wave.duration_ms,
             begun=len(state.begun),
+            may_be_down=len(state.orders.machines),
         )
 
     def _update_due_machines(self) -> None:
@@ -157,21 +160,30 @@
             return
         self._loop.after(ROUND_INTERVAL_MS, self._on_timer)
         number = self._occupants.begin_reading()
-        self._client.read_all(lambda machines: self._on_machines(number, machines))
+        now_ms = self._loop.clock.now_ms()
+        self._client.read_all(
+            lambda machines: self._on_machines(number, now_ms, machines)
+        )
 
-    def _on_machines(self, number: int, machines: list[Machine] | None) -> None:
+    def _on_machines(
+        self, number: int, requested_ms: int, machines: list[Machine] | None
+    ) -> None:
         """Apply the reading of the list with a number."""
         if machines is None or self._stopped:
             return
-        if not self._occupants.apply_reading(
-            number, machines, self._loop.clock.now_ms()
-        ):
+        now_ms = self._loop.clock.now_ms()
+        if not self._occupants.apply_reading(number, machines, now_ms):
             return
+        self._reading_requested_ms = requested_ms
         self._machine_by_id = {machine.id: machine for machine in machines}
+        states = list(self._state_by_key.values())
+        maintenance_ms = self._scheduler.timing.maintenance_ms
+        for state in states:
+            state.orders.settle(number, self._machine_by_id, maintenance_ms, now_ms)
         if self._has_valid_lease():
             reserved = {
                 machine
-                for state in self._state_by_key.values()
+                for state in states
                 if not state.withdrawn
                 for machine in state.list_remaining()
             }
@@ -179,7 +191,6 @@
                 machines, self._map_executors_by_machine(), reserved
             )
         for key, state in self._state_by_key.items():
-            state.settle_orders(number)
             self._end_needless_drains(state)
             if not state.completed and not state.withdrawn:
                 self._advance_wave(key, state)
@@ -245,7 +256,7 @@
         """End the drain of machines that the wave does not take any more."""
         for machine_id in list(state.draining_since_ms):
             is_wanted = not state.withdrawn and machine_id in state.wave.machines
-            if not is_wanted and machine_id not in state.orders_in_flight:
+            if not is_wanted and not state.orders.is_waiting(machine_id):
                 self._stop_draining(state, machine_id)
 
     def _log_waiting(self, state: WaveState) -> None:
@@ -261,8 +272,9 @@
             _log.event("wave waits for machines", wave=state.wave.number, machines=text)
 
     def _order_maintenance(self, key: str, state: WaveState, machine_id: str) -> None:
-        state.orders_in_flight.add(machine_id)
         executor = self._map_executors_by_machine().get(machine_id)
+        state.orders_in_flight.add(machine_id)
+        state.orders.note_sent(machine_id, self._loop.clock.now_ms())
 
         def on_reply(verdict: MachineOrderVerdict) -> None:
             _log.event(
@@ -275,15 +287,20 @@
                 fence=self._scheduler.fence,
                 reading=self._occupants.last_reading,
             )
-            state.last_reading_by_ordered[machine_id] = self._occupants.last_reading
+            state.orders.note_answer(
+                machine_id,
+                verdict,
+                self._occupants.last_reading,
+                self._loop.clock.now_ms(),
+            )
             if (
                 verdict is MachineOrderVerdict.OK
                 or verdict is MachineOrderVerdict.OTHER_WAVE
             ):
                 state.begun.add(machine_id)
-                state.draining_since_ms.pop(machine_id, None)
                 self._update_due_machines()
                 if verdict is MachineOrderVerdict.OK:
+                    state.draining_since_ms.pop(machine_id, None)
                     present = self._map_executors_by_machine().get(machine_id)
                     self._occupants.note_order(machine_id, present)
                 else:
@@ -291,18 +308,32 @@
                 self._store_progress(key, state)
             elif verdict is MachineOrderVerdict.BUSY:
                 self._stop_draining(state, machine_id)
+            self._end_needless_drains(state)
             self._loop.after(
                 RETRY_MS, lambda: state.orders_in_flight.discard(machine_id)
             )
 
         def send() -> None:
+            now_ms = self._loop.clock.now_ms()
+            state.orders.note_sent(machine_id, now_ms)
+            _log.event(
+                "maintenance order sent",
+                wave=state.wave.number,
+                machine=machine_id,
+                may_be_down=len(state.orders.machines - {machine_id}),
+                at_once=state.wave.max_concurrent,
+                reading=self._occupants.applied_reading,
+                reading_age_ms=now_ms - self._reading_requested_ms,
+            )
             self._client.begin_maintenance(
                 machine_id, state.wave.number, self._scheduler.fence, on_reply
             )
 
-        self._orders.record(
-            [machine_id], send, lambda: state.orders_in_flight.discard(machine_id)
-        )
+        def abandon() -> None:
+            state.orders_in_flight.discard(machine_id)
+            state.orders.note_not_sent(machine_id)
+
+        self._orders.record([machine_id], send, abandon)
 
     def _stop_draining(self, state: WaveState, machine_id: str) -> None:
         state.draining_since_ms.pop(machine_id, None)
--- a/src/cranberrywheel/submission/maintenance.py
+++ b/src/cranberrywheel/submission/maintenance.py
@@ -11,6 +11,7 @@
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.live import Run, RunState, StepRun
 from cranberrywheel.submission.machines import Machine, MachineState, Wave
+from cranberrywheel.submission.maintenance_orders import MaintenanceOrders
 from cranberrywheel.submission.placement import can_start
 
 #: Expected time from the choice of a machine to its return, besides its maintenance.
@@ -42,9 +43,8 @@
     :ivar received_ms: when the leader read the wave.
     :ivar begun: machines whose maintenance has begun.
     :ivar draining_since_ms: machines that accept no new runs, and since when.
-    :ivar orders_in_flight: machines with an order that is not settled.
-    :ivar last_reading_by_ordered: number of the last reading of the machine list that
-        was requested before an order for a machine was answered.
+    :ivar orders_in_flight: machines with an order that is not repeated yet.
+    :ivar orders: orders that decide how many machines are down.
     :ivar withdrawn: operators have deleted the wave.
     :ivar missing_since_ms: machines missing from the platform's list, and since when.
     :ivar completed: the wave needs nothing more.
@@ -57,7 +57,7 @@
     begun: set[str] = dataclasses.field(default_factory=set)
     draining_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     orders_in_flight: set[str] = dataclasses.field(default_factory=set)
-    last_reading_by_ordered: dict[str, int] = dataclasses.field(default_factory=dict)
+    orders: MaintenanceOrders = dataclasses.field(default_factory=MaintenanceOrders)
     missing_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     withdrawn: bool = False
     completed: bool = False
@@ -75,17 +75,6 @@
             else:
                 self.missing_since_ms.setdefault(machine, now_ms)
 
-    def settle_orders(self, reading: int) -> None:
-        """Forget the orders whose effect a reading of the machine list shows.
-
-        :param reading: number of the reading.
-        """
-        self.last_reading_by_ordered = {
-            machine: last_reading
-            for machine, last_reading in self.last_reading_by_ordered.items()
-            if last_reading >= reading
-        }
-
     def replace_wave(self, wave: Wave, now_ms: int) -> None:
         """Apply a changed record of the wave, or one that was deleted and came back.
 
@@ -132,14 +121,29 @@
     return 0
 
 
-def _is_down_for(state: WaveState, machine: Machine) -> bool:
-    """Tell whether a machine is down for a wave.
+def find_down_machines(
+    state: WaveState,
+    machines_by_id: t.Mapping[str, Machine],
+    may_go_down: t.Callable[[str], bool] = lambda machine_id: False,
+) -> set[str]:
+    """Return the machines that are down for a wave, or may be.
+
+    The list alone does not tell, since a reading may be older than an order. It may
+    show, though, a machine that an earlier leader ordered without a record of it.
 
-    The record of an earlier leader may lack a machine whose maintenance has begun.
+    :param may_go_down: tells whether an order of an earlier leader for a machine may
+        still arrive.
     """
-    if machine.id in state.begun:
-        return not machine.is_up
-    return machine.state is MachineState.MAINTENANCE
+    down = set(state.orders.machines)
+    for machine_id in state.wave.machines:
+        machine = machines_by_id.get(machine_id)
+        if may_go_down(machine_id) or (
+            machine is not None
+            and machine.state is MachineState.MAINTENANCE
+            and not state.orders.is_over(machine_id)
+        ):
+            down.add(machine_id)
+    return down
 
 
 def choose_machines_to_drain(
@@ -153,23 +157,17 @@
 ) -> list[str]:
     """Return the machines that should be drained next, from the idlest pool on.
 
-    A machine whose order is not settled counts as down, whatever the list shows: the
-    reading may be older than the order.
+    A machine with an order that got no answer comes first: until the order is repeated
+    it counts as down.
 
     :param pressure_by_pool: cpu that short work uses and waits for, as a fraction of
         the pool's capacity.
     :param maintenance_ms: duration of the maintenance of one machine.
-    :param may_go_down: tells whether an order of an earlier leader for a machine may
-        still arrive.
+    :param may_go_down: see :func:`find_down_machines`.
     """
-    down = sum(
-        machine in state.last_reading_by_ordered
-        or may_go_down(machine)
-        or (machine in machines_by_id and _is_down_for(state, machines_by_id[machine]))
-        for machine in state.wave.machines
-        if machine not in state.draining_since_ms
-    )
-    free_slots = state.wave.max_concurrent - down - len(state.draining_since_ms)
+    down = find_down_machines(state, machines_by_id, may_go_down)
+    free_slots = state.wave.max_concurrent - len(down.union(state.draining_since_ms))
+    chosen: list[str] = []
     remaining_by_pool: dict[str, list[str]] = {}
     unavailable_by_pool: dict[str, int] = {}
     for machine_id in state.wave.machines:
@@ -180,9 +178,11 @@
             unavailable_by_pool[machine.pool] = (
                 unavailable_by_pool.get(machine.pool, 0) + 1
             )
-        elif machine_id not in state.begun:
+        elif state.orders.is_unresolved(machine_id):
+            chosen.append(machine_id)
+        elif machine_id not in state.begun and machine_id not in down:
             remaining_by_pool.setdefault(machine.pool, []).append(machine_id)
-    chosen: list[str] = []
+    repeated_count = len(chosen)
 
     def used_cpu(machine_id: str) -> tuple[int, bool]:
         """Order the machines by use; an evacuated one is missed less."""
@@ -201,7 +201,7 @@
         for machine_id in sorted(remaining, key=used_cpu)[
             : max(0, limit - unavailable)
         ]:
-            if len(chosen) < free_slots:
+            if len(chosen) - repeated_count < free_slots:
                 chosen.append(machine_id)
     return chosen
 
--- a/tests/test_wave_orders.py
+++ b/tests/test_wave_orders.py
@@ -1,8 +1,10 @@
 """Machines of a wave that count as down, whatever the list of machines shows."""
 
-from maintenance_rig import MaintenanceRig
+import pytest
+from maintenance_rig import MAINTENANCE_MS, MaintenanceRig
 
 from cranberrywheel.node.machine_orders import LATE_ORDER_MARGIN_MS
+from cranberrywheel.submission.machines import MachineState
 from cranberrywheel.submission.platform_timing import PlatformTiming
 
 #: Answers with the list take this long in the tests of readings that are too old.
@@ -94,3 +96,48 @@
     rig.loop.run_for(10_000)
     assert len(rig.machines.begun) == 1
     assert scheduler.maintenance_due == set()
+
+
+@pytest.mark.parametrize("late_ms", [4_000, 8_000, LONGEST_LATE_MS])
+def test_unanswered_order_counts_although_its_repetition_is_answered_busy(late_ms):
+    """Guards against a late order that takes a second machine down.
+
+    The machine breaks down before the order is repeated, and is up again when the
+    first one is carried out.
+    """
+    rig = make_rig(machines=["m0"])
+    rig.loop.run_for(TAKEOVER_WAIT_MS - 500)
+    rig.machines.late_ms_by_machine["m0"] = late_ms
+    run_until_ordered(rig)
+    rig.machines.by_id["m0"].state = MachineState.DOWN
+    rig.put_wave()
+    rig.loop.run_for(late_ms - 100)
+    rig.machines.by_id["m0"].state = MachineState.UP
+    rig.loop.run_for(40_000)
+    assert rig.machines.violations == []
+    assert len(rig.machines.begun) == 10
+
+
+def test_machine_that_is_not_listed_during_its_maintenance_counts():
+    """Guards against a second machine that goes down since the first is not listed."""
+    rig = make_rig(count=3)
+    rig.run_until_begun(1, 10_000)
+    _, name, _ = rig.machines.begun[0]
+    rig.machines.by_id[name].is_listed = False
+    rig.loop.run_for(MAINTENANCE_MS)
+    rig.machines.by_id[name].is_listed = True
+    rig.loop.run_for(10_000)
+    assert rig.machines.violations == []
+    assert len(rig.machines.begun) == 3
+
+
+def test_machine_that_breaks_down_after_its_maintenance_holds_no_slot():
+    """Guards against a wave that stands still beside a machine that is gone."""
+    rig = make_rig(count=3)
+    rig.run_until_begun(1, 10_000)
+    rig.loop.run_for(MAINTENANCE_MS - 50)
+    _, name, _ = rig.machines.begun[0]
+    rig.machines.by_id[name].state = MachineState.DOWN
+    rig.loop.run_for(10_000)
+    assert len(rig.machines.begun) == 3
+    assert rig.machines.violations == []
