Count the maintenance orders of an earlier leader until their outcome is known

What callers saw: an upkeep beyond the cap of its wave (LIMIT) some time after a change of the leader, and waves that stood still for four seconds after each one.

Cause: the record of machine orders names machines only, and is waited for during the lease of an order and 0.7 s. An order without an answer may be carried out up to 12 s later, when nobody counted it. In the meantime each machine of the record counted as down, also one that only moved, or whose maintenance was over.

The record now names the waves. A new leader counts these machines until it has repeated the order, which it does first, until the earlier leader's progress shows that the maintenance had begun, or until the order cannot be carried out any more. Moves do not count. A record of an earlier version is treated as before.

--- a/src/cranberrywheel/node/machine_orders.py
+++ b/src/cranberrywheel/node/machine_orders.py
@@ -4,8 +4,12 @@
 was sent before a takeover may still be carried out after it. Each order is therefore
 recorded first. The next leader waits only for the machines in the record, so that a
 pool in a burst gets machines at once after a takeover.
+
+The record also tells which of the orders are for the maintenance of a wave, since these
+count against the wave's limit for as long as they may be carried out.
 """
 
+import collections
 import dataclasses
 import json
 import typing as t
@@ -16,6 +20,7 @@
 from cranberrywheel.node.keys import LEADER_KEY, ORDERED_MACHINES_KEY
 from cranberrywheel.platform.store import Store
 from cranberrywheel.store_messages import Outcome, StoreReply, Write
+from cranberrywheel.submission.maintenance_orders import LATE_ORDER_MS
 
 #: Delay before a failed read from the store is repeated.
 RETRY_MS = 700
@@ -30,6 +35,23 @@
     machines: tuple[str, ...]
     send: t.Callable[[], None]
     on_failure: t.Callable[[], None]
+    wave: int | None
+
+
+def _decode_waves(row: t.Mapping[str, t.Any]) -> set[tuple[str, int]] | None:
+    """Decode the machines that were ordered for a wave, each with its number.
+
+    :returns: ``None`` if the record is one of a version that does not tell.
+    :raises TypeError, ValueError, AttributeError: if the record is invalid.
+    """
+    waves_by_machine = row.get("waves")
+    if waves_by_machine is None:
+        return None
+    return {
+        (str(machine), int(wave))
+        for machine, waves in waves_by_machine.items()
+        for wave in waves
+    }
 
 
 class MachineOrders:
@@ -57,9 +79,14 @@
         self._has_valid_lease = has_valid_lease
         self._wait_ms = order_lease_ms + LATE_ORDER_MARGIN_MS
         self._wait_end_ms = loop.clock.now_ms() + self._wait_ms
+        self._late_end_ms = self._wait_end_ms + LATE_ORDER_MS
         #: Machines in the record of the earlier leader; ``None`` while it is not known.
         self._inherited: set[str] | None = None
+        #: Machines in that record that were ordered for a wave, with its number;
+        #: ``None`` while they are not known.
+        self._inherited_waves: set[tuple[str, int]] | None = None
         self._ordered_ms_by_machine: dict[str, int] = {}
+        self._ordered_ms_by_wave: dict[tuple[str, int], int] = {}
         self._revision = 0
         self._writing = False
         self._stopped = False
@@ -74,7 +101,9 @@
             self._revision = reply.items[0].revision
             try:
                 row = decode_object(reply.items[0].value or b"")
-                self._inherited = {str(machine) for machine in row["machines"]}
+                machines = {str(machine) for machine in row["machines"]}
+                self._inherited_waves = _decode_waves(row)
+                self._inherited = machines
             except FIELD_ERRORS as error:
                 _log.warning(
                     "record of machine orders cannot be decoded, waiting for all",
@@ -97,19 +126,35 @@
             return True
         return self._inherited is not None and machine not in self._inherited
 
+    def find_inherited(self, wave: int, machines: t.Iterable[str]) -> set[str]:
+        """Return the machines that an earlier leader's order may still take down.
+
+        :param wave: number of the wave.
+        :param machines: machines of the wave.
+        """
+        now_ms = self._loop.clock.now_ms()
+        if now_ms >= self._late_end_ms:
+            return set()
+        if self._inherited_waves is None:
+            return {machine for machine in machines if not self.may_order(machine)}
+        return {machine for machine, number in self._inherited_waves if number == wave}
+
     def record(
         self,
         machines: t.Sequence[str],
         send: t.Callable[[], None],
         on_failure: t.Callable[[], None],
+        wave: int | None = None,
     ) -> None:
         """Record orders, then send them.
 
         :param send: sends the orders; called once they are recorded, if this process
             still leads.
         :param on_failure: called instead if the orders are not sent.
+        :param wave: number of the wave for which the machines are maintained; ``None``
+            for moves.
         """
-        self._pending.append(_PendingOrders(tuple(machines), send, on_failure))
+        self._pending.append(_PendingOrders(tuple(machines), send, on_failure, wave))
         self._write_pending()
 
     def _write_pending(self) -> None:
@@ -121,15 +166,26 @@
         for orders in batch:
             for machine in orders.machines:
                 self._ordered_ms_by_machine[machine] = now_ms
+                if orders.wave is not None:
+                    self._ordered_ms_by_wave[machine, orders.wave] = now_ms
         self._ordered_ms_by_machine = {
             machine: ordered_ms
             for machine, ordered_ms in self._ordered_ms_by_machine.items()
             if now_ms - ordered_ms < self._wait_ms
         }
+        self._ordered_ms_by_wave = {
+            key: ordered_ms
+            for key, ordered_ms in self._ordered_ms_by_wave.items()
+            if now_ms - ordered_ms < self._wait_ms + LATE_ORDER_MS
+        }
         recorded = set(self._ordered_ms_by_machine)
         if now_ms < self._wait_end_ms:
             recorded |= self._inherited or set()
-        value = json.dumps({"machines": sorted(recorded)}).encode()
+        waves_by_machine = collections.defaultdict(list)
+        for machine, wave in sorted(self._list_waves(now_ms)):
+            waves_by_machine[machine].append(wave)
+        row = {"machines": sorted(recorded), "waves": waves_by_machine}
+        value = json.dumps(row).encode()
         # The condition on the leader record stops a process that was paused past its
         # lease, that on the record itself an earlier write that arrives late.
         write = Write(
@@ -139,6 +195,13 @@
         self._writing = True
         self._store.write(write, lambda reply: self._on_written(batch, reply))
 
+    def _list_waves(self, now_ms: int) -> set[tuple[str, int]]:
+        """Return the maintenance orders that the next leader has to count."""
+        waves = set(self._ordered_ms_by_wave)
+        if now_ms < self._late_end_ms:
+            waves |= self._inherited_waves or set()
+        return waves
+
     def _on_written(self, batch: list["_PendingOrders"], reply: StoreReply) -> None:
         self._writing = False
         if self._stopped:
--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -20,6 +20,7 @@
     WaveState,
     choose_machines_to_drain,
     choose_runs_to_move,
+    find_down_machines,
     may_begin_maintenance,
 )
 from cranberrywheel.submission.scheduler import Scheduler
@@ -219,7 +220,8 @@
             compute_pressure_by_service(self._scheduler, now_ms),
             self._scheduler.timing.maintenance_ms,
             now_ms,
-            lambda machine_id: not self._orders.may_order(machine_id),
+            self._find_inherited(state),
+            self._orders.may_order,
         ):
             state.draining_since_ms[machine_id] = now_ms
             _log.event(
@@ -252,6 +254,16 @@
             state.completed = True
         self._store_status(key, state)
 
+    def _find_inherited(self, state: WaveState) -> set[str]:
+        """Return the machines that an earlier leader's order may still take down."""
+        wave = state.wave
+        return self._orders.find_inherited(wave.number, wave.machines) - state.begun
+
+    def _find_down_machines(self, state: WaveState) -> set[str]:
+        return find_down_machines(
+            state, self._machine_by_id, self._find_inherited(state)
+        )
+
     def _end_needless_drains(self, state: WaveState) -> None:
         """End the drain of machines that the wave does not take any more."""
         for machine_id in list(state.draining_since_ms):
@@ -320,7 +332,7 @@
                 "maintenance order sent",
                 wave=state.wave.number,
                 machine=machine_id,
-                may_be_down=len(state.orders.machines - {machine_id}),
+                may_be_down=len(self._find_down_machines(state) - {machine_id}),
                 at_once=state.wave.max_concurrent,
                 reading=self._occupants.applied_reading,
                 reading_age_ms=now_ms - self._reading_requested_ms,
@@ -333,7 +345,7 @@
             state.orders_in_flight.discard(machine_id)
             state.orders.note_not_sent(machine_id)
 
-        self._orders.record([machine_id], send, abandon)
+        self._orders.record([machine_id], send, abandon, state.wave.number)
 
     def _stop_draining(self, state: WaveState, machine_id: str) -> None:
         state.draining_since_ms.pop(machine_id, None)
--- a/src/cranberrywheel/submission/maintenance.py
+++ b/src/cranberrywheel/submission/maintenance.py
@@ -124,20 +124,19 @@
 def find_down_machines(
     state: WaveState,
     machines_by_id: t.Mapping[str, Machine],
-    may_go_down: t.Callable[[str], bool] = lambda machine_id: False,
+    inherited: t.Collection[str] = (),
 ) -> set[str]:
     """Return the machines that are down for a wave, or may be.
 
     The list alone does not tell, since a reading may be older than an order. It may
     show, though, a machine that an earlier leader ordered without a record of it.
 
-    :param may_go_down: tells whether an order of an earlier leader for a machine may
-        still arrive.
+    :param inherited: machines for which an order of an earlier leader may still arrive.
     """
-    down = set(state.orders.machines)
+    down = {*state.orders.machines, *inherited}
     for machine_id in state.wave.machines:
         machine = machines_by_id.get(machine_id)
-        if may_go_down(machine_id) or (
+        if (
             machine is not None
             and machine.state is MachineState.MAINTENANCE
             and not state.orders.is_over(machine_id)
@@ -153,7 +152,8 @@
     pressure_by_pool: t.Mapping[str, float],
     maintenance_ms: int,
     now_ms: int,
-    may_go_down: t.Callable[[str], bool] = lambda machine_id: False,
+    inherited: t.Collection[str] = (),
+    may_order: t.Callable[[str], bool] = lambda machine_id: True,
 ) -> list[str]:
     """Return the machines that should be drained next, from the idlest pool on.
 
@@ -163,9 +163,10 @@
     :param pressure_by_pool: cpu that short work uses and waits for, as a fraction of
         the pool's capacity.
     :param maintenance_ms: duration of the maintenance of one machine.
-    :param may_go_down: see :func:`find_down_machines`.
+    :param inherited: see :func:`find_down_machines`.
+    :param may_order: tells whether a machine may be ordered so soon after a takeover.
     """
-    down = find_down_machines(state, machines_by_id, may_go_down)
+    down = find_down_machines(state, machines_by_id, inherited)
     free_slots = state.wave.max_concurrent - len(down.union(state.draining_since_ms))
     chosen: list[str] = []
     remaining_by_pool: dict[str, list[str]] = {}
@@ -178,10 +179,14 @@
             unavailable_by_pool[machine.pool] = (
                 unavailable_by_pool.get(machine.pool, 0) + 1
             )
-        elif state.orders.is_unresolved(machine_id):
-            chosen.append(machine_id)
-        elif machine_id not in state.begun and machine_id not in down:
+        elif machine_id in state.begun:
+            continue
+        elif machine_id not in down:
             remaining_by_pool.setdefault(machine.pool, []).append(machine_id)
+        elif (
+            machine_id in inherited or state.orders.is_unresolved(machine_id)
+        ) and may_order(machine_id):
+            chosen.append(machine_id)
     repeated_count = len(chosen)
 
     def used_cpu(machine_id: str) -> tuple[int, bool]:
--- a/tests/test_machine_orders.py
+++ b/tests/test_machine_orders.py
@@ -35,12 +35,15 @@
         self.loop.run_for(50)
         return orders
 
-    def order(self, name: str, orders: MachineOrders, *machines: str) -> None:
+    def order(
+        self, name: str, orders: MachineOrders, *machines: str, wave: int | None = None
+    ) -> None:
         """Record orders for machines that are noted once they are sent."""
         orders.record(
             machines,
             lambda: self.sent.extend((name, machine) for machine in machines),
             lambda: self.failed.append(name),
+            wave,
         )
 
 
@@ -78,6 +81,46 @@
     assert third.may_order("m3")
 
 
+def test_move_by_an_earlier_leader_does_not_count_against_a_wave():
+    """Guards against a wave that loses four seconds to machines that move."""
+    leaders = Leaders()
+    first = leaders.lead()
+    leaders.loop.run_for(10_000)
+    leaders.order("first", first, "m1")
+    leaders.order("first", first, "m2", wave=7)
+    leaders.loop.run_for(50)
+    second = leaders.lead()
+    assert second.find_inherited(7, ["m1", "m2", "m3"]) == {"m2"}
+    assert second.find_inherited(8, ["m1", "m2", "m3"]) == set()
+
+
+def test_maintenance_by_an_earlier_leader_counts_while_it_may_be_carried_out():
+    """Guards against an order that counts no longer than the next one must wait."""
+    leaders = Leaders()
+    first = leaders.lead()
+    leaders.loop.run_for(10_000)
+    leaders.order("first", first, "m1", wave=7)
+    leaders.loop.run_for(50)
+    second = leaders.lead()
+    leaders.loop.run_for(12_000)
+    assert second.may_order("m1")
+    assert second.find_inherited(7, []) == {"m1"}
+    leaders.order("second", second, "m2", wave=7)
+    leaders.loop.run_for(50)
+    third = leaders.lead()
+    assert third.find_inherited(7, []) == {"m1", "m2"}
+    leaders.loop.run_for(12_000 + ORDER_LEASE_MS + LATE_ORDER_MARGIN_MS)
+    assert third.find_inherited(7, []) == set()
+
+
+def test_leader_counts_all_machines_of_a_wave_before_it_knows_the_record():
+    """Guards against a machine that goes down while the record is being read."""
+    leaders = Leaders()
+    leaders.store.unreachable = True
+    orders = leaders.lead()
+    assert orders.find_inherited(7, ["m1", "m2"]) == {"m1", "m2"}
+
+
 def test_paused_leader_sends_no_order_after_a_takeover():
     """Guards against orders of two leaders for one machine."""
     leaders = Leaders()
@@ -104,7 +147,18 @@
     assert leaders.sent == []
 
 
-@pytest.mark.parametrize("value", [b"", b"[]", b'{"machines":7}', b"\xff"])
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"[]",
+        b'{"machines":7}',
+        b"\xff",
+        b'{"machines":[],"waves":[7]}',
+        b'{"machines":[],"waves":{"m2":7}}',
+        b'{"machines":[],"waves":{"m2":["seven"]}}',
+    ],
+)
 def test_unreadable_record_makes_the_leader_wait_for_all(value):
     """Guards against orders that an unreadable record would have forbidden."""
     leaders = Leaders()
--- a/tests/test_wave_orders.py
+++ b/tests/test_wave_orders.py
@@ -1,9 +1,13 @@
 """Machines of a wave that count as down, whatever the list of machines shows."""
 
+import json
+
 import pytest
 from maintenance_rig import MAINTENANCE_MS, MaintenanceRig
 
+from cranberrywheel.node.keys import ORDERED_MACHINES_KEY
 from cranberrywheel.node.machine_orders import LATE_ORDER_MARGIN_MS
+from cranberrywheel.node.maintenance import ROUND_INTERVAL_MS
 from cranberrywheel.submission.machines import MachineState
 from cranberrywheel.submission.platform_timing import PlatformTiming
 
@@ -118,6 +122,44 @@
     assert len(rig.machines.begun) == 10
 
 
+@pytest.mark.parametrize("late_ms", [4_500, 8_000, LONGEST_LATE_MS])
+def test_new_leader_counts_an_order_of_the_one_before_until_it_knows_its_outcome(
+    late_ms,
+):
+    """Guards against a second machine that goes down once the leader has waited."""
+    rig = make_rig()
+    rig.loop.run_for(TAKEOVER_WAIT_MS - 500)
+    rig.machines.late_ms_by_machine = dict.fromkeys(rig.machines.by_id, late_ms)
+    run_until_ordered(rig)
+    rig.machines.late_ms_by_machine.clear()
+    put_wave_anew(rig)
+    rig.start_leader()
+    rig.loop.run_for(40_000)
+    assert rig.machines.violations == []
+    assert len(rig.machines.begun) == 10
+
+
+def test_third_leader_counts_an_order_of_the_first():
+    """Guards against a record that forgets maintenance at the second of two takeovers.
+
+    The machine of the order is down for other reasons, so nobody can repeat it.
+    """
+    rig = make_rig(machines=["m0"])
+    rig.loop.run_for(TAKEOVER_WAIT_MS - 500)
+    rig.machines.late_ms_by_machine["m0"] = 11_500
+    run_until_ordered(rig)
+    rig.machines.by_id["m0"].state = MachineState.DOWN
+    rig.put_wave()
+    rig.start_leader()
+    rig.loop.run_for(6_000)
+    rig.start_leader()
+    rig.loop.run_for(5_000)
+    rig.machines.by_id["m0"].state = MachineState.UP
+    rig.loop.run_for(40_000)
+    assert rig.machines.violations == []
+    assert len(rig.machines.begun) == 10
+
+
 def test_machine_that_is_not_listed_during_its_maintenance_counts():
     """Guards against a second machine that goes down since the first is not listed."""
     rig = make_rig(count=3)
@@ -141,3 +183,42 @@
     rig.loop.run_for(10_000)
     assert len(rig.machines.begun) == 3
     assert rig.machines.violations == []
+
+
+def test_new_leader_goes_on_at_once_if_no_machine_may_be_down():
+    """Guards against a wave that loses four seconds at each takeover.
+
+    The former leader recorded that the maintenance it had ordered had begun.
+    """
+    rig = make_rig()
+    rig.run_until_begun(1, 10_000)
+    rig.run_until(lambda: not rig.machines.count_down(1))
+    rig.start_leader()
+    rig.loop.run_for(2 * ROUND_INTERVAL_MS)
+    assert len(rig.machines.begun) == 2
+    rig.loop.run_for(10_000)
+    assert rig.machines.violations == []
+
+
+def test_new_leader_waits_for_a_machine_that_went_down_just_before():
+    """Guards against a second machine that goes down during the first takeover."""
+    rig = make_rig()
+    rig.run_until_begun(1, 10_000)
+    rig.loop.run_for(50)
+    rig.machines.reading_ms = SLOW_READING_MS
+    put_wave_anew(rig)
+    rig.start_leader()
+    rig.loop.run_for(20_000)
+    assert rig.machines.violations == []
+
+
+def test_record_of_an_earlier_version_counts_for_each_wave():
+    """Guards against orders of a leader whose record does not name their waves."""
+    rig = MaintenanceRig("m0", "m1")
+    rig.store.put(ORDERED_MACHINES_KEY, json.dumps({"machines": ["m0"]}).encode())
+    rig.put_wave()
+    rig.start_leader()
+    rig.loop.run_for(TAKEOVER_WAIT_MS - 50)
+    assert rig.machines.begun == []
+    rig.loop.run_for(10_000)
+    assert len(rig.machines.begun) == 2
