End the drain of a machine that is removed

What callers saw: a wave that took no further machine down, and missed its time.

Cause: a machine that left the list while it was drained stayed drained, and its orders were refused without end. With a cap of 1 the wave ended with it.

A machine that is not listed, and has no order under way, is drained no longer.

Evidence: the test fails before, with 1 of 2 machines begun after 20 s.

--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -110,6 +110,14 @@
         """Count the machines that each pool has, gets or has lent."""
         return self._pool_moves.count_expected_machines(self._machine_by_id.values())
 
+    def list_drained_machines(self) -> list[str]:
+        """List the machines that are drained for a wave."""
+        return [
+            machine
+            for state in self._state_by_key.values()
+            for machine in state.draining_since_ms
+        ]
+
     def _on_wave(self, item: Item) -> None:
         now_ms = self._loop.clock.now_ms()
         state = self._state_by_key.get(item.key)
@@ -265,9 +273,16 @@
         )
 
     def _end_needless_drains(self, state: WaveState) -> None:
-        """End the drain of machines that the wave does not take any more."""
+        """End the drain of machines that the wave does not take any more.
+
+        A machine that is not listed has no order to wait for, and would hold a slot.
+        """
         for machine_id in list(state.draining_since_ms):
-            is_wanted = not state.withdrawn and machine_id in state.wave.machines
+            is_wanted = (
+                not state.withdrawn
+                and machine_id in state.wave.machines
+                and machine_id in self._machine_by_id
+            )
             if not is_wanted and not state.orders.is_waiting(machine_id):
                 self._stop_draining(state, machine_id)
 
--- a/tests/test_wave_orders.py
+++ b/tests/test_wave_orders.py
@@ -173,6 +173,21 @@
     assert len(rig.machines.begun) == 3
 
 
+def test_machine_that_is_removed_while_it_is_drained_holds_no_slot():
+    """Guards against a wave that ends with the first machine that is removed."""
+    rig = make_rig(count=3)
+    rig.run_until_begun(1, 10_000)
+    # Without its record the next order is not sent, so that its machine stays drained.
+    rig.store.unreachable = True
+    rig.loop.run_for(MAINTENANCE_MS + 2 * ROUND_INTERVAL_MS)
+    assert rig.controller is not None
+    (name,) = rig.controller.list_drained_machines()
+    del rig.machines.by_id[name]
+    rig.store.unreachable = False
+    rig.loop.run_for(20_000)
+    assert len(rig.machines.begun) == 2
+
+
 def test_machine_that_breaks_down_after_its_maintenance_holds_no_slot():
     """Guards against a wave that stands still beside a machine that is gone."""
     rig = make_rig(count=3)
