Check the cap of a wave again when a machine is ordered

What callers saw: as many machines down as an earlier record of the wave allowed (LIMIT), after an operator had lowered the cap.

Cause: the cap was checked when a machine was chosen, and the drain takes seconds. Machines that were drained already were ordered all the same.

--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -254,6 +254,7 @@
                 machine_id not in state.orders_in_flight
                 and self._orders.may_order(machine_id)
                 and may_begin_maintenance(executor, since_ms, now_ms)
+                and self._has_free_slot(state, machine_id)
             ):
                 self._order_maintenance(key, state, machine_id)
         self._log_waiting(state)
@@ -272,6 +273,11 @@
             state, self._machine_by_id, self._find_inherited(state)
         )
 
+    def _has_free_slot(self, state: WaveState, machine_id: str) -> bool:
+        """Tell whether a machine may go down beside the others of its wave."""
+        down = self._find_down_machines(state) - {machine_id}
+        return len(down) < state.wave.max_concurrent
+
     def _end_needless_drains(self, state: WaveState) -> None:
         """End the drain of machines that the wave does not take any more.
 
--- a/tests/test_wave_orders.py
+++ b/tests/test_wave_orders.py
@@ -4,6 +4,7 @@
 
 import pytest
 from maintenance_rig import MAINTENANCE_MS, MaintenanceRig
+from test_run_taken_for_gone import make_entry, make_poll_reply
 
 from cranberrywheel.node.keys import ORDERED_MACHINES_KEY
 from cranberrywheel.node.machine_orders import LATE_ORDER_MARGIN_MS
@@ -76,6 +77,28 @@
     assert len(rig.machines.begun) > 5
 
 
+def test_lowered_cap_holds_for_machines_that_are_drained_already():
+    """Guards against machines that go down since an earlier record allowed them."""
+    rig = MaintenanceRig(*(f"m{number}" for number in range(6)))
+    rig.put_wave(cap=3)
+    scheduler = rig.start_leader()
+    for name in rig.machines.by_id:
+        # Nothing is known yet of what runs there, so that no order may be sent.
+        scheduler.put_executor(make_entry(f"i-{name}", machine=name), rig.now_ms)
+    rig.loop.run_for(TAKEOVER_WAIT_MS + ROUND_INTERVAL_MS)
+    assert rig.controller is not None
+    assert len(rig.controller.list_drained_machines()) > 1
+    rig.put_wave(cap=1)
+    rig.loop.run_for(ROUND_INTERVAL_MS)
+    for name in rig.machines.by_id:
+        scheduler.on_poll_reply(
+            f"i-{name}", make_poll_reply(10), rig.now_ms, rig.now_ms
+        )
+    rig.loop.run_for(30_000)
+    assert rig.machines.violations == []
+    assert len(rig.machines.begun) == 6
+
+
 def test_deleted_record_that_comes_back_finds_the_machines_that_are_down():
     """Guards against a second machine that goes down since the wave seems new."""
     rig = make_rig()
