Count orders and other waves when machines of a pool are chosen

What callers saw: more machines of a pool away at once than it can spare, and slots of a wave spent on machines that could not go down.

Cause: the machines of a pool that are away were counted by the list, which may be older than an order, and by the drains of one wave alone. Two waves took what one may take, could drain the same machine, and each counted the maintenance of the other as its own. A wave also drained a machine that had just been ordered to another pool, and pools were offered machines that were ordered down.

Evidence: three tests of the choice. The two others use parameters that the function lacked.

--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -67,6 +67,8 @@
         self._state_by_key: dict[str, WaveState] = {}
         self._recorded_done_by_key: dict[str, set[str]] = {}
         self._machine_by_id: dict[str, Machine] = {}
+        #: When the reading that was applied last was requested.
+        self._reading_requested_ms = 0
         self._stopped = False
         self._orders = MachineOrders(
             loop,
@@ -193,11 +195,12 @@
             reserved = {
                 machine
                 for state in states
-                if not state.withdrawn
-                for machine in state.list_remaining()
+                for machine in (*state.draining_since_ms, *state.orders.machines)
             }
             self._pool_moves.advance(
-                machines, self._map_executors_by_machine(), reserved
+                machines,
+                self._map_executors_by_machine(),
+                reserved | self._scheduler.maintenance_due,
             )
         for key, state in self._state_by_key.items():
             self._end_needless_drains(state)
@@ -229,7 +232,9 @@
             self._scheduler.timing.maintenance_ms,
             now_ms,
             self._find_inherited(state),
+            self._list_other_waves(state),
             self._orders.may_order,
+            self._pool_moves.is_moving,
         ):
             state.draining_since_ms[machine_id] = now_ms
             _log.event(
@@ -268,9 +273,15 @@
         wave = state.wave
         return self._orders.find_inherited(wave.number, wave.machines) - state.begun
 
+    def _list_other_waves(self, state: WaveState) -> list[WaveState]:
+        return [other for other in self._state_by_key.values() if other is not state]
+
     def _find_down_machines(self, state: WaveState) -> set[str]:
         return find_down_machines(
-            state, self._machine_by_id, self._find_inherited(state)
+            state,
+            self._machine_by_id,
+            self._find_inherited(state),
+            self._list_other_waves(state),
         )
 
     def _has_free_slot(self, state: WaveState, machine_id: str) -> bool:
@@ -371,7 +382,10 @@
     def _stop_draining(self, state: WaveState, machine_id: str) -> None:
         state.draining_since_ms.pop(machine_id, None)
         executor = self._map_executors_by_machine().get(machine_id)
-        if executor is not None:
+        if executor is not None and not any(
+            machine_id in other.draining_since_ms
+            for other in self._state_by_key.values()
+        ):
             executor.cordoned = False
 
     def _store_progress(self, key: str, state: WaveState) -> None:
--- a/src/cranberrywheel/node/pool_moves.py
+++ b/src/cranberrywheel/node/pool_moves.py
@@ -108,6 +108,10 @@
         """See :func:`.pool_load.count_expected_machines`."""
         return count_expected_machines(self._state, machines)
 
+    def is_moving(self, machine_id: str) -> bool:
+        """Tell whether a machine moves to another pool, or has been ordered to."""
+        return machine_id in self._state.destination_by_machine
+
     def advance(
         self,
         machines: t.Sequence[Machine],
--- a/src/cranberrywheel/submission/maintenance.py
+++ b/src/cranberrywheel/submission/maintenance.py
@@ -58,8 +58,8 @@
     draining_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     orders_in_flight: set[str] = dataclasses.field(default_factory=set)
     orders: MaintenanceOrders = dataclasses.field(default_factory=MaintenanceOrders)
-    missing_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     withdrawn: bool = False
+    missing_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     completed: bool = False
     reported_status: bytes = b""
     logged_waiting: dict[str, str] = dataclasses.field(default_factory=dict)
@@ -99,7 +99,11 @@
 
 
 def _compute_concurrency_limit(
-    state: WaveState, pool_count: int, maintenance_ms: int, pressure: float, now_ms: int
+    state: WaveState,
+    pool_count: int,
+    maintenance_ms: int,
+    pressure: float,
+    now_ms: int,
 ) -> int:
     """Return how many machines of one pool may be unavailable at once.
 
@@ -125,6 +129,7 @@
     state: WaveState,
     machines_by_id: t.Mapping[str, Machine],
     inherited: t.Collection[str] = (),
+    others: t.Collection[WaveState] = (),
 ) -> set[str]:
     """Return the machines that are down for a wave, or may be.
 
@@ -132,6 +137,7 @@
     show, though, a machine that an earlier leader ordered without a record of it.
 
     :param inherited: machines for which an order of an earlier leader may still arrive.
+    :param others: the other waves.
     """
     down = {*state.orders.machines, *inherited}
     for machine_id in state.wave.machines:
@@ -140,6 +146,7 @@
             machine is not None
             and machine.state is MachineState.MAINTENANCE
             and not state.orders.is_over(machine_id)
+            and not any(other.orders.was_carried_out(machine_id) for other in others)
         ):
             down.add(machine_id)
     return down
@@ -153,7 +160,9 @@
     maintenance_ms: int,
     now_ms: int,
     inherited: t.Collection[str] = (),
+    others: t.Collection[WaveState] = (),
     may_order: t.Callable[[str], bool] = lambda machine_id: True,
+    is_moving: t.Callable[[str], bool] = lambda machine_id: False,
 ) -> list[str]:
     """Return the machines that should be drained next, from the idlest pool on.
 
@@ -164,28 +173,38 @@
         the pool's capacity.
     :param maintenance_ms: duration of the maintenance of one machine.
     :param inherited: see :func:`find_down_machines`.
+    :param others: the other waves; machines that they take are not available.
     :param may_order: tells whether a machine may be ordered so soon after a takeover.
+    :param is_moving: tells whether a machine moves to another pool.
     """
-    down = find_down_machines(state, machines_by_id, inherited)
+    down = find_down_machines(state, machines_by_id, inherited, others)
     free_slots = state.wave.max_concurrent - len(down.union(state.draining_since_ms))
+    taken_by_others = {
+        machine_id
+        for other in others
+        for machine_id in (*other.draining_since_ms, *other.orders.machines)
+    }
+    taken = taken_by_others.union(state.draining_since_ms, down)
     chosen: list[str] = []
     remaining_by_pool: dict[str, list[str]] = {}
     unavailable_by_pool: dict[str, int] = {}
-    for machine_id in state.wave.machines:
+    for machine_id in dict.fromkeys((*state.wave.machines, *sorted(taken_by_others))):
         machine = machines_by_id.get(machine_id)
         if machine is None:
             continue
-        if machine_id in state.draining_since_ms or not machine.is_up:
+        if machine_id in taken or not machine.is_up:
             unavailable_by_pool[machine.pool] = (
                 unavailable_by_pool.get(machine.pool, 0) + 1
             )
-        elif machine_id in state.begun:
+        if machine_id in state.begun or not machine.is_up or is_moving(machine_id):
             continue
-        elif machine_id not in down:
+        if machine_id not in taken:
             remaining_by_pool.setdefault(machine.pool, []).append(machine_id)
         elif (
-            machine_id in inherited or state.orders.is_unresolved(machine_id)
-        ) and may_order(machine_id):
+            machine_id not in state.draining_since_ms
+            and (machine_id in inherited or state.orders.is_unresolved(machine_id))
+            and may_order(machine_id)
+        ):
             chosen.append(machine_id)
     repeated_count = len(chosen)
 
@@ -201,7 +220,11 @@
         unavailable = unavailable_by_pool.get(pool, 0)
         pressure = pressure_by_pool.get(pool, 0.0)
         limit = _compute_concurrency_limit(
-            state, len(remaining) + unavailable, maintenance_ms, pressure, now_ms
+            state,
+            len(remaining) + unavailable,
+            maintenance_ms,
+            pressure,
+            now_ms,
         )
         for machine_id in sorted(remaining, key=used_cpu)[
             : max(0, limit - unavailable)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -2,7 +2,12 @@
 
 import types
 
-from cranberrywheel.submission.machines import Machine, MachineState, Wave
+from cranberrywheel.submission.machines import (
+    Machine,
+    MachineOrderVerdict,
+    MachineState,
+    Wave,
+)
 from cranberrywheel.submission.maintenance import (
     REMOVED_AFTER_MS,
     WaveState,
@@ -58,6 +63,41 @@
     assert len(choose(state, machines, {})) == 1
 
 
+def test_machine_that_the_list_still_shows_as_up_counts_against_its_pool():
+    """Guards against three machines of a pool that are down, where two may be.
+
+    The reading of the list is older than the order for the first.
+    """
+    machines = make_machines(*((f"a{i}", "a", MachineState.UP) for i in range(8)))
+    state = make_state(*machines, at_once=4, duration_ms=260_000)
+    assert len(choose(state, machines, {})) == 2
+    state.orders.note_sent("a0", 0)
+    state.orders.note_answer("a0", MachineOrderVerdict.OK, 7, 10)
+    assert len(choose(state, machines, {}, now_ms=20)) == 1
+
+
+def test_machine_of_another_wave_counts_against_its_pool():
+    """Guards against two waves that each take what one of them may take."""
+    machines = make_machines(*((f"a{i}", "a", MachineState.UP) for i in range(8)))
+    first = make_state("a0", "a1", "a2", "a3", duration_ms=260_000)
+    first.draining_since_ms = {"a0": 0, "a1": 0}
+    second = make_state("a4", "a5", "a6", "a7", duration_ms=260_000)
+    chosen = choose_machines_to_drain(
+        second, machines, {}, {}, MAINTENANCE_MS, 0, others=[first]
+    )
+    assert chosen == []
+
+
+def test_machine_that_moves_to_another_pool_is_not_drained():
+    """Guards against a slot for a machine whose order can only be refused."""
+    machines = make_machines(("a0", "a", MachineState.UP), ("a1", "a", MachineState.UP))
+    state = make_state("a0", "a1", at_once=1)
+    chosen = choose_machines_to_drain(
+        state, machines, {}, {}, MAINTENANCE_MS, 0, is_moving=lambda name: name == "a0"
+    )
+    assert chosen == ["a1"]
+
+
 def test_empty_machine_of_an_evacuated_zone_is_drained_first():
     """Guards against a wave that takes usable machines while others serve nobody."""
     up = MachineState.UP
--- a/tests/test_wave_orders.py
+++ b/tests/test_wave_orders.py
@@ -250,6 +250,28 @@
     assert rig.machines.violations == []
 
 
+def test_two_waves_take_a_machine_one_after_the_other():
+    """Guards against a wave that waits for a machine which another one has taken down.
+
+    Each may take one machine down, and they share two of three.
+    """
+    rig = MaintenanceRig("m0", "m1", "m2", "m3")
+    rig.put_wave(1, ["m0", "m1", "m2"])
+    rig.put_wave(2, ["m1", "m2", "m3"])
+    rig.start_leader()
+    rig.loop.run_for(30_000)
+    assert rig.machines.violations == []
+    assert sorted((name, wave) for _, name, wave in rig.machines.begun) == [
+        ("m0", 1),
+        ("m1", 1),
+        ("m1", 2),
+        ("m2", 1),
+        ("m2", 2),
+        ("m3", 2),
+    ]
+    assert len(rig.machines.orders) == 6
+
+
 def test_record_of_an_earlier_version_counts_for_each_wave():
     """Guards against orders of a leader whose record does not name their waves."""
     rig = MaintenanceRig("m0", "m1")
