Use the slots of a wave that is short of time without a gap

What callers saw: machines that had no upkeep in time, a missed duty for each tenth of a wave.

Cause: the next machine waited for the next round of 400 ms, was drained only once a slot was free, and a pool whose queue has a burst gave none until time ran short for that pool alone. With a cap of 1 the time runs short for the wave as a whole, as its machines go down one after the other.

The list is read again when a maintenance should be over. A wave that cannot end in time otherwise drains one machine ahead, and takes machines of busy pools too.

Evidence: three tests fail before; a gap between two machines takes 400 ms, below 200 now.

--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -170,6 +170,11 @@
         if self._stopped:
             return
         self._loop.after(ROUND_INTERVAL_MS, self._on_timer)
+        self._read_machines()
+
+    def _read_machines(self) -> None:
+        if self._stopped:
+            return
         number = self._occupants.begin_reading()
         now_ms = self._loop.clock.now_ms()
         self._client.read_all(
@@ -347,6 +352,10 @@
                     state.draining_since_ms.pop(machine_id, None)
                     present = self._map_executors_by_machine().get(machine_id)
                     self._occupants.note_order(machine_id, present)
+                    # The next machine need not wait for the timer.
+                    self._loop.after(
+                        self._scheduler.timing.maintenance_ms, self._read_machines
+                    )
                 else:
                     self._stop_draining(state, machine_id)
                 self._store_progress(key, state)
--- a/src/cranberrywheel/submission/maintenance.py
+++ b/src/cranberrywheel/submission/maintenance.py
@@ -14,6 +14,9 @@
 from cranberrywheel.submission.maintenance_orders import MaintenanceOrders
 from cranberrywheel.submission.placement import can_start
 
+#: Expected time of a maintenance round of a wave besides the maintenance itself, if the
+#: machines are drained beforehand.
+ROUND_OVERHEAD_MS = 500
 #: Expected time from the choice of a machine to its return, besides its maintenance.
 DRAIN_ESTIMATE_MS = 3_000
 #: Drain time after which maintenance begins although short tasks still run; longer
@@ -97,12 +100,22 @@
         """Return the machines whose maintenance has not begun."""
         return [machine for machine in self.wave.machines if machine not in self.begun]
 
+    def is_short_of_time(self, maintenance_ms: int, now_ms: int) -> bool:
+        """Tell whether the wave ends late unless its slots are used without a gap.
+
+        :param maintenance_ms: duration of the maintenance of one machine.
+        """
+        rounds = math.ceil(len(self.list_remaining()) / self.wave.max_concurrent)
+        end_ms = self.received_ms + self.wave.duration_ms * PLANNED_FRACTION
+        return now_ms + rounds * (maintenance_ms + ROUND_OVERHEAD_MS) > end_ms
+
 
 def _compute_concurrency_limit(
     state: WaveState,
     pool_count: int,
     maintenance_ms: int,
     pressure: float,
+    is_urgent: bool,
     now_ms: int,
 ) -> int:
     """Return how many machines of one pool may be unavailable at once.
@@ -114,13 +127,14 @@
     :param pool_count: machines of the pool that remain or are unavailable.
     :param maintenance_ms: duration of the maintenance of one machine.
     :param pressure: see :func:`choose_machines_to_drain`.
+    :param is_urgent: the wave as a whole is short of time.
     """
     end_ms = state.received_ms + state.wave.duration_ms * PLANNED_FRACTION
     rounds = max(0.0, (end_ms - now_ms) / (maintenance_ms + DRAIN_ESTIMATE_MS))
     even_limit = math.ceil(pool_count / max(1.0, rounds))
     if pressure < BUSY_PRESSURE:
         return max(IDLE_POOL_CONCURRENCY, even_limit)
-    if rounds < pool_count * URGENT_ROUNDS_PER_MACHINE:
+    if is_urgent or rounds < pool_count * URGENT_ROUNDS_PER_MACHINE:
         return even_limit
     return 0
 
@@ -167,7 +181,7 @@
     """Return the machines that should be drained next, from the idlest pool on.
 
     A machine with an order that got no answer comes first: until the order is repeated
-    it counts as down.
+    it counts as down. A wave that is short of time drains one machine ahead.
 
     :param pressure_by_pool: cpu that short work uses and waits for, as a fraction of
         the pool's capacity.
@@ -178,7 +192,9 @@
     :param is_moving: tells whether a machine moves to another pool.
     """
     down = find_down_machines(state, machines_by_id, inherited, others)
-    free_slots = state.wave.max_concurrent - len(down.union(state.draining_since_ms))
+    is_urgent = state.is_short_of_time(maintenance_ms, now_ms)
+    free_slots = state.wave.max_concurrent + is_urgent
+    free_slots -= len(down.union(state.draining_since_ms))
     taken_by_others = {
         machine_id
         for other in others
@@ -224,6 +240,7 @@
             len(remaining) + unavailable,
             maintenance_ms,
             pressure,
+            is_urgent,
             now_ms,
         )
         for machine_id in sorted(remaining, key=used_cpu)[
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -53,6 +53,38 @@
     assert choose(state, machines, {"a": 1.4}, now_ms=19_000) == ["a1"]
 
 
+def test_busy_pool_is_drained_when_the_limit_of_the_wave_leaves_no_time():
+    """Guards against a wave that waits for idle pools and misses its time.
+
+    One after the other, the maintenance of twelve machines takes more than 26 s.
+    """
+    machines = make_machines(
+        *((f"a{i}", "a", MachineState.UP) for i in range(6)),
+        *((f"b{i}", "b", MachineState.UP) for i in range(6)),
+    )
+    state = make_state(*machines, at_once=1)
+    assert choose(state, machines, {"a": 1.4, "b": 1.4})
+    assert (
+        choose(make_state(*machines, at_once=6), machines, {"a": 1.4, "b": 1.4}) == []
+    )
+
+
+def test_wave_that_is_short_of_time_drains_one_machine_ahead():
+    """Guards against a drain that begins only when the machine before it is up."""
+    machines = make_machines(
+        *((f"a{i}", "a", MachineState.UP) for i in range(12)),
+        ("down", "a", MachineState.MAINTENANCE),
+    )
+    state = make_state(*machines, at_once=1)
+    assert len(choose(state, machines, {})) == 1
+    state.draining_since_ms["a0"] = 0
+    assert choose(state, machines, {}) == []
+    assert (
+        choose(make_state(*machines, at_once=1, duration_ms=260_000), machines, {})
+        == []
+    )
+
+
 def test_unavailable_machines_stay_within_the_wave_limit():
     """Guards against more machines down at once than the wave allows."""
     rows = [(f"p{i}", f"pool{i}", MachineState.UP) for i in range(6)]
--- a/tests/test_wave_orders.py
+++ b/tests/test_wave_orders.py
@@ -250,6 +250,22 @@
     assert rig.machines.violations == []
 
 
+def test_next_machine_goes_down_as_soon_as_the_one_before_is_up():
+    """Guards against a wave that waits for the next round before each machine."""
+    rig = MaintenanceRig(*(f"m{number}" for number in range(6)))
+    rig.put_wave(duration_s=10)
+    rig.start_leader()
+    rig.loop.run_for(40_000)
+    begun_ms = [time_ms for time_ms, _, _ in rig.machines.begun]
+    assert len(begun_ms) == 6
+    gaps_ms = [
+        later - earlier - MAINTENANCE_MS
+        for earlier, later in zip(begun_ms, begun_ms[1:], strict=False)
+    ]
+    assert max(gaps_ms) < ROUND_INTERVAL_MS / 2
+    assert rig.machines.violations == []
+
+
 def test_two_waves_take_a_machine_one_after_the_other():
     """Guards against a wave that waits for a machine which another one has taken down.
 
