Keep the time that a wave has left across a takeover

What callers saw: waves that ended late after a change of the leader.

Cause: a new leader counted the time of a wave from when it read the record itself, and so planned with the whole duration again.

The progress of a wave now holds the Unix time at which it was first read, limited by the duration, since the clocks of two instances differ.

Evidence: the test fails before (no machine is drained ahead).

--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -1,21 +1,24 @@
 """Maintenance of machines, which the leader carries out in waves."""
 
+import dataclasses
 import json
 import typing as t
 
 from cranberrywheel.connection.http_loop import HttpLoop
+from cranberrywheel.json_body import FIELD_ERRORS
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.node.keys import LEADER_KEY, WAVE_PROGRESS_PREFIX
 from cranberrywheel.node.machine_occupants import MachineOccupants
 from cranberrywheel.node.machine_orders import MachineOrders
 from cranberrywheel.node.pool_moves import PoolMoveController
+from cranberrywheel.node.turn_records import unix_ms
 from cranberrywheel.node.watch import PrefixWatch
 from cranberrywheel.platform import machines as wire
 from cranberrywheel.platform.store import Store
 from cranberrywheel.store_messages import Item, Write
 from cranberrywheel.submission.demand import compute_pressure_by_service
 from cranberrywheel.submission.executor import Executor
-from cranberrywheel.submission.machines import Machine, MachineOrderVerdict
+from cranberrywheel.submission.machines import Machine, MachineOrderVerdict, Wave
 from cranberrywheel.submission.maintenance import (
     WaveState,
     choose_machines_to_drain,
@@ -33,16 +36,33 @@
 _log = ComponentLogger("duties")
 
 
-def _decode_begun(value: bytes) -> set[str]:
-    """Decode the machines whose maintenance has begun; empty if the record is invalid.
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Progress:
+    """What earlier leaders recorded of a wave.
+
+    :param begun: machines whose maintenance has begun.
+    :param received_unix_ms: Unix time at which the first of them read the wave, or 0 if
+        that is not known.
+    """
+
+    begun: frozenset[str] = frozenset()
+    received_unix_ms: int = 0
+
+
+def _decode_progress(value: bytes) -> _Progress:
+    """Decode the progress of a wave; that of a new wave if the record is invalid.
 
     The platform refuses a second maintenance of the same wave, so nothing is lost.
     """
     try:
-        return {str(machine) for machine in json.loads(value)}
-    except (RecursionError, TypeError, ValueError) as error:
+        row = json.loads(value)
+        if isinstance(row, list):  # written by an earlier version
+            return _Progress(frozenset(map(str, row)))
+        begun = frozenset(map(str, row["begun"]))
+        return _Progress(begun, int(row["receivedUnixMs"]))
+    except FIELD_ERRORS as error:
         _log.warning("record of a wave cannot be decoded; ignored", error=repr(error))
-        return set()
+        return _Progress()
 
 
 class MaintenanceController:
@@ -65,7 +85,7 @@
         self._scheduler = scheduler
         self._has_valid_lease = has_valid_lease
         self._state_by_key: dict[str, WaveState] = {}
-        self._recorded_done_by_key: dict[str, set[str]] = {}
+        self._recorded_progress_by_key: dict[str, _Progress] = {}
         self._machine_by_id: dict[str, Machine] = {}
         #: When the reading that was applied last was requested.
         self._reading_requested_ms = 0
@@ -94,7 +114,8 @@
                 return
             for item in reply.items:
                 key = wire.WAVE_PREFIX + item.key[len(WAVE_PROGRESS_PREFIX) :]
-                self._recorded_done_by_key[key] = _decode_begun(item.value or b"")
+                progress = _decode_progress(item.value or b"")
+                self._recorded_progress_by_key[key] = progress
             self._orders.load()
             self._wave_watch.start()
             self._pool_moves.start()
@@ -134,16 +155,17 @@
         if wave is None:
             return
         if state is not None and state.wave.number == wave.number:
+            is_requested_anew = state.withdrawn
             state.replace_wave(wave, now_ms)
+            if is_requested_anew:
+                self._store_progress(item.key, state)
         else:
             if state is not None:
                 state.withdrawn = True
                 self._end_needless_drains(state)
-            state = WaveState(wave, now_ms)
-            state.begun = set(self._recorded_done_by_key.get(item.key, ()))
-            for machine_id in state.begun:
-                state.orders.note_begun_earlier(machine_id, now_ms)
+            state = self._restore_wave(item.key, wave, now_ms)
             self._state_by_key[item.key] = state
+            self._store_progress(item.key, state)
         self._update_due_machines()
         _log.event(
             "maintenance wave received",
@@ -155,6 +177,19 @@
             may_be_down=len(state.orders.machines),
         )
 
+    def _restore_wave(self, key: str, wave: Wave, now_ms: int) -> WaveState:
+        """Build the state of a wave from what earlier leaders recorded of it."""
+        progress = self._recorded_progress_by_key.get(key, _Progress())
+        state = WaveState(wave, now_ms)
+        if progress.received_unix_ms:
+            # The clocks of two instances differ.
+            elapsed_ms = max(0, unix_ms() - progress.received_unix_ms)
+            state.received_ms -= min(elapsed_ms, wave.duration_ms)
+        state.begun = set(progress.begun)
+        for machine_id in state.begun:
+            state.orders.note_begun_earlier(machine_id, now_ms)
+        return state
+
     def _update_due_machines(self) -> None:
         """Tell the scheduler which machines a wave still takes down."""
         due = {
@@ -401,7 +436,9 @@
         if self._state_by_key.get(key) is not state:
             return  # the record has been replaced by that of another wave
         name = key[len(wire.WAVE_PREFIX) :]
-        value = json.dumps(sorted(state.begun)).encode()
+        received_unix_ms = unix_ms() - (self._loop.clock.now_ms() - state.received_ms)
+        row = {"begun": sorted(state.begun), "receivedUnixMs": received_unix_ms}
+        value = json.dumps(row).encode()
         self._write(WAVE_PROGRESS_PREFIX + name, value)
 
     def _store_status(self, key: str, state: WaveState) -> None:
--- a/tests/test_wave_orders.py
+++ b/tests/test_wave_orders.py
@@ -6,6 +6,7 @@
 from maintenance_rig import MAINTENANCE_MS, MaintenanceRig
 from test_run_taken_for_gone import make_entry, make_poll_reply
 
+from cranberrywheel.node import maintenance
 from cranberrywheel.node.keys import ORDERED_MACHINES_KEY
 from cranberrywheel.node.machine_orders import LATE_ORDER_MARGIN_MS
 from cranberrywheel.node.maintenance import ROUND_INTERVAL_MS
@@ -298,3 +299,24 @@
     assert rig.machines.begun == []
     rig.loop.run_for(10_000)
     assert len(rig.machines.begun) == 2
+
+
+def test_new_leader_knows_how_much_time_a_wave_has_left(monkeypatch):
+    """Guards against a wave that takes its time after a takeover, and ends late.
+
+    A wave that is short of time drains a machine while another one is down.
+    """
+    rig = MaintenanceRig(*(f"m{number}" for number in range(6)))
+    monkeypatch.setattr(maintenance, "unix_ms", lambda: 1_000_000 + rig.now_ms)
+    for machine in rig.machines.by_id.values():
+        machine.state = MachineState.DOWN
+    rig.put_wave(duration_s=60)
+    rig.start_leader()
+    rig.loop.run_for(45_000)
+    for machine in rig.machines.by_id.values():
+        machine.state = MachineState.UP
+    rig.start_leader()
+    rig.run_until_begun(1)
+    rig.loop.run_for(MAINTENANCE_MS // 2)
+    assert rig.controller is not None
+    assert len(rig.controller.list_drained_machines()) == 1
