Do not repeat a status of a wave that has changed since

What callers saw: a wave that is completed for operators while machines of it have had no upkeep (MIXED), after the record of the wave had been changed.

Cause: a write that got no answer was repeated with its value, also after a later value had been written.

Evidence: the test fails before (completed instead of running).

--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -86,6 +86,7 @@
         self._has_valid_lease = has_valid_lease
         self._state_by_key: dict[str, WaveState] = {}
         self._recorded_progress_by_key: dict[str, _Progress] = {}
+        self._last_value_by_key: dict[str, bytes] = {}
         self._machine_by_id: dict[str, Machine] = {}
         #: When the reading that was applied last was requested.
         self._reading_requested_ms = 0
@@ -449,11 +450,16 @@
             self._write(wire.WAVE_STATUS_PREFIX + name, value)
 
     def _write(self, key: str, value: bytes) -> None:
+        self._last_value_by_key[key] = value
         conditions = ((LEADER_KEY, self._scheduler.fence),)
 
         def on_reply(reply: t.Any) -> None:
-            if not reply.outcome.is_answer and not self._stopped:
-                self._loop.after(RETRY_MS, lambda: self._write(key, value))
+            if not reply.outcome.is_answer:
+                self._loop.after(RETRY_MS, repeat)
+
+        def repeat() -> None:
+            if not self._stopped and self._last_value_by_key[key] is value:
+                self._write(key, value)
 
         # The lease id 0 means no lease.
         self._store.write(Write(conditions, ((key, value, 0),)), on_reply)
--- a/tests/test_wave_orders.py
+++ b/tests/test_wave_orders.py
@@ -320,3 +320,20 @@
     rig.loop.run_for(MAINTENANCE_MS // 2)
     assert rig.controller is not None
     assert len(rig.controller.list_drained_machines()) == 1
+
+
+def test_status_is_not_overwritten_by_an_earlier_one():
+    """Guards against a wave that is completed for operators while machines remain.
+
+    The write of the earlier status got no answer, and is repeated.
+    """
+    rig = make_rig(count=2, machines=["m0"])
+    rig.run_until_begun(1, 10_000)
+    rig.store.unreachable = True
+    rig.loop.run_for(ROUND_INTERVAL_MS + 100)
+    rig.store.unreachable = False
+    rig.machines.by_id["m1"].state = MachineState.DOWN
+    rig.put_wave()
+    rig.loop.run_for(10_000)
+    item = rig.store.item_by_key["status/wave/1"]
+    assert json.loads(item.value or b"") == {"state": "running"}
