Maintain and move no machine whose runs are not known yet

What callers saw: lasting tasks ended by an upkeep or a move while others of their step were away (AVAIL), after a takeover; found by reading, no report.

Cause: an executor whose entry had expired counted only for runs that the leader tracks. A new leader knows such an executor from its stored record and has not polled it. Its machine seemed empty. Maintenance also ignored runs that an executor lists and the leader does not track.

An executor without an entry counts until it has answered or its lease is over, unless the list shows a later executor on its machine.

Evidence: both tests fail before, with an order at once.

--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -253,11 +253,12 @@
 
         One whose entry has expired counts while it may have runs.
         """
+        now_ms = self._loop.clock.now_ms()
         executors = self._scheduler.executors_by_id.values()
         return {
             executor.entry.machine: executor
             for executor in sorted(executors, key=lambda executor: executor.registered)
-            if executor.registered or executor.runs
+            if executor.registered or executor.may_have_runs(now_ms)
         }
 
     def _advance_wave(self, key: str, state: WaveState) -> None:
--- a/src/cranberrywheel/node/pool_moves.py
+++ b/src/cranberrywheel/node/pool_moves.py
@@ -49,16 +49,6 @@
         return {}
 
 
-def may_have_runs(executor: Executor) -> bool:
-    """Tell whether something may run on an executor, also on one without an entry.
-
-    Entries expire while an executor goes on, and a new leader knows nothing of an
-    executor that has not answered its first poll.
-    """
-    is_unknown = executor.registered and not executor.fence_confirmed
-    return bool(executor.runs or executor.untracked_runs or is_unknown)
-
-
 class PoolMoveController:
     """Assigns machines temporarily to pools whose queues have a burst."""
 
@@ -140,10 +130,16 @@
             if service.standby
         }
 
+        listed_id_by_machine = {machine.id: machine.executor_id for machine in machines}
+
+        def has_successor(executor: Executor) -> bool:
+            listed_id = listed_id_by_machine.get(executor.entry.machine)
+            return not executor.registered and listed_id not in (None, "", executor.id)
+
         occupied = {
             executor.entry.machine
             for executor in self._scheduler.executors_by_id.values()
-            if may_have_runs(executor)
+            if executor.may_have_runs(now_ms) and not has_successor(executor)
         }
 
         def is_idle(machine: Machine) -> bool:
--- a/src/cranberrywheel/submission/executor.py
+++ b/src/cranberrywheel/submission/executor.py
@@ -209,6 +209,17 @@
             and not self.evacuated
         )
 
+    def may_have_runs(self, now_ms: int) -> bool:
+        """Tell whether something may run on it, also if its entry has expired.
+
+        A new leader knows nothing of an executor that has not answered its first poll.
+        """
+        if self.runs or self.untracked_runs:
+            return True
+        return not self.fence_confirmed and (
+            self.registered or now_ms <= self.lease_expiry_ms
+        )
+
     def list_expired_runs(self, now_ms: int) -> list[Run]:
         """Return the runs whose lease has expired although it gives no answer."""
         if not self.reachable and now_ms > self.lease_expiry_ms:
--- a/src/cranberrywheel/submission/maintenance.py
+++ b/src/cranberrywheel/submission/maintenance.py
@@ -310,7 +310,7 @@
         return True
     if not executor.fence_confirmed and now_ms <= executor.lease_expiry_ms:
         return False  # it may have runs that are not known yet
-    if not executor.runs:
+    if not executor.runs and not executor.untracked_runs:
         return True
     if now_ms - since_ms < MAX_DRAIN_MS:
         return False
--- a/tests/test_orders_learned_late.py
+++ b/tests/test_orders_learned_late.py
@@ -100,6 +100,37 @@
     assert service.orders == [], f"the lease lasts {lease_left_ms} ms longer"
 
 
+def test_maintenance_waits_for_an_executor_that_only_a_record_names():
+    """Guards against maintenance that ends runs of an executor without an entry.
+
+    The entry expired before the takeover, and the executor has not been polled.
+    """
+    loop, scheduler, service, controller = make_world(b'{"machines": []}')
+    now_ms = loop.clock.now_ms()
+    scheduler.put_executor(make_entry("a", machine="m"), now_ms, registered=False)
+    assert scheduler.executors_by_id["a"].lease_expiry_ms > now_ms
+    controller.start()
+    loop.run_for(ROUND_INTERVAL_MS * 3)
+    lease_left_ms = scheduler.executors_by_id["a"].lease_expiry_ms - loop.clock.now_ms()
+    assert lease_left_ms > 0
+    assert service.orders == [], f"the lease lasts {lease_left_ms} ms longer"
+    loop.run_for(lease_left_ms + 2 * ROUND_INTERVAL_MS)
+    assert len(service.orders) == 1
+
+
+def test_maintenance_waits_for_runs_that_are_not_tracked():
+    """Guards against maintenance that ends runs of an earlier leader."""
+    loop, scheduler, service, controller = make_world(b'{"machines": []}')
+    put(scheduler, loop, "a")
+    scheduler.executors_by_id["a"].set_untracked([("t1.0.0.0", 1)])
+    controller.start()
+    loop.run_for(ROUND_INTERVAL_MS * 3)
+    assert service.orders == []
+    scheduler.executors_by_id["a"].set_untracked([])
+    loop.run_for(2 * ROUND_INTERVAL_MS)
+    assert len(service.orders) == 1
+
+
 def test_machine_in_maintenance_that_is_not_recorded_as_begun_counts():
     """Guards against more machines down at once than the wave allows.
 
--- a/tests/test_pool_floor.py
+++ b/tests/test_pool_floor.py
@@ -5,7 +5,6 @@
 import pytest
 from leader_harness import make_step, make_submission
 
-from cranberrywheel.node.pool_moves import may_have_runs
 from cranberrywheel.submission.executor import Executor
 from cranberrywheel.submission.executor_orders import ExecutorEntry
 from cranberrywheel.submission.features import ALL_OFF, FeatureSettings, Switch
@@ -334,10 +333,13 @@
     the store is away, and a new leader has not polled every executor yet."""
     (executor,) = make_executors(1)
     executor.fence_confirmed = True
-    assert not may_have_runs(executor)
+    assert not executor.may_have_runs(0)
     executor.untracked_runs = frozenset({("task", 1)})
     executor.registered = False
-    assert may_have_runs(executor)
+    assert executor.may_have_runs(0)
     executor.untracked_runs = frozenset()
     executor.registered, executor.fence_confirmed = True, False
-    assert may_have_runs(executor)
+    assert executor.may_have_runs(0)
+    executor.registered, executor.lease_expiry_ms = False, 1_000
+    assert executor.may_have_runs(1_000)
+    assert not executor.may_have_runs(1_001)
