--- a/tests/test_orders_learned_late.py
+++ b/tests/test_orders_learned_late.py
@@ -2,24 +2,37 @@
 
 import dataclasses
 
+from leader_harness import make_step, make_submission
 from test_run_taken_for_gone import (
+    CLOCK_MS,
+    FIRST_BOOT,
+    NOW_MS,
     MachineService,
     make_entry,
     make_poll_reply,
     make_scheduler,
+    schedule,
 )
 
 from cranberrywheel.node.keys import LEADER_KEY, ORDERED_MACHINES_KEY
 from cranberrywheel.node.machine_orders import LATE_ORDER_MARGIN_MS
 from cranberrywheel.node.maintenance import ROUND_INTERVAL_MS, MaintenanceController
-from cranberrywheel.submission.executor_orders import OrderVerdict, PollReply
+from cranberrywheel.submission.executor_orders import (
+    OrderVerdict,
+    PollReply,
+    RunningReport,
+)
 from cranberrywheel.submission.machines import (
     Machine,
     MachineOrderVerdict,
     MachineState,
     Wave,
 )
-from cranberrywheel.submission.maintenance import WaveState, choose_machines_to_drain
+from cranberrywheel.submission.maintenance import (
+    WaveState,
+    choose_machines_to_drain,
+    may_interrupt,
+)
 from cranberrywheel.submission.platform_timing import PlatformTiming
 from cranberrywheel_standin.virtual_fleet import VirtualLoop, VirtualStore
 
@@ -143,3 +156,26 @@
         "m2": Machine("m2", "pool", MachineState.UP, "z", "b"),
     }
     assert choose_machines_to_drain(state, machines, {}, {}, 2_000, 1_000) == []
+
+
+def test_stop_counts_although_an_older_answer_lists_the_run():
+    """Guards against a second interruption of a step that may miss one task.
+
+    The answer to a poll that was sent before the stop arrives after it.
+    """
+    scheduler = make_scheduler("a", "b")
+    step = make_step(2, long_running=True, may_miss=1, anti_affinity=1)
+    scheduler.add_submission(make_submission("s1", step), NOW_MS)
+    runs = schedule(scheduler, NOW_MS)
+    names = [run.task.name for run in runs]
+    for run in runs:
+        report = RunningReport(run.task.name, 1, "", 100.0, 0.0)
+        reply = PollReply(OrderVerdict.OK, CLOCK_MS, FIRST_BOOT, (report,), ())
+        scheduler.on_poll_reply(run.executor_id, reply, NOW_MS + 10, NOW_MS + 20)
+    first, second = runs
+    assert may_interrupt(first) and may_interrupt(second)
+    scheduler.stop_run(first, NOW_MS + 100, "planned maintenance")
+    report = RunningReport(names[0], 1, "", 100.0, 0.0)
+    reply = PollReply(OrderVerdict.OK, CLOCK_MS + 90, FIRST_BOOT, (report,), ())
+    scheduler.on_poll_reply(first.executor_id, reply, NOW_MS + 90, NOW_MS + 120)
+    assert not may_interrupt(second)
