Go on with a completed wave when a machine is listed again

What callers saw: nothing yet. A wave was completed once a machine had been missing from the list for 4 s, and stayed so when the machine came back without its maintenance, which MIXED forbids.

--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -245,6 +245,8 @@
             )
         for key, state in self._state_by_key.items():
             self._end_needless_drains(state)
+            if state.completed and state.is_resumed(self._machine_by_id):
+                state.completed = False
             if not state.completed and not state.withdrawn:
                 self._advance_wave(key, state)
 
--- a/src/cranberrywheel/submission/maintenance.py
+++ b/src/cranberrywheel/submission/maintenance.py
@@ -96,6 +96,14 @@
             for machine in self.list_remaining()
         )
 
+    def is_resumed(self, machines: t.Container[str]) -> bool:
+        """Tell whether a machine that was taken for removed is listed again."""
+        return any(
+            machine in machines
+            for machine in self.missing_since_ms
+            if machine not in self.begun
+        )
+
     def list_remaining(self) -> list[str]:
         """Return the machines whose maintenance has not begun."""
         return [machine for machine in self.wave.machines if machine not in self.begun]
--- a/tests/test_wave_orders.py
+++ b/tests/test_wave_orders.py
@@ -1,6 +1,7 @@
 """Machines of a wave that count as down, whatever the list of machines shows."""
 
 import json
+import random
 
 import pytest
 from maintenance_rig import MAINTENANCE_MS, MaintenanceRig
@@ -267,6 +268,21 @@
     assert rig.machines.violations == []
 
 
+def test_machine_that_is_listed_again_still_gets_its_maintenance():
+    """Guards against a wave that stays completed although a machine has come back."""
+    rig = make_rig(count=2)
+    rig.run_until_begun(1, 10_000)
+    names = {name for _, name, _ in rig.machines.begun}
+    (name,) = set(rig.machines.by_id) - names
+    rig.machines.by_id[name].is_listed = False
+    rig.loop.run_for(10_000)
+    item = rig.store.item_by_key["status/wave/1"]
+    assert json.loads(item.value or b"") == {"state": "completed"}
+    rig.machines.by_id[name].is_listed = True
+    rig.loop.run_for(5_000)
+    assert len(rig.machines.begun) == 2
+
+
 def test_two_waves_take_a_machine_one_after_the_other():
     """Guards against a wave that waits for a machine which another one has taken down.
 
@@ -337,3 +353,52 @@
     rig.loop.run_for(10_000)
     item = rig.store.item_by_key["status/wave/1"]
     assert json.loads(item.value or b"") == {"state": "running"}
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_mix_of_faults_takes_more_machines_down_than_the_cap(seed):
+    """Guards against orders, readings, records and takeovers that overlap at random."""
+    chance = random.Random(seed)
+    cap = chance.randint(1, 3)
+    rig = MaintenanceRig(*(f"m{number}" for number in range(12)))
+    names = list(rig.machines.by_id)
+    rig.put_wave(1, names[:8], cap)
+    rig.put_wave(2, names[4:], cap)
+    rig.start_leader()
+    for _ in range(chance.randint(20, 60)):
+        rig.loop.run_for(chance.randint(50, 2_500))
+        machine = rig.machines.by_id[chance.choice(names)]
+        fault = chance.randrange(8)
+        if fault == 0:
+            rig.start_leader()
+        elif fault == 1:
+            rig.machines.late_ms_by_machine = {
+                name: chance.randint(100, LONGEST_LATE_MS)
+                for name in chance.sample(names, 4)
+            }
+        elif fault == 2:
+            rig.machines.reading_ms = chance.choice([5, 300, SLOW_READING_MS])
+            rig.machines.answer_ms = chance.choice([5, 200, 700])
+        elif fault == 3:
+            is_down = machine.state is MachineState.DOWN
+            machine.state = MachineState.UP if is_down else MachineState.DOWN
+            machine.busy_until_ms = 0
+        elif fault == 4:
+            machine.is_listed = not machine.is_listed
+        elif fault == 5:
+            chance.shuffle(names)
+            rig.put_wave(1, names[:8], cap)
+        elif fault == 6:
+            rig.delete_wave(2)
+        else:
+            rig.put_wave(2, names[4:], cap)
+    assert rig.machines.violations == []
+    rig.machines.late_ms_by_machine.clear()
+    for machine in rig.machines.by_id.values():
+        machine.is_listed = True
+        if machine.state is MachineState.DOWN:
+            machine.state = MachineState.UP
+    rig.put_wave(1, names, cap)
+    rig.loop.run_for(60_000)
+    assert rig.machines.violations == []
+    assert all(1 in machine.done for machine in rig.machines.by_id.values())
