Check a maintenance order again once it is recorded

What callers saw: a machine down beyond a cap that had just been lowered (LIMIT), or for a wave that had been withdrawn, while the store was slow.

Cause: the order was checked before its record was written. The write can take hundreds of milliseconds, and the order was sent whatever had come meanwhile.

Evidence: two tests with writes of 600 ms fail before, with a second machine at 6,227 ms under a cap of 1, and an order at 5,618 ms for a deleted wave.

--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -333,18 +333,23 @@
         down = self._find_down_machines(state) - {machine_id}
         return len(down) < state.wave.max_concurrent
 
-    def _end_needless_drains(self, state: WaveState) -> None:
-        """End the drain of machines that the wave does not take any more.
+    def _is_wanted(self, state: WaveState, machine_id: str) -> bool:
+        """Tell whether a wave takes a machine.
 
         A machine that is not listed has no order to wait for, and would hold a slot.
         """
+        return (
+            not state.withdrawn
+            and machine_id in state.wave.machines
+            and machine_id in self._machine_by_id
+        )
+
+    def _end_needless_drains(self, state: WaveState) -> None:
+        """End the drain of machines that the wave does not take any more."""
         for machine_id in list(state.draining_since_ms):
-            is_wanted = (
-                not state.withdrawn
-                and machine_id in state.wave.machines
-                and machine_id in self._machine_by_id
-            )
-            if not is_wanted and not state.orders.is_waiting(machine_id):
+            if not self._is_wanted(state, machine_id) and not state.orders.is_waiting(
+                machine_id
+            ):
                 self._stop_draining(state, machine_id)
 
     def _log_waiting(self, state: WaveState) -> None:
@@ -406,6 +411,10 @@
             )
 
         def send() -> None:
+            is_wanted = self._is_wanted(state, machine_id)
+            if not is_wanted or not self._has_free_slot(state, machine_id):
+                abandon()
+                return
             now_ms = self._loop.clock.now_ms()
             state.orders.note_sent(machine_id, now_ms)
             _log.event(
--- a/tests/maintenance_rig.py
+++ b/tests/maintenance_rig.py
@@ -9,6 +9,7 @@
 from cranberrywheel.node.keys import LEADER_KEY
 from cranberrywheel.node.maintenance import MaintenanceController
 from cranberrywheel.platform.machines import MachineClient
+from cranberrywheel.platform.store import Store
 from cranberrywheel.submission.machines import (
     Machine,
     MachineOrderVerdict,
@@ -155,6 +156,7 @@
     :ivar loop: virtual time.
     :ivar machines: the simulated platform.
     :ivar store: records of the waves and of the leaders.
+    :ivar write_ms: how much longer the leader's writes to the store take.
     """
 
     def __init__(self, *names: str) -> None:
@@ -162,6 +164,7 @@
         self.store = VirtualStore(self.loop)
         self.machines = SimulatedMachines(self.loop, names)
         self.controller: MaintenanceController | None = None
+        self.write_ms = 0
         self._term = 0
 
     @property
@@ -194,6 +197,16 @@
         """Delete the record of a wave."""
         self.store.delete(f"op/wave/{number}")
 
+    def _build_client(self) -> Store:
+        client = self.store.build_client()
+        write = client.write
+
+        def write_slowly(*arguments: t.Any) -> None:
+            self.loop.after(self.write_ms, lambda: write(*arguments))
+
+        client.write = write_slowly  # type: ignore[method-assign]
+        return client
+
     def start_leader(self) -> Scheduler:
         """Start a leader; an earlier one ends without a trace but its orders."""
         if self.controller:
@@ -207,7 +220,7 @@
         scheduler.set_configuration(make_configuration())
         self.controller = MaintenanceController(
             t.cast(t.Any, self.loop),
-            self.store.build_client(),
+            self._build_client(),
             t.cast(MachineClient, self.machines),
             scheduler,
             lambda: self._term == term,
--- a/tests/test_wave_orders.py
+++ b/tests/test_wave_orders.py
@@ -101,6 +101,30 @@
     assert len(rig.machines.begun) == 6
 
 
+def test_lowered_cap_holds_while_an_order_is_being_recorded():
+    """Guards against orders that a slow store holds up, sent beyond a lowered cap."""
+    rig = make_rig(cap=2)
+    rig.loop.run_for(TAKEOVER_WAIT_MS - 500)
+    rig.write_ms = 600
+    rig.loop.run_for(500 + 2 * ROUND_INTERVAL_MS)
+    assert rig.machines.orders == []
+    rig.put_wave(cap=1)
+    rig.loop.run_for(10_000)
+    assert rig.machines.violations == []
+    assert len(rig.machines.begun) > 1
+
+
+def test_order_for_a_deleted_wave_is_not_sent_once_it_is_recorded():
+    """Guards against a machine that goes down after its wave has been withdrawn."""
+    rig = make_rig()
+    rig.loop.run_for(TAKEOVER_WAIT_MS - 500)
+    rig.write_ms = 600
+    rig.loop.run_for(500 + 2 * ROUND_INTERVAL_MS)
+    rig.delete_wave()
+    rig.loop.run_for(10_000)
+    assert rig.machines.orders == []
+
+
 def test_deleted_record_that_comes_back_finds_the_machines_that_are_down():
     """Guards against a second machine that goes down since the wave seems new."""
     rig = make_rig()
