--- a/src/cranberrywheel/node/maintenance.py
+++ b/src/cranberrywheel/node/maintenance.py
@@ -1,11 +1,8 @@
 """Maintenance of machines, which the leader carries out in waves."""
 
-import dataclasses
-import json
 import typing as t
 
 from cranberrywheel.connection.http_loop import HttpLoop
-from cranberrywheel.json_body import FIELD_ERRORS
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.node.keys import LEADER_KEY, WAVE_PROGRESS_PREFIX
 from cranberrywheel.node.machine_occupants import MachineOccupants
@@ -13,6 +10,11 @@
 from cranberrywheel.node.pool_moves import PoolMoveController
 from cranberrywheel.node.turn_records import unix_ms
 from cranberrywheel.node.watch import PrefixWatch
+from cranberrywheel.node.wave_progress import (
+    WaveProgress,
+    decode_progress,
+    encode_progress,
+)
 from cranberrywheel.platform import machines as wire
 from cranberrywheel.platform.store import Store
 from cranberrywheel.store_messages import Item, Write
@@ -36,35 +38,6 @@
 _log = ComponentLogger("duties")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Progress:
-    """What earlier leaders recorded of a wave.
-
-    :param begun: machines whose maintenance has begun.
-    :param received_unix_ms: Unix time at which the first of them read the wave, or 0 if
-        that is not known.
-    """
-
-    begun: frozenset[str] = frozenset()
-    received_unix_ms: int = 0
-
-
-def _decode_progress(value: bytes) -> _Progress:
-    """Decode the progress of a wave; that of a new wave if the record is invalid.
-
-    The platform refuses a second maintenance of the same wave, so nothing is lost.
-    """
-    try:
-        row = json.loads(value)
-        if isinstance(row, list):  # written by an earlier version
-            return _Progress(frozenset(map(str, row)))
-        begun = frozenset(map(str, row["begun"]))
-        return _Progress(begun, int(row["receivedUnixMs"]))
-    except FIELD_ERRORS as error:
-        _log.warning("record of a wave cannot be decoded; ignored", error=repr(error))
-        return _Progress()
-
-
 class MaintenanceController:
     """Carries out the maintenance waves that operators request, and pool moves.
 
@@ -85,7 +58,7 @@
         self._scheduler = scheduler
         self._has_valid_lease = has_valid_lease
         self._state_by_key: dict[str, WaveState] = {}
-        self._recorded_progress_by_key: dict[str, _Progress] = {}
+        self._recorded_progress_by_key: dict[str, WaveProgress] = {}
         self._last_value_by_key: dict[str, bytes] = {}
         self._machine_by_id: dict[str, Machine] = {}
         #: When the reading that was applied last was requested.
@@ -115,7 +88,7 @@
                 return
             for item in reply.items:
                 key = wire.WAVE_PREFIX + item.key[len(WAVE_PROGRESS_PREFIX) :]
-                progress = _decode_progress(item.value or b"")
+                progress = decode_progress(item.value or b"")
                 self._recorded_progress_by_key[key] = progress
             self._orders.load()
             self._wave_watch.start()
@@ -180,10 +153,10 @@
 
     def _restore_wave(self, key: str, wave: Wave, now_ms: int) -> WaveState:
         """Build the state of a wave from what earlier leaders recorded of it."""
-        progress = self._recorded_progress_by_key.get(key, _Progress())
+        progress = self._recorded_progress_by_key.get(key, WaveProgress())
         state = WaveState(wave, now_ms)
         if progress.received_unix_ms:
-            # The clocks of two instances differ.
+            # Limited, since the clocks of two instances differ.
             elapsed_ms = max(0, unix_ms() - progress.received_unix_ms)
             state.received_ms -= min(elapsed_ms, wave.duration_ms)
         state.begun = set(progress.begun)
@@ -450,9 +423,8 @@
             return  # the record has been replaced by that of another wave
         name = key[len(wire.WAVE_PREFIX) :]
         received_unix_ms = unix_ms() - (self._loop.clock.now_ms() - state.received_ms)
-        row = {"begun": sorted(state.begun), "receivedUnixMs": received_unix_ms}
-        value = json.dumps(row).encode()
-        self._write(WAVE_PROGRESS_PREFIX + name, value)
+        progress = WaveProgress(frozenset(state.begun), received_unix_ms)
+        self._write(WAVE_PROGRESS_PREFIX + name, encode_progress(progress))
 
     def _store_status(self, key: str, state: WaveState) -> None:
         name = key[len(wire.WAVE_PREFIX) :]
--- a/src/cranberrywheel/submission/maintenance.py
+++ b/src/cranberrywheel/submission/maintenance.py
@@ -174,6 +174,52 @@
     return down
 
 
+@dataclasses.dataclass
+class _Choice:
+    """Machines of a wave, by what may happen to them next.
+
+    :ivar unanswered: those with an order that got no answer and can be repeated.
+    :ivar remaining_by_pool: those that can be drained.
+    :ivar unavailable_by_pool: number of machines that the wave or another one takes, or
+        that are not up.
+    """
+
+    unanswered: list[str] = dataclasses.field(default_factory=list)
+    remaining_by_pool: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    unavailable_by_pool: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+def _group_machines(
+    state: WaveState,
+    machines_by_id: t.Mapping[str, Machine],
+    down: t.Container[str],
+    may_be_repeated: t.Callable[[str], bool],
+    is_moving: t.Callable[[str], bool],
+    taken_by_others: t.Collection[str],
+) -> _Choice:
+    """Group the listed machines of a wave.
+
+    :param down: machines that are down for the wave, or may be.
+    """
+    choice = _Choice()
+    for machine_id in dict.fromkeys((*state.wave.machines, *sorted(taken_by_others))):
+        machine = machines_by_id.get(machine_id)
+        if machine is None:
+            continue
+        is_drained = machine_id in state.draining_since_ms
+        is_taken = is_drained or machine_id in down or machine_id in taken_by_others
+        if is_taken or not machine.is_up:
+            count = choice.unavailable_by_pool.get(machine.pool, 0)
+            choice.unavailable_by_pool[machine.pool] = count + 1
+        if machine_id in state.begun or not machine.is_up or is_moving(machine_id):
+            continue
+        if not is_taken:
+            choice.remaining_by_pool.setdefault(machine.pool, []).append(machine_id)
+        elif not is_drained and may_be_repeated(machine_id):
+            choice.unanswered.append(machine_id)
+    return choice
+
+
 def choose_machines_to_drain(
     state: WaveState,
     machines_by_id: t.Mapping[str, Machine],
@@ -208,55 +254,36 @@
         for other in others
         for machine_id in (*other.draining_since_ms, *other.orders.machines)
     }
-    taken = taken_by_others.union(state.draining_since_ms, down)
-    chosen: list[str] = []
-    remaining_by_pool: dict[str, list[str]] = {}
-    unavailable_by_pool: dict[str, int] = {}
-    for machine_id in dict.fromkeys((*state.wave.machines, *sorted(taken_by_others))):
-        machine = machines_by_id.get(machine_id)
-        if machine is None:
-            continue
-        if machine_id in taken or not machine.is_up:
-            unavailable_by_pool[machine.pool] = (
-                unavailable_by_pool.get(machine.pool, 0) + 1
-            )
-        if machine_id in state.begun or not machine.is_up or is_moving(machine_id):
-            continue
-        if machine_id not in taken:
-            remaining_by_pool.setdefault(machine.pool, []).append(machine_id)
-        elif (
-            machine_id not in state.draining_since_ms
-            and (machine_id in inherited or state.orders.is_unresolved(machine_id))
-            and may_order(machine_id)
-        ):
-            chosen.append(machine_id)
-    repeated_count = len(chosen)
+
+    def may_be_repeated(machine_id: str) -> bool:
+        is_unanswered = state.orders.is_unresolved(machine_id)
+        return (is_unanswered or machine_id in inherited) and may_order(machine_id)
+
+    choice = _group_machines(
+        state, machines_by_id, down, may_be_repeated, is_moving, taken_by_others
+    )
 
     def used_cpu(machine_id: str) -> tuple[int, bool]:
         """Order the machines by use; an evacuated one is missed less."""
         executor = executors_by_machine.get(machine_id)
         return (executor.used.cpu, not executor.evacuated) if executor else (0, True)
 
+    chosen: list[str] = []
     for pool in sorted(
-        remaining_by_pool, key=lambda name: pressure_by_pool.get(name, 0.0)
+        choice.remaining_by_pool, key=lambda name: pressure_by_pool.get(name, 0.0)
     ):
-        remaining = remaining_by_pool[pool]
-        unavailable = unavailable_by_pool.get(pool, 0)
-        pressure = pressure_by_pool.get(pool, 0.0)
+        remaining = choice.remaining_by_pool[pool]
+        unavailable = choice.unavailable_by_pool.get(pool, 0)
         limit = _compute_concurrency_limit(
             state,
             len(remaining) + unavailable,
             maintenance_ms,
-            pressure,
+            pressure_by_pool.get(pool, 0.0),
             is_urgent,
             now_ms,
         )
-        for machine_id in sorted(remaining, key=used_cpu)[
-            : max(0, limit - unavailable)
-        ]:
-            if len(chosen) - repeated_count < free_slots:
-                chosen.append(machine_id)
-    return chosen
+        chosen += sorted(remaining, key=used_cpu)[: max(0, limit - unavailable)]
+    return choice.unanswered + chosen[: max(0, free_slots)]
 
 
 def may_interrupt(run: Run) -> bool:
