--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,15 +14,17 @@
 import rig2  # noqa: E402
 import standins2  # noqa: E402
 
-SUBMISSIONS = 10_000
-CLIENTS = 4
+SUBMISSIONS = 9_000
+CLIENTS = 2
+#: Submissions that a client sends in a second, so that the leader keeps up.
+RATE_PER_S = 125
 SPEC = '{"ms": 200, "cpu": 1000}'
 STEP = {"count": 8, "cpu": 1000, "memMb": 100, "estimatedMs": 200}
 #: Time from the start of the case to the due time of the nightly submissions.
 DUE_IN_MS = 8 * 3600 * 1000
 #: For 3 s that are calm, with 4 calm seconds before them, something has to run.
 CALM_S = 3.0 + 4.0
-OBSERVED_S = 35
+OBSERVED_S = 25
 
 
 def submit_many(rig, node, count, body):
@@ -34,7 +36,9 @@
         "Cranberrywheel-Deadline-Remaining": "3000",
     }
     accepted = 0
-    for _ in range(count):
+    start_s = time.monotonic()
+    for number in range(count):
+        time.sleep(max(0.0, start_s + number / RATE_PER_S - time.monotonic()))
         path = f"/nightly/{rig2.new_id()}"
         try:
             connection.request("POST", path, body, headers)
@@ -76,7 +80,11 @@
     body = {"spec": SPEC, "steps": [STEP]}
     time.sleep(3)
     before = rig2.new_id()
-    rig.send(rig.nodes[0], "POST", f"/orders/{before}", body)
+
+    def send_before():
+        return rig.send(rig.nodes[0], "POST", f"/orders/{before}", body)[0] == 200
+
+    rig.wait(send_before, 10)
     rig.wait(lambda: rig.list_ends(before, "done"), 15)
     rig.note("a submission sent now was done")
     leader = rig.find_leader()
