--- a/review/standins2.py
+++ b/review/standins2.py
@@ -20,6 +20,8 @@
 VALUE_BYTES = 1_048_576
 PAGE_ITEMS = 500
 HEARTBEAT_S = 1.5
+#: Heartbeats without a sign after which the store removes an entry.
+SILENT_BEATS = 3
 HOLD_MAX_MS = 6_000
 STOP_S = 0.1
 
@@ -322,9 +324,18 @@
         self._note = note
         self._sequence = 0
         self.is_up = False
-
-    async def open(self):
-        """Start the process of the executor."""
+        self.is_registered = False
+        self._written_s = 0.0
+        self.is_cut_off = False
+        #: Time after which the next poll that acknowledges ends is carried out, without
+        #: an answer; 0 for none.
+        self.late_poll_s = 0.0
+
+    async def open(self, registers=True):
+        """Start the process of the executor.
+
+        :param registers: it writes its entry at once, and not with its next heartbeat.
+        """
         self.born = unix_ms()
         self._start_ms = steady_ms()
         self.fence = 0
@@ -335,8 +346,10 @@
         self._next_end = 1
         self._ended = asyncio.Event()
         self.is_up = True
+        self._beat_s = time.monotonic()
         await self.listener.open()
-        self.write_entry()
+        if registers:
+            self.write_entry()
 
     def crash(self):
         """End the process of the executor at once."""
@@ -350,6 +363,8 @@
     def write_entry(self):
         """Write the entry in the store."""
         self._sequence += 1
+        self._written_s = time.monotonic()
+        self.is_registered = True
         entry = {
             "service": self.service,
             "address": self.address,
@@ -369,13 +384,17 @@
 
     async def run(self):
         """Write the entry again and again, and end runs whose lease is over."""
-        beat_s = time.monotonic()
         while True:
             await asyncio.sleep(0.05)
+            silent_s = time.monotonic() - self._written_s
+            if silent_s > SILENT_BEATS * HEARTBEAT_S and self.is_registered:
+                self.is_registered = False
+                self._store.write({}, [f"servers/{self.id}"])
+                await self._store.notify()
             if not self.is_up:
                 continue
-            if time.monotonic() - beat_s >= HEARTBEAT_S:
-                beat_s = time.monotonic()
+            if time.monotonic() - self._beat_s >= HEARTBEAT_S and not self.is_cut_off:
+                self._beat_s = time.monotonic()
                 self.write_entry()
                 await self._store.notify()
             if self.run_by_task and self._clock_ms() > self.deadline_ms:
@@ -406,12 +425,31 @@
         return 409, {"timestampMs": self._clock_ms(), "reason": reason}
 
     async def _handle(self, method, path, query, body):
+        if self.is_cut_off:
+            await asyncio.Event().wait()  # a call that the partition has lost
         row = json.loads(body) if body else {}
+        if path == "/api/hold" and row.get("ackCursor") and self.late_poll_s:
+            delay_s, self.late_poll_s = self.late_poll_s, 0.0
+            self._note("late", "poll", row["ackCursor"], self.id, f"in {delay_s} s")
+            asyncio.get_running_loop().call_later(delay_s, self._apply, path, row)
+            await asyncio.Event().wait()  # it gets no answer
+        answer = self._apply(path, row)
+        if answer is None:
+            answer = await self._hold(row)
+        if self.is_cut_off:
+            await asyncio.Event().wait()  # an answer that the partition has lost
+        return answer
+
+    def _apply(self, path, row):
+        """Carry out a call; ``None`` for a poll, which may wait for an end."""
         if row.get("fencingToken", 0) < self.fence:
             return self._refuse("fence")
         self.fence = row.get("fencingToken", 0)
         if path == "/api/hold":
-            return await self._hold(row)
+            self._acknowledge(row.get("ackCursor", 0))
+            if "deadlineMs" in row:
+                self._extend(row["deadlineMs"])
+            return None
         if path == "/api/run-start":
             return self._start(row)
         if path == "/api/run-stop":
@@ -450,11 +488,14 @@
             run.timer = loop.call_later(run.length_ms / 1000, self._end, run, how)
         return 200, {"timestampMs": self._clock_ms()}
 
+    def _acknowledge(self, cursor):
+        """Forget ends, and note each one with what was left of the lease."""
+        while self.finished and self.finished[0][0] <= cursor:
+            number, task, run, how, _ = self.finished.popleft()
+            left_ms = self.deadline_ms - self._clock_ms()
+            self._note("noted", task, run, self.id, f"{how}, lease {left_ms} ms")
+
     async def _hold(self, row):
-        while self.finished and self.finished[0][0] <= row.get("ackCursor", 0):
-            self.finished.popleft()
-        if "deadlineMs" in row:
-            self._extend(row["deadlineMs"])
         wait_s = min(row.get("waitMs", 0), 2_000) / 1000
         if wait_s and not self.finished:
             self._ended.clear()
