--- a/review/rig2.py
+++ b/review/rig2.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -50,6 +51,15 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
+#: Name of a task, ``ID.OCCURRENCE.STEP.INDEX``.
+_TASK = re.compile(r"\b([0-9a-f]{16})\.(\d+)\.(\d+)\.(\d+)\b")
+
+
+def format_tasks(text):
+    """Write the names of tasks with slashes, since parts of them look like addresses."""
+    return _TASK.sub(r"\1/\2/\3/\4", text)
+
+
 class NotRunError(Exception):
     """The case could not be run, so it shows nothing."""
 
@@ -251,9 +261,10 @@
         return time.monotonic() - self._start_s
 
     def note(self, text):
-        """Write a line to the record."""
+        """Write a line to the record, with readable names of tasks."""
+        line = format_tasks(text)
         with self._lock:
-            self._record.write(f"{self.now_s():8.3f} {text}\n")
+            self._record.write(f"{self.now_s():8.3f} {line}\n")
             self._record.flush()
 
     def _note_run(self, kind, task, number, executor, how):
@@ -357,7 +368,7 @@
     try:
         broken = play(rig, trouble)
         rig.note(f"rule broken: {broken}" if broken else "rule held")
-        print(f"rule broken: {broken}" if broken else "rule held")
+        print(format_tasks(f"rule broken: {broken}") if broken else "rule held")
         code = BROKEN if broken else HELD
     except NotRunError as error:
         rig.note(f"case not run: {error}")
