--- a/review/rig2.py
+++ b/review/rig2.py
@@ -56,7 +56,7 @@
 
 
 def format_tasks(text):
-    """Write the names of tasks with slashes, since parts of them look like addresses."""
+    """Write names of tasks with slashes, since parts of them look like addresses."""
     return _TASK.sub(r"\1/\2/\3/\4", text)
 
 
