Keep the settings of queues and organisations that the configuration lacks

Cause: a leader that did not find the queue of a submission made one up from the defaults, with 1 attempt. Scheduler.restore took the recorded failure for the last attempt and stored the final state. The same default applied to a queue that the leader does not know yet; an organisation that was removed had no quota at all, also without a takeover.

Change: a submission is stored with the settings of its queue and organisation at acceptance. The leader uses the configuration in force, then what it last named, then those terms, and stores the attempts in force with a failed run. Records of earlier versions have no terms; their submissions are not given up while the queue is unknown.

--- a/src/cranberrywheel/configuration_check/differences.py
+++ b/src/cranberrywheel/configuration_check/differences.py
@@ -148,8 +148,8 @@
                 f"queue {quote(before.name)}",
                 f"removed: {quote(before.host)} {quote(before.prefix)}",
                 "Its calls are refused (404) unless another route matches. Accepted "
-                "submissions continue; once another process leads, they have priority "
-                "0, 1 attempt and no constant objective.",
+                "submissions continue with the priority, attempts and objective that "
+                "they had.",
             )
 
 
--- a/src/cranberrywheel/node/caller_api.py
+++ b/src/cranberrywheel/node/caller_api.py
@@ -16,6 +16,7 @@
 from cranberrywheel.platform import callers as wire
 from cranberrywheel.submission.model import (
     Configuration,
+    Organisation,
     Queue,
     Submission,
     SubmissionState,
@@ -172,7 +173,7 @@
         configuration = self._process.configuration
         return configuration.version if configuration else 0
 
-    def _authenticate(self, request: Request) -> tuple[Queue, str, str]:
+    def _authenticate(self, request: Request) -> tuple[Queue, str, Organisation | None]:
         configuration = self._process.configuration
         if configuration is None:
             raise _Rejection(503, "no-configuration", "not-run")
@@ -182,15 +183,20 @@
         if queue is None:
             raise _Rejection(404, "no-such-queue", "not-run")
         scheme, _, key = request.headers.get("Authorization", "").partition(" ")
-        organisation = ""
+        name = ""
         if scheme.lower() == "bearer":
-            organisation = configuration.organisation_by_api_key.get(key.strip(), "")
-        if not organisation and not queue.public:
+            name = configuration.organisation_by_api_key.get(key.strip(), "")
+        if not name and not queue.public:
             raise _Rejection(401, "unknown-key", "not-run")
+        organisation = configuration.organisations_by_name.get(name)
         return queue, request.path[len(queue.prefix) :], organisation
 
     def _handle(
-        self, request: Request, queue: Queue, submission_id: str, organisation: str
+        self,
+        request: Request,
+        queue: Queue,
+        submission_id: str,
+        organisation: Organisation | None,
     ) -> Response:
         wait_ms = _caller_wait_ms(request, queue)
         if request.method == "GET" and not submission_id:
@@ -212,9 +218,14 @@
         raise _Rejection(405, "method-not-allowed", "not-run")
 
     def _cancel(
-        self, queue: Queue, submission_id: str, organisation: str, wait_ms: int
+        self,
+        queue: Queue,
+        submission_id: str,
+        organisation: Organisation | None,
+        wait_ms: int,
     ) -> Response:
-        result = self._backend.cancel(submission_id, organisation, wait_ms).result(
+        owner = organisation.name if organisation else ""
+        result = self._backend.cancel(submission_id, owner, wait_ms).result(
             wait_ms / 1000
         )
         if result is CancelResult.TOO_MANY:
@@ -234,7 +245,7 @@
         request: Request,
         queue: Queue,
         submission_id: str,
-        organisation: str,
+        organisation: Organisation | None,
         wait_ms: int,
     ) -> Response:
         configuration = self._process.configuration
@@ -283,7 +294,7 @@
             "accepted",
             request=submission_id,
             queue=queue.name,
-            organisation=organisation,
+            organisation=submission.organisation,
             steps=len(submission.steps),
             config=configuration.version if configuration else 0,
         )
--- a/src/cranberrywheel/node/progress_writer.py
+++ b/src/cranberrywheel/node/progress_writer.py
@@ -13,12 +13,17 @@
 from cranberrywheel.platform.store import Store
 from cranberrywheel.store_messages import Outcome, StoreReply, Write
 from cranberrywheel.submission.live import LiveSubmission
-from cranberrywheel.submission.record import encode_final_state, encode_progress
+from cranberrywheel.submission.model import Submission
+from cranberrywheel.submission.record import (
+    encode_final_state,
+    encode_progress,
+    encode_submission,
+)
 from cranberrywheel.submission.scheduler import Scheduler
 
-#: Submissions in one write. Each takes a condition and a put, or a condition, a put and
-#: three deletions. With the condition on the leader record, six submissions take at
-#: most 31 entries; the store accepts 32 in one write.
+#: Submissions in one write. Each takes up to two conditions and two puts, or a
+#: condition, a put and three deletions. With the condition on the leader record, six
+#: submissions take at most 31 entries; the store accepts 32 in one write.
 SUBMISSIONS_PER_WRITE = 6
 #: Concurrent progress writes.
 MAX_CONCURRENT_WRITES = 3
@@ -72,6 +77,7 @@
         puts: list[tuple[str, bytes, int]] = []
         deletes: list[str] = []
         versions: list[tuple[LiveSubmission, int]] = []
+        renewed: list[tuple[LiveSubmission, Submission]] = []
         for live in batch:
             submission_id = live.submission.id
             key = submission_key(submission_id)
@@ -88,14 +94,23 @@
             else:
                 value = encode_progress(live.build_progress())
                 puts.append((key + PROGRESS_SUFFIX, value, 0))
+                if live.has_outdated_terms:
+                    submission = self._scheduler.renew_terms(live)
+                    renewed.append((live, submission))
+                    puts.append((key, encode_submission(submission), 0))
+                    # A write that takes effect late must not bring it back.
+                    conditions.append((key + FINAL_SUFFIX, 0))
         self.active_writes += 1
         self._store.write(
             Write(tuple(conditions), tuple(puts), tuple(deletes)),
-            lambda reply: self._on_written(versions, reply),
+            lambda reply: self._on_written(versions, renewed, reply),
         )
 
     def _on_written(
-        self, versions: list[tuple[LiveSubmission, int]], reply: StoreReply
+        self,
+        versions: list[tuple[LiveSubmission, int]],
+        renewed: list[tuple[LiveSubmission, Submission]],
+        reply: StoreReply,
     ) -> None:
         self.active_writes -= 1
         for live, _ in versions:
@@ -103,6 +118,8 @@
         if self._stopped:
             return
         if reply.outcome is Outcome.OK:
+            for live, submission in renewed:
+                live.submission = submission
             for live, version in versions:
                 live.progress_revision = reply.revision
                 self._scheduler.on_stored(live, version)
--- a/src/cranberrywheel/platform/callers.py
+++ b/src/cranberrywheel/platform/callers.py
@@ -8,6 +8,7 @@
 from cranberrywheel.json_body import MAX_INTEGER
 from cranberrywheel.platform.wire_model import WireModel
 from cranberrywheel.submission.model import (
+    Organisation,
     Queue,
     Resources,
     Schedule,
@@ -15,6 +16,7 @@
     Submission,
     SubmissionState,
 )
+from cranberrywheel.submission.terms import build_terms
 
 READY_PATH = "/api/ready"
 #: Header with the time in milliseconds for which the caller waits for the response.
@@ -77,10 +79,15 @@
 
 
 def decode_submission(
-    body: bytes, submission_id: str, queue: Queue, organisation: str, now_ms: int
+    body: bytes,
+    submission_id: str,
+    queue: Queue,
+    organisation: Organisation | None,
+    now_ms: int,
 ) -> Submission:
     """Decode the body of a submission.
 
+    :param organisation: owner of the API key; ``None`` for a call without one.
     :param now_ms: Unix time in milliseconds, stored as the time of acceptance.
     :raises ValueError: if the body is invalid; the message names field and reason.
     """
@@ -97,11 +104,12 @@
         id=submission_id,
         queue=queue.key,
         service=queue.service,
-        organisation=organisation,
+        organisation=organisation.name if organisation else "",
         payload=wire.payload,
         steps=tuple(_decode_step(step) for step in wire.steps),
         accepted_ms=now_ms,
         schedule=schedule,
+        terms=build_terms(queue, organisation),
     )
 
 
--- a/src/cranberrywheel/submission/contention.py
+++ b/src/cranberrywheel/submission/contention.py
@@ -143,9 +143,7 @@
 
 
 def _get_weight(state: SchedulerState, owner: str) -> float:
-    if state.configuration is None:
-        return DEFAULT_WEIGHT
-    organisation = state.configuration.organisations_by_name.get(owner)
+    organisation = state.settings.find_organisation(owner)
     return clamp_weight(organisation.weight) if organisation else DEFAULT_WEIGHT
 
 
--- a/src/cranberrywheel/submission/live.py
+++ b/src/cranberrywheel/submission/live.py
@@ -428,6 +428,16 @@
             services.update(step_run.begun_services)
         return services
 
+    @property
+    def has_outdated_terms(self) -> bool:
+        """Whether failed runs count under other attempts than the stored ones."""
+        terms = self.submission.terms
+        return (
+            terms is not None
+            and terms.attempts != self.queue.attempts
+            and any(task.failed_runs for task in self.tasks())
+        )
+
     def runs(self) -> t.Iterator[Run]:
         """Iterate over the runs of all tasks."""
         for task in self.tasks():
--- a/src/cranberrywheel/submission/model.py
+++ b/src/cranberrywheel/submission/model.py
@@ -122,6 +122,25 @@
     repeat_count: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terms:
+    """Settings of its queue and its organisation with which a submission was accepted.
+
+    They apply while the configuration does not name the queue or the organisation. The
+    fields are those of :class:`Queue` and :class:`Organisation`; stored records use the
+    field names.
+    """
+
+    queue_name: str
+    priority: int
+    attempts: int
+    objective_factor: float
+    objective_ms: int
+    advised: bool
+    weight: float
+    quota: Resources
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Submission:
     """Work that a caller submitted. Stored records use the field names.
@@ -133,6 +152,8 @@
     :param payload: opaque text for the executors.
     :param accepted_ms: Unix time of acceptance, in milliseconds.
     :param schedule: due times, or ``None`` to run the steps once and at once.
+    :param terms: settings with which it was accepted; ``None`` in records of earlier
+        versions.
     """
 
     id: str
@@ -143,6 +164,7 @@
     steps: tuple[Step, ...]
     accepted_ms: int
     schedule: Schedule | None = None
+    terms: Terms | None = None
 
 
 class SubmissionState(enum.Enum):
--- a/src/cranberrywheel/submission/pool_load.py
+++ b/src/cranberrywheel/submission/pool_load.py
@@ -311,8 +311,7 @@
     state: SchedulerState, organisation: str, running: _Running
 ) -> int:
     """Return the cpu that a quota leaves for short work on a pool; 0 for no limit."""
-    configuration = state.configuration
-    owner = configuration and configuration.organisations_by_name.get(organisation)
+    owner = state.settings.find_organisation(organisation)
     if not owner or not owner.quota.cpu:
         return 0
     used_cpu = state.used_by_organisation.get(organisation, NO_RESOURCES).cpu
--- a/src/cranberrywheel/submission/record.py
+++ b/src/cranberrywheel/submission/record.py
@@ -8,6 +8,7 @@
 import dataclasses
 import functools
 import json
+import math
 import typing as t
 
 from cranberrywheel.json_body import MAX_INTEGER, decode_object
@@ -17,6 +18,7 @@
     Step,
     Submission,
     SubmissionState,
+    Terms,
 )
 
 #: Largest number of tasks in a record, above what any caller may submit.
@@ -42,6 +44,25 @@
     return row
 
 
+def _encode_terms(terms: Terms) -> dict[str, t.Any]:
+    row = {
+        field.name: getattr(terms, field.name) for field in dataclasses.fields(Terms)
+    }
+    row["quota"] = dataclasses.astuple(terms.quota)
+    return row
+
+
+def _decode_terms(row: dict[str, t.Any]) -> Terms:
+    terms = Terms(**{**row, "quota": Resources(*row["quota"])})
+    _check_types(terms)
+    _check_types(terms.quota)
+    for name in ("objective_factor", "weight"):
+        value = getattr(terms, name)
+        if type(value) not in (int, float) or not math.isfinite(value):
+            raise ValueError(f"terms: {name}: expected a finite number")
+    return terms
+
+
 def encode_submission(submission: Submission) -> bytes:
     """Encode a submission record; steps omit fields that are empty or false."""
     row: dict[str, t.Any] = {
@@ -55,6 +76,8 @@
     }
     if submission.schedule:
         row["schedule"] = dataclasses.astuple(submission.schedule)
+    if submission.terms:
+        row["terms"] = _encode_terms(submission.terms)
     return _encode_compact_json(row)
 
 
@@ -67,14 +90,23 @@
     )
 
 
-def _check_fields(value: t.Any) -> None:
+def _check_types(value: t.Any, smallest: int = -MAX_INTEGER) -> None:
+    """Check the plain fields of a dataclass.
+
+    :param smallest: smallest number that an integer field may hold.
+    :raises ValueError: if one has another type or is out of range.
+    """
     for name, expected in _list_plain_fields(type(value)):
         found = getattr(value, name)
         is_valid = type(found) is expected
-        if not is_valid or (expected is int and not 0 <= found <= MAX_INTEGER):
+        if not is_valid or (expected is int and not smallest <= found <= MAX_INTEGER):
             raise ValueError(f"{name}: expected {expected.__name__} in its range")
 
 
+def _check_fields(value: t.Any) -> None:
+    _check_types(value, smallest=0)
+
+
 def _check_submission(submission: Submission) -> None:
     """Check the fields, with which every scheduling pass computes.
 
@@ -109,9 +141,11 @@
             after = tuple(step.pop("after", ()))
             steps.append(Step(size=size, after=after, **step))
         schedule = row.pop("schedule", None)
+        terms = row.pop("terms", None)
         submission = Submission(
             steps=tuple(steps),
             schedule=Schedule(*schedule) if schedule else None,
+            terms=_decode_terms(terms) if terms else None,
             **row,
         )
         _check_submission(submission)
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -6,6 +6,8 @@
 :mod:`.demand`.
 """
 
+import dataclasses
+
 from cranberrywheel.submission import (
     actions,
     contention,
@@ -29,7 +31,6 @@
 from cranberrywheel.submission.live import LiveSubmission, Run, RunState
 from cranberrywheel.submission.model import (
     Configuration,
-    Queue,
     Submission,
     SubmissionState,
 )
@@ -38,6 +39,7 @@
 from cranberrywheel.submission.record import Progress
 from cranberrywheel.submission.reports import AVOID_AFTER_FAULT_MS
 from cranberrywheel.submission.state import Advice, SchedulerState
+from cranberrywheel.submission.terms import build_terms
 from cranberrywheel.submission.throttling import decide_throttling
 
 #: Pause before an unconfirmed stop is sent again.
@@ -63,15 +65,16 @@
     def set_configuration(self, configuration: Configuration) -> None:
         """Apply a newer configuration; submissions follow their queues."""
         self.configuration = configuration
+        self.settings.set_configuration(
+            configuration, (live.submission for live in self.live_by_id.values())
+        )
         self.features = select_features(
             self.feature_settings, configuration, self.timing
         )
         if not self.features.preemption:
             self.preemption.expire((), 0)
         for live in self.live_by_id.values():
-            queue = configuration.queues_by_key.get(live.submission.queue)
-            if queue is not None:
-                live.queue = queue
+            self._set_queue(live, configuration)
             if self.features.fair_shares:
                 live.beyond_share = False
             else:
@@ -79,6 +82,26 @@
                 live.advance_ms = 0
         self.rebuild_waiting_index()
 
+    def _set_queue(self, live: LiveSubmission, configuration: Configuration) -> None:
+        """Apply the configured queue of a submission, if there is one.
+
+        A submission with failed runs is stored again, so that the attempts that count
+        for them are still known when the queue has left the configuration.
+        """
+        queue = configuration.queues_by_key.get(live.submission.queue)
+        if queue is None:
+            return
+        live.queue = queue
+        if live.has_outdated_terms and not live.final_state:
+            self.mark_changed(live)
+
+    def renew_terms(self, live: LiveSubmission) -> Submission:
+        """Return a submission with the present settings of its queue as its terms."""
+        owner = self.settings.find_organisation(live.submission.organisation)
+        return dataclasses.replace(
+            live.submission, terms=build_terms(live.queue, owner)
+        )
+
     def put_executor(
         self, entry: ExecutorEntry, now_ms: int, registered: bool = True
     ) -> None:
@@ -143,12 +166,8 @@
         """
         if submission.id in self.live_by_id or submission.id in self.final_state_by_id:
             return
-        queue = None
-        if self.configuration is not None:
-            queue = self.configuration.queues_by_key.get(submission.queue)
-        if queue is None:
-            host, _, prefix = submission.queue.partition(" ")
-            queue = Queue("", host, prefix, submission.service)
+        self.settings.add_submission(submission)
+        queue = self.settings.find_queue(submission)
         if self.handed_over:
             recovered = recovered and submission.id in self.held_back_ids
         live = LiveSubmission(submission, queue, recovered)
@@ -165,9 +184,7 @@
                 )
 
     def _take_share(self, owner: str, now_ms: int) -> bool:
-        organisation = None
-        if self.configuration is not None:
-            organisation = self.configuration.organisations_by_name.get(owner)
+        organisation = self.settings.find_organisation(owner)
         if organisation is None:
             return True
         return self.shares.take(owner, organisation.weight, now_ms)
--- a/src/cranberrywheel/submission/scheduling_pass.py
+++ b/src/cranberrywheel/submission/scheduling_pass.py
@@ -88,13 +88,12 @@
     state: SchedulerState, unpolled: _UnpolledServices
 ) -> dict[str, Resources]:
     """Return what organisations with a quota may use on executors never polled."""
-    if not unpolled.all or state.configuration is None:
+    if not unpolled.all:
         return {}
-    organisations = state.configuration.organisations_by_name
     use_by_organisation: dict[str, Resources] = {}
     for live in state.live_by_id.values():
         owner = live.submission.organisation
-        organisation = organisations.get(owner)
+        organisation = state.settings.find_organisation(owner)
         if (
             not live.recovered
             or organisation is None
@@ -386,9 +385,7 @@
     A service in which the quota is exhausted is noted as quota-limited.
     """
     owner = live.submission.organisation
-    if state.configuration is None or not owner:
-        return True
-    organisation = state.configuration.organisations_by_name.get(owner)
+    organisation = state.settings.find_organisation(owner)
     if organisation is None:
         return True
     quota = organisation.quota
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -34,6 +34,7 @@
 from cranberrywheel.submission.organisation_shares import OrganisationShares
 from cranberrywheel.submission.platform_timing import PlatformTiming
 from cranberrywheel.submission.preemption import PreemptionState
+from cranberrywheel.submission.terms import LastKnownSettings
 from cranberrywheel.submission.turn_forecast import TurnForecastState
 from cranberrywheel.submission.work_ratio import WorkRatio
 
@@ -97,6 +98,8 @@
 
     :ivar fence: fencing token of all orders of this leadership.
     :ivar term: number of this leadership, from 0.
+    :ivar settings: the queues and organisations of the submissions, also of those that
+        the configuration does not name.
     :ivar handed_over: the predecessor left a handover record of all runs.
     :ivar held_back_ids: ids of submissions that the handover record holds back.
     :ivar unpolled_until_ms: by executor id, until when an executor that the
@@ -152,6 +155,7 @@
         self.term = term
         self.timing = timing
         self.configuration: Configuration | None = None
+        self.settings = LastKnownSettings()
         self.feature_settings = feature_settings
         self.features = NO_FEATURES
         self.preemption = PreemptionState()
@@ -451,6 +455,11 @@
             request=live.submission.id,
             state=state.value,
             queue=live.queue.name,
+            attempts=live.queue.attempts,
+            most_failed_runs=max(len(task.failed_runs) for task in live.tasks()),
+            config=self.configuration.version if self.configuration else 0,
+            queue_configured=self.configuration is not None
+            and live.submission.queue in self.configuration.queues_by_key,
         )
 
     def fail(self, live: LiveSubmission, now_ms: int) -> None:
--- a/tests/leader_harness.py
+++ b/tests/leader_harness.py
@@ -24,6 +24,7 @@
     Service,
     Step,
     Submission,
+    Terms,
 )
 from cranberrywheel.submission.platform_timing import PlatformTiming
 from cranberrywheel.submission.record import encode_submission
@@ -69,6 +70,7 @@
     queue: Queue = QUEUE,
     accepted_ms: int = UNIX_START_MS,
     organisation: str = "org",
+    terms: Terms | None = None,
 ) -> Submission:
     """Build a submission; by default one step with one task."""
     return Submission(
@@ -79,6 +81,7 @@
         payload="work",
         steps=steps or (make_step(),),
         accepted_ms=accepted_ms,
+        terms=terms,
     )
 
 
