Count the longest lease for a start that got no answer

Cause: only an answer with an earlier clock or the restart itself made the leader count the longest lease.

Change: the run of a start without an answer counts as running until the longest lease is over, also in the handover record. The executor's other runs keep theirs: if the process is the former one, their deadline is as granted; if not, they have ended.

--- a/src/cranberrywheel/submission/reports.py
+++ b/src/cranberrywheel/submission/reports.py
@@ -7,7 +7,11 @@
     clear_survivors,
     may_have_crashed,
 )
-from cranberrywheel.submission.executor import Executor, PendingCompletion
+from cranberrywheel.submission.executor import (
+    Executor,
+    PendingCompletion,
+    compute_lease_expiry_delay,
+)
 from cranberrywheel.submission.executor_orders import (
     CompletionReport,
     OrderReply,
@@ -58,8 +62,6 @@
             executor.last_alive_ms = now_ms
         if reply.connection_lost or reply.refused:
             executor.note_visible_end(now_ms)
-        if reply.verdict is OrderVerdict.UNKNOWN:
-            state.raise_fence(executor, "a poll got no answer")
         _mark_unreachable(state, executor, reply.error)
         return True
     if reply.boot and executor.boot and reply.boot != executor.boot:
@@ -181,6 +183,9 @@
         run.last_progress_ms = now_ms
         executor.reachable = False
         executor.note_unanswered_start(run, now_ms)
+        run.unconfirmed_lease_end_ms = now_ms + compute_lease_expiry_delay(
+            state.timing.max_run_lease_ms
+        )
         state.raise_fence(executor, "a start got no answer")
         # The stop also forbids a start that is carried out late, so that the task can
         # start elsewhere as soon as a poll does not list the run.
--- a/tests/test_restarted_executor_orders.py
+++ b/tests/test_restarted_executor_orders.py
@@ -18,6 +18,7 @@
     make_entry,
     make_poll_reply,
     make_scheduler,
+    schedule,
     start_task,
 )
 
@@ -30,6 +31,7 @@
     PollReply,
     RunOutcome,
 )
+from cranberrywheel.submission.live import RunState
 from cranberrywheel_standin.virtual_fleet import VirtualLoop
 
 #: Faults without orders that are carried out late; a slow message takes 0.6 s at most.
@@ -205,6 +207,23 @@
     assert harness.scheduler.newest_revision == before
 
 
+def test_run_of_an_unanswered_start_keeps_the_longest_lease():
+    """Guards against a second run beside one that a new process has begun.
+
+    The deadline on the former clock gives it the longest lease. A stopped leader hands
+    that over.
+    """
+    calls = Calls()
+    run = calls.begin_run()
+    now_ms = calls.loop.clock.now_ms()
+    calls.answer_start(OrderReply(OrderVerdict.UNKNOWN))
+    longest_ms = calls.scheduler.timing.max_run_lease_ms
+    assert calls.executor.list_expired_runs(now_ms + longest_ms) == []
+    assert calls.executor.list_expired_runs(now_ms + 2 * longest_ms) == [run]
+    assert run.state is RunState.STOPPING
+    assert schedule(calls.scheduler, now_ms + longest_ms) == []
+
+
 def test_idle_executor_restarts_before_its_last_ends_are_acknowledged(monkeypatch):
     """Guards against a start after an end that a poll for the former process names.
 
