Raise a token only for polls that could do harm when they come late

A poll to an unreachable executor acknowledges nothing and grants no lease, so its loss outdates nothing. Without this each failed poll of a cut zone raised the token and logged it, several times a second for each executor. Revisions in the notices of other processes no longer count: tokens rest on what this process has read.

--- a/src/cranberrywheel/node/executor_calls.py
+++ b/src/cranberrywheel/node/executor_calls.py
@@ -331,6 +331,8 @@
                 return
             if self._mark_overtaken(executor.id, fence, reply) is not reply:
                 return  # repeated by the next tick
+            if reply.verdict is OrderVerdict.UNKNOWN and (acknowledged or deadline_ms):
+                self._scheduler.raise_fence(executor, "a poll got no answer")
             current = self._scheduler.executors_by_id.get(executor.id)
             if (
                 current is not None
@@ -386,8 +388,6 @@
         sent_ms = self._loop.clock.now_ms()
 
         def on_reply(reply: PollReply) -> None:
-            if reply.verdict is OrderVerdict.UNKNOWN and not self._stopped:
-                self._scheduler.raise_fence(executor, "a poll got no answer")
             if self._stopped or reply.verdict is not OrderVerdict.OK:
                 return  # the regular polls find out more
             now_ms = self._loop.clock.now_ms()
--- a/src/cranberrywheel/node/leader.py
+++ b/src/cranberrywheel/node/leader.py
@@ -291,7 +291,6 @@
             self._submission_watch.offer(item)
 
     def _on_submission_item(self, item: Item) -> None:
-        self._note_revision(item.revision)
         submission_id, suffix = split_submission_key(item.key)
         if item.value is None:
             self._withdrawal_cleanup.remove(item.key)
