Start and renew nothing while the process of an executor is in doubt

Starts that had been decided before an answer with an earlier clock were still sent, and polls renewed the lease by the clock of the former process. Both now wait for the poll that names the process. A start beside a poll that acknowledges tries again to raise the token if there was no newer revision.

test_nothing_starts_or_is_renewed_while_the_process_is_in_doubt fails without the two checks.

--- a/src/cranberrywheel/node/executor_calls.py
+++ b/src/cranberrywheel/node/executor_calls.py
@@ -129,6 +129,7 @@
             if (
                 run.state is not RunState.STARTING
                 or not executor.reachable
+                or executor.boot_doubtful_ms
                 or executor.evacuated
                 or not self._scheduler.may_start
                 or not self._scheduler.zones_current
@@ -206,11 +207,15 @@
         If the executor has restarted unnoticed, such a poll may arrive after the end of
         a run that the order starts, and make the new process forget that end.
         """
-        fences = self._acknowledging_fences.pop(executor.id, None)
-        if fences is None:
+        fences = self._acknowledging_fences.get(executor.id)
+        if not fences:
             return
         if max(fences) >= self._scheduler.get_fence(executor.id):
             self._scheduler.raise_fence(executor)
+        fence = self._scheduler.get_fence(executor.id)
+        self._acknowledging_fences[executor.id] = [
+            other for other in fences if other >= fence
+        ]
 
     def _choose_acknowledged(self, executor: Executor) -> int:
         """Return the sequence number that the next poll acknowledges; 0 for none.
@@ -314,6 +319,8 @@
         # The lease of an unreachable executor must expire, so that its tasks can run on
         # other executors.
         renews = bool(executor.runs) and executor.reachable
+        if executor.boot_doubtful_ms:
+            renews = False  # the deadline would be on the clock of a former process
         if renews and self._may_renew_leases():
             deadline_ms = executor.extend_lease(RUN_LEASE_MS, now_ms)
         was_reachable = executor.reachable
