Learn the quota of an unknown organisation from its newest submission

After a takeover the first record in the order of the ids decided, which may be of long ago. test_newest_submission_tells_of_an_unknown_organisation covers both orders.

--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -492,7 +492,9 @@
             state=state.value,
             queue=live.queue.name,
             attempts=live.queue.attempts,
-            most_failed_runs=max(len(task.failed_runs) for task in live.tasks()),
+            most_failed_runs=max(
+                (len(task.failed_runs) for task in live.tasks()), default=0
+            ),
             config=self.configuration.version if self.configuration else 0,
             queue_configured=self.configuration is not None
             and live.submission.queue in self.configuration.queues_by_key,
--- a/src/cranberrywheel/submission/terms.py
+++ b/src/cranberrywheel/submission/terms.py
@@ -83,6 +83,9 @@
     def __init__(self) -> None:
         self._queues_by_key: dict[str, Queue] = {}
         self._organisations_by_name: dict[str, Organisation] = {}
+        #: Acceptance of the submission that an organisation was learned from, in Unix
+        #: milliseconds; for those that no configuration has named.
+        self._learned_ms_by_name: dict[str, int] = {}
 
     def set_configuration(
         self, configuration: Configuration, submissions: t.Iterable[Submission]
@@ -103,14 +106,29 @@
                 organisations.setdefault(submission.organisation, organisation)
         self._queues_by_key = queues
         self._organisations_by_name = organisations
+        self._learned_ms_by_name = {
+            name: accepted_ms
+            for name, accepted_ms in self._learned_ms_by_name.items()
+            if name in organisations and name not in configuration.organisations_by_name
+        }
 
     def add_submission(self, submission: Submission) -> None:
-        """Learn an organisation that no configuration has named from a submission."""
+        """Learn an organisation that no configuration has named from a submission.
+
+        The submission that was accepted last counts.
+        """
         terms, name = submission.terms, submission.organisation
-        if terms is not None and name and name not in self._organisations_by_name:
-            self._organisations_by_name[name] = Organisation(
-                name, terms.weight, terms.quota
-            )
+        if terms is None or not name:
+            return
+        learned_ms = self._learned_ms_by_name.get(name)
+        if name in self._organisations_by_name and (
+            learned_ms is None or submission.accepted_ms <= learned_ms
+        ):
+            return
+        self._learned_ms_by_name[name] = submission.accepted_ms
+        self._organisations_by_name[name] = Organisation(
+            name, terms.weight, terms.quota
+        )
 
     def find_queue(self, submission: Submission) -> Queue:
         """Return the queue of a submission."""
--- a/tests/test_settings_out_of_configuration.py
+++ b/tests/test_settings_out_of_configuration.py
@@ -14,7 +14,7 @@
     SubmissionState,
 )
 from cranberrywheel.submission.record import decode_submission, encode_submission
-from cranberrywheel.submission.terms import build_terms
+from cranberrywheel.submission.terms import LastKnownSettings, build_terms
 
 OTHER = dataclasses.replace(QUEUE, name="other", prefix="/other/")
 WITH_QUEUE = make_configuration((QUEUE, OTHER))
@@ -169,6 +169,17 @@
         assert sum(map(len, runs)) <= 1
 
 
+@pytest.mark.parametrize("accepted_ms", [(1, 2), (2, 1)])
+def test_newest_submission_tells_of_an_unknown_organisation(accepted_ms):
+    """Guards against a quota of long ago, by the order in which records are read."""
+    settings = LastKnownSettings()
+    for time_ms in accepted_ms:
+        organisation = Organisation("org", quota=Resources(time_ms, 0, 0))
+        terms = build_terms(QUEUE, organisation)
+        settings.add_submission(build_submission("s", accepted_ms=time_ms, terms=terms))
+    assert settings.find_organisation("org").quota.cpu == 2
+
+
 def test_settings_of_a_queue_hold_after_a_takeover(monkeypatch):
     """Guards against another priority, objective or advice for an absent queue."""
     queue = dataclasses.replace(QUEUE, priority=2, advised=True)
