--- a/src/cranberrywheel_load/cluster.py
+++ b/src/cranberrywheel_load/cluster.py
@@ -135,11 +135,7 @@
             "--history",
             str(self.folder / "workers.history"),
         )
-        wait_until(
-            lambda: "workers ready" in process.read_log(),
-            READY_TIMEOUT_S,
-            "workers are ready",
-        )
+        process.wait_for_log("workers ready", READY_TIMEOUT_S)
 
     def add_entry(self, name: str, zone: str) -> EntryEndpoint:
         """Start an entry instance on free ports."""
--- a/src/cranberrywheel_load/processes.py
+++ b/src/cranberrywheel_load/processes.py
@@ -22,6 +22,8 @@
 )
 #: More than a cluster with all its workers and relays uses.
 PORT_STRIDE_PER_PROCESS = 500
+#: End of the log that an error message shows.
+LOG_END_CHARS = 1_000
 #: Time that a process gets to exit after SIGTERM before it is killed.
 EXIT_TIMEOUT_S = 20.0
 
@@ -191,6 +193,28 @@
         """Return the content of the log file."""
         return self.log.read_text(errors="replace") if self.log.exists() else ""
 
+    def wait_for_log(self, text: str, timeout_s: float) -> None:
+        """Wait until the process has logged a text.
+
+        :raises WaitTimeoutError: if it has not within ``timeout_s`` seconds or has
+            exited before; the message has the end of its log.
+        """
+        try:
+            wait_until(
+                lambda: text in self.read_log() or not self.is_running,
+                timeout_s,
+                f"{self.name} logs {text!r}",
+            )
+        except WaitTimeoutError as error:
+            raise WaitTimeoutError(f"{error}; log: {self._read_log_end()}") from None
+        if text not in self.read_log():
+            raise WaitTimeoutError(
+                f"{self.name} has exited without {text!r}; log: {self._read_log_end()}"
+            )
+
+    def _read_log_end(self) -> str:
+        return self.read_log()[-LOG_END_CHARS:]
+
 
 def stop_all(processes: t.Sequence[ManagedProcess]) -> None:
     """Terminate processes, and kill those that do not exit in time."""
