Test that a restart and an unanswered start outdate earlier orders

Of eleven guards of the change, each taken out on a scratch copy, nine were found by a test; the raise after a known restart and the one after a start without an answer were not.

--- a/tests/test_restarted_executor_orders.py
+++ b/tests/test_restarted_executor_orders.py
@@ -175,6 +175,24 @@
     assert calls.starts[-1][0] > fence
 
 
+def test_known_restart_outdates_what_is_on_its_way():
+    """Guards against a late poll after the entry has shown the new process."""
+    calls = Calls()
+    calls.scheduler.note_revision(50)
+    calls.scheduler.put_executor(make_entry("a", SECOND_BOOT), NOW_MS)
+    calls.calls.poll_if_needed(calls.executor)
+    assert calls.polls[-1][:2] == (50, 0)
+
+
+def test_unanswered_start_is_outdated():
+    """Guards against a late start at a new process that has had another order."""
+    calls = Calls()
+    calls.begin_run()
+    calls.scheduler.note_revision(50)
+    calls.answer_start(OrderReply(OrderVerdict.UNKNOWN))
+    assert calls.scheduler.get_fence("a") == 50
+
+
 def test_poll_beside_an_unanswered_start_acknowledges_nothing():
     """Guards against a poll that overtakes the answer of a start at a new process."""
     calls = Calls()
