Soak: take a cancellation answered with 504 for one that may be carried out

Trace: its DELETE was answered 504 after 2.75 s (request timed out), which says that the outcome is unknown; 0.37 s later the records were read and the cancellation was stored and carried out. That is allowed; the soak counted a DELETE without any answer in the same way, but not this answer. Answers that rule a cancellation out (410, 429, 503) still make it a violation.

The new test fails before for 504 alone.

--- a/src/cranberrywheel_load/soak.py
+++ b/src/cranberrywheel_load/soak.py
@@ -87,6 +87,11 @@
 GIVE_UP_SHARE = 0.5
 
 
+#: Answers to a cancellation after which a submission may be cancelled; 0 is none, and
+#: 504 says that the outcome is unknown.
+MAY_BE_CANCELLED = (200, 0, 504)
+
+
 @dataclasses.dataclass
 class TrackedSubmission:
     """The state of one submission as its caller knows it.
@@ -95,7 +100,8 @@
     :param accepted: whether a node answered that it accepted the submission.
     :param possibly_accepted: whether an attempt ended without an answer, or with one
         that does not rule out that the submission runs.
-    :param cancelled: whether a cancellation was accepted or got no answer.
+    :param cancelled: whether a cancellation was accepted, got no answer, or one that
+        leaves its outcome open.
     :param withdrawn: whether a cancellation was answered with 410, so that no task of
         the submission may ever start.
     :param states: states that nodes reported, in order of arrival.
@@ -520,7 +526,7 @@
         rng = random.Random(submission.submission_id)
         for address in rng.sample(self._deployment.front_addresses, 2):
             status, _ = send_call("DELETE", address, path)
-            submission.cancelled |= status in (200, 0)
+            submission.cancelled |= status in MAY_BE_CANCELLED
             submission.withdrawn |= status == 410
             if status in (200, 410):
                 return
@@ -534,7 +540,7 @@
             status, _ = send_call(
                 "DELETE", front_address, ROUTE_PREFIX + submission.submission_id
             )
-            submission.cancelled |= status == 200 or status == 0
+            submission.cancelled |= status in MAY_BE_CANCELLED
 
     def query_state(self, submission: TrackedSubmission) -> str:
         """Query the state of a submission at a random node.
--- a/tests/test_soak_probes.py
+++ b/tests/test_soak_probes.py
@@ -2,9 +2,11 @@
 
 import json
 import random
+import types
 
 import pytest
 
+from cranberrywheel_load import soak
 from cranberrywheel_load.soak_probes import (
     CONFIGURATION_APPLY_S,
     NO_ANSWER,
@@ -77,3 +79,25 @@
     assert numbers == sorted(set(numbers)) and len(numbers) == 6
     assert all(value["routes"][0]["prefix"] == "/q/" for value in values)
     assert len({version.routes for version in operator.versions}) == 6
+
+
+@pytest.mark.parametrize(
+    ("status", "is_violation"),
+    [(200, False), (0, False), (504, False), (410, True), (429, True), (503, True)],
+)
+def test_cancellation_without_an_outcome_may_be_carried_out(
+    monkeypatch, status, is_violation
+):
+    """Guards against a violation reported for a cancellation answered with 504.
+
+    It was carried out after the answer, which had said that its outcome is unknown.
+    """
+    monkeypatch.setattr(soak, "send_call", lambda *args: (status, {}))
+    deployment = types.SimpleNamespace(front_addresses=["a:1"])
+    callers = soak.SimulatedCallers(deployment, random.Random(1))
+    callers.submissions.append(soak.TrackedSubmission("5c0e", 1, accepted=True))
+    callers.cancel()
+    answer = (200, {"state": "cancelled"})
+    monkeypatch.setattr(soak, "send_call", lambda *args: answer)
+    callers.query_state(callers.submissions[0])
+    assert bool(callers.violations) is is_violation
