--- a/review/stage3.py
+++ b/review/stage3.py
@@ -215,9 +215,7 @@
                 if end_s <= now_s:
                     self._end_lease(lease)
             old = 0
-            while (
-                old < len(self._events) and self._events[old][1] < now_s - HISTORY_S
-            ):
+            while old < len(self._events) and self._events[old][1] < now_s - HISTORY_S:
                 old += 1
             if old:
                 self._first_revision = self._events[old - 1][0]
@@ -461,6 +459,7 @@
     def _end(self, run: Run, how: str) -> None:
         del self.runs[run.task, run.number]
         self._highest[run.task] = max(self._highest.get(run.task, 0), run.number)
+        self._stage.note_end(how)
         self._end_count += 1
         self._ends.append((self._end_count, run.task, run.number, how, ""))
         self._on_event(f"end {self.id} {run.task} run {run.number} {how}")
@@ -557,6 +556,7 @@
         self._thread.start()
         self.executors: list[Executor] = []
         self.starts: list[tuple[float, str, int, str]] = []
+        self._count_by_end: dict[str, int] = {}
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
         self.front_ports: dict[int, int] = {}
         self.ready_ports: dict[int, int] = {}
@@ -627,6 +627,14 @@
         """Keep a start for the check."""
         self.starts.append((time.monotonic(), task, number, executor.id))
 
+    def note_end(self, how: str) -> None:
+        """Count an end that an executor lists."""
+        self._count_by_end[how] = self._count_by_end.get(how, 0) + 1
+
+    def count_ends(self, how: str) -> int:
+        """Return how many ends of a kind all executors have listed."""
+        return self._count_by_end.get(how, 0)
+
     def add_executors(
         self,
         count: int,
