--- a/review/13/crashes.py
+++ b/review/13/crashes.py
@@ -1,4 +1,4 @@
-"""Case 13: executors crash again and again; work that never failed is shown as failed.
+"""Executors crash again and again; work that never failed is shown as failed.
 
 For 85 s one of the 8 executors is down at almost any time, each for 0.4 s, and a
 random number says which. No task fails: each run ends as done or with its executor.
--- a/review/stage3.py
+++ b/review/stage3.py
@@ -513,6 +513,8 @@
         self._extend(deadline_ms)
         if number <= self._highest.get(task, 0):
             return refuse("old")
+        if not self._stage.is_allowed(task, self.id, body.get("ticket", "")):
+            return refuse("ticket")
         work = json.loads(body["spec"])
         size = (work["cpu"], work["memMb"])
         used = [sum(run.size[part] for run in self.runs.values()) for part in (0, 1)]
@@ -542,6 +544,60 @@
         }
 
 
+class Advisor:
+    """The service that allows executors for a step; it allows all that a call names.
+
+    It handles one call at a time, in turn; while 32 calls wait it answers 429.
+    """
+
+    def __init__(
+        self, record: Record, decision_ms: int, period_ms: int, valid_ms: int
+    ) -> None:
+        self._record = record
+        self._decision_ms, self._period_ms = decision_ms, period_ms
+        self._valid_ms = valid_ms
+        self._turn = asyncio.Lock()
+        self._waiting = 0
+        self._valid_until_s: dict[tuple[str, str, str], float] = {}
+        self.answers: dict[int, int] = {200: 0, 429: 0}
+
+    def is_valid(self, step: str, executor_id: str, ticket: str) -> bool:
+        """Tell whether a ticket is valid now."""
+        until_s = self._valid_until_s.get((step, executor_id, ticket), 0.0)
+        return time.monotonic() < until_s
+
+    async def handle(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        headers: dict[str, str],
+        body: t.Any,
+    ) -> Answer:
+        """Answer a call."""
+        if self._waiting >= 32:
+            self.answers[429] += 1
+            return 429, {}
+        self._waiting += 1
+        asked_s = time.monotonic()
+        step, workers = body["step"], body["workers"]
+        async with self._turn:
+            self._waiting -= 1
+            await asyncio.sleep(
+                (self._decision_ms + self._period_ms * len(workers)) / 1_000
+            )
+        self.answers[200] += 1
+        ticket = f"{self.answers[200]:08x}"
+        for worker in workers:
+            until_s = time.monotonic() + self._valid_ms / 1_000
+            self._valid_until_s[step, worker, ticket] = until_s
+        self._record.write(
+            f"advisor answers for {step} after {time.monotonic() - asked_s:.3f} s"
+        )
+        allowed = [[worker, ticket] for worker in workers]
+        return 200, {"allowed": allowed, "validMs": self._valid_ms}
+
+
 class Stage:
     """A small deployment: stand-ins of the platform and real node processes.
 
@@ -557,6 +613,8 @@
         self.executors: list[Executor] = []
         self.starts: list[tuple[float, str, int, str]] = []
         self._count_by_end: dict[str, int] = {}
+        self.advisor: Advisor | None = None
+        self.advisor_address: str | None = None
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
         self.front_ports: dict[int, int] = {}
         self.ready_ports: dict[int, int] = {}
@@ -627,6 +685,20 @@
         """Keep a start for the check."""
         self.starts.append((time.monotonic(), task, number, executor.id))
 
+    def is_allowed(self, task: str, executor_id: str, ticket: str) -> bool:
+        """Tell whether a start on an executor needs no ticket, or has a valid one."""
+        if self.advisor is None:
+            return True
+        step = task.rpartition(".")[0]
+        return self.advisor.is_valid(step, executor_id, ticket)
+
+    def add_advisor(self, decision_ms: int, period_ms: int, valid_ms: int) -> None:
+        """Start an advisor, from which each start needs a ticket."""
+        self.advisor = Advisor(self.record, decision_ms, period_ms, valid_ms)
+        (port,) = find_free_ports(1)
+        self.on_loop(_listen(self.advisor.handle, port))
+        self.advisor_address = f"{HOST}:{port}"
+
     def note_end(self, how: str) -> None:
         """Count an end that an executor lists."""
         self._count_by_end[how] = self._count_by_end.get(how, 0) + 1
@@ -698,7 +770,7 @@
                     "faultTolerance": {"machines": 2, "zones": 1, "regions": 0},
                     "bounds": BOUNDS,
                     "controlMode": "call",
-                    "advisor": None,
+                    "advisor": self.advisor_address,
                     "platform": {
                         "address": f"{HOST}:{self.store_port}",
                         "form": "kv",
