--- a/review/stage3.py
+++ b/review/stage3.py
@@ -13,6 +13,7 @@
 import json
 import os
 import pathlib
+import re
 import shutil
 import signal
 import socket
@@ -24,6 +25,8 @@
 import typing as t
 import urllib.parse
 
+#: Names of tasks are recorded with slashes: with dots a part looks like an address.
+TASK_NAME = re.compile(r"([0-9a-f]{16})\.(\d+)\.(\d+)(?:\.(\d+))?")
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 #: Bounds of ``sites/mlr-clyde.toml`` as SYSTEM.md states them.
@@ -104,6 +107,7 @@
 
     def write(self, text: str) -> None:
         """Write a line, also to standard output."""
+        text = TASK_NAME.sub(lambda match: "/".join(filter(None, match.groups())), text)
         with self._lock:
             line = f"{time.monotonic() - self._start_s:8.3f} {text}"
             print(line, flush=True)
