--- a/src/cranberrywheel/node/executor_calls.py
+++ b/src/cranberrywheel/node/executor_calls.py
@@ -34,7 +34,6 @@
 class ExecutorCalls:
     """Orders and polls of one leadership. All methods run on the loop's thread.
 
-    :param advisor: client of the advisor; ``None`` if there is no advisor.
     :param may_renew_leases: returns whether no other process can lead at this moment,
         so that the leases of runs may be extended.
     :param update_permissions: tells the scheduler whether it may start runs.
@@ -46,7 +45,6 @@
         self,
         loop: HttpLoop,
         client: wire.ExecutorClient,
-        advisor: wire.AdvisorClient | None,
         scheduler: Scheduler,
         may_renew_leases: t.Callable[[], bool],
         update_permissions: t.Callable[[], None],
@@ -55,7 +53,6 @@
     ) -> None:
         self._loop = loop
         self._client = client
-        self._advisor = advisor
         self._scheduler = scheduler
         self._may_renew_leases = may_renew_leases
         self._update_permissions = update_permissions
@@ -104,8 +101,6 @@
             self._send_stop(action)
         elif isinstance(action, actions.ThrottleRun):
             self._send_throttle(action)
-        elif isinstance(action, actions.RequestAdvice):
-            self._request_advice(action)
 
     def _send_starts(self, executor_id: str) -> None:
         queue = self._start_queue_by_executor.get(executor_id)
@@ -163,7 +158,7 @@
             deadline_ms=executor.extend_lease(RUN_LEASE_MS, now_ms),
             fence=self._scheduler.get_fence(executor.id),
             checkpoint=task.checkpoint,
-            ticket=action.ticket,
+            ticket=run.ticket,
         )
         self._start_count_by_executor[executor.id] = (
             self._start_count_by_executor.get(executor.id, 0) + 1
@@ -289,17 +284,6 @@
             on_reply,
         )
 
-    def _request_advice(self, action: actions.RequestAdvice) -> None:
-        def on_reply(tickets: dict[str, str], valid_ms: int) -> None:
-            now_ms = self._loop.clock.now_ms()
-            self._scheduler.on_advice(action.step, tickets, valid_ms, now_ms)
-            self._request_pass()
-
-        if self._advisor is None:
-            on_reply({}, 0)
-        else:
-            self._advisor.request_tickets(action.step, action.executor_ids, on_reply)
-
     # Polls of executors
 
     def poll_if_needed(self, executor: Executor) -> None:
--- a/src/cranberrywheel/node/leader.py
+++ b/src/cranberrywheel/node/leader.py
@@ -6,6 +6,7 @@
 from cranberrywheel.connection.http_loop import HttpLoop
 from cranberrywheel.json_body import FIELD_ERRORS
 from cranberrywheel.logs import ComponentLogger
+from cranberrywheel.node.advisor_calls import AdvisorCalls
 from cranberrywheel.node.evacuation_sync import EvacuationSync
 from cranberrywheel.node.executor_calls import ExecutorCalls
 from cranberrywheel.node.executor_records import ExecutorRecords
@@ -28,6 +29,7 @@
 from cranberrywheel.platform.store import Store
 from cranberrywheel.store_messages import Item, Outcome, StoreReply
 from cranberrywheel.submission import actions
+from cranberrywheel.submission.advice import AdviceReply, count_waiting
 from cranberrywheel.submission.demand import compute_demand_by_service
 from cranberrywheel.submission.evacuation import count_remaining_runs
 from cranberrywheel.submission.handover import (
@@ -68,7 +70,8 @@
 class Leader:
     """One leadership of this process. All methods run on the loop's thread.
 
-    :param advisor: client of the advisor; ``None`` if there is no advisor.
+    :param advisor: calls of this process to the advisor; ``None`` if there is no
+        advisor.
     :param machines: client of the machine interface; ``None`` if there is none.
     :param has_valid_lease: returns whether no other process can lead at this moment.
     :param may_continue_without_store: returns whether runs may continue although the
@@ -85,7 +88,7 @@
         loop: HttpLoop,
         store: Store,
         client: wire.ExecutorClient,
-        advisor: wire.AdvisorClient | None,
+        advisor: AdvisorCalls | None,
         machines: MachineClient | None,
         scheduler: Scheduler,
         has_valid_lease: t.Callable[[], bool],
@@ -101,6 +104,9 @@
         self.evacuated_zone_runs = 0
         self._unknown_zones: frozenset[str] = frozenset()
         self._handover_record = EMPTY_HANDOVER_RECORD
+        self._advisor = advisor
+        if advisor is not None:
+            advisor.receiver = self._on_advice
         self._has_valid_lease = has_valid_lease
         self._may_continue_without_store = may_continue_without_store
         self.scheduler = scheduler
@@ -130,7 +136,6 @@
         self._executor_calls = ExecutorCalls(
             loop,
             client,
-            advisor,
             scheduler,
             self._may_renew_leases,
             self._update_permissions,
@@ -194,6 +199,8 @@
     def stop(self) -> None:
         """Stop scheduling and ignore replies that are still outstanding."""
         self._stopped = True
+        if self._advisor is not None and self._advisor.receiver == self._on_advice:
+            self._advisor.receiver = None
         self._executor_watch.stop()
         self._submission_watch.stop()
         self._executor_calls.stop()
@@ -374,6 +381,7 @@
         if now_ms - self._load_logged_ms >= LOAD_LOG_INTERVAL_MS:
             self._load_logged_ms = now_ms
             self._log_load()
+            self._log_advice(now_ms)
             self._log_evacuations()
         self._executor_calls.poll_all()
         self._withdrawal_cleanup.delete_due()
@@ -398,6 +406,30 @@
                 writes=self._progress_writer.active_writes,
             )
 
+    def _log_advice(self, now_ms: int) -> None:
+        """Count and log the steps that wait for tickets of the advisor."""
+        count_waiting(self.scheduler, now_ms)
+        turns = self.scheduler.advice_turns
+        if not turns.waiting_count:
+            return
+        if self._advisor is None:
+            _log.warning(
+                "steps of advised queues cannot start: the settings name no advisor",
+                steps=turns.waiting_count,
+                longest_ms=turns.longest_wait_ms,
+            )
+            return
+        call = self._advisor.under_way
+        _log.event(
+            "steps wait for tickets",
+            steps=turns.waiting_count,
+            longest_ms=turns.longest_wait_ms,
+            under_way=call.step if call else "",
+            given_up=self._advisor.given_up_count,
+            answers=turns.answer_count,
+            used=turns.used_answer_count,
+        )
+
     def _log_evacuations(self) -> None:
         """Count and log what is still in each evacuated zone."""
         self.evacuated_zone_runs = 0
@@ -430,11 +462,21 @@
             for action in self.scheduler.take_actions():
                 if isinstance(action, actions.DeleteExecutorRecord):
                     self._executor_records.delete(action.executor_id)
+                elif isinstance(action, actions.RequestAdvice):
+                    assert self._advisor is not None
+                    self._advisor.call(action)
                 else:
                     self._executor_calls.execute(action)
             self._progress_writer.write_changes()
 
+    def _on_advice(self, call: actions.RequestAdvice, reply: AdviceReply) -> None:
+        self.scheduler.on_advice(call, reply, self._loop.clock.now_ms())
+        self.request_pass()
+
     def _update_permissions(self) -> None:
+        self.scheduler.advice_turns.may_ask = (
+            self._advisor is not None and self._advisor.is_free
+        )
         self.scheduler.store_unreachable = self._may_continue_without_store()
         self.scheduler.may_start = self._may_renew_leases() and self._executors_loaded
         if self._evacuation_sync is not None:
--- a/src/cranberrywheel/node/node.py
+++ b/src/cranberrywheel/node/node.py
@@ -13,6 +13,8 @@
 from cranberrywheel.connection.http_server import HttpServer
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.node.admission_sync import AdmissionSync
+from cranberrywheel.node.advisor_calls import AdvisorCalls
+from cranberrywheel.node.advisor_metrics import add_advisor_metrics
 from cranberrywheel.node.call_timeout import CallTimeout
 from cranberrywheel.node.caller_api import RETRY_AFTER_S, CallerApi
 from cranberrywheel.node.configuration_sync import ConfigurationSync
@@ -30,8 +32,9 @@
 )
 from cranberrywheel.node.submission_calls import SubmissionCalls
 from cranberrywheel.node.turn_metrics import add_turn_gauges
+from cranberrywheel.platform.advisor import AdvisorClient
 from cranberrywheel.platform.callers import READY_PATH
-from cranberrywheel.platform.executors import AdvisorClient, ExecutorClient
+from cranberrywheel.platform.executors import ExecutorClient
 from cranberrywheel.platform.machines import MachineClient
 from cranberrywheel.platform.settings import NodeSettings
 from cranberrywheel.platform.store import CALL_TIMEOUT_MS, Store
@@ -116,6 +119,11 @@
             ),
         )
         self._executor_client = ExecutorClient(self._loop)
+        self._advisor_calls: AdvisorCalls | None = None
+        if settings.advisor_address:
+            self._advisor_calls = AdvisorCalls(
+                self._loop, AdvisorClient(self._loop, settings.advisor_address)
+            )
         self._leader: Leader | None = None
         self._leadership = Leadership(
             self._loop,
@@ -174,6 +182,12 @@
         add_turn_gauges(
             self._metrics, lambda: self._leader.scheduler if self._leader else None
         )
+        if self._advisor_calls is not None:
+            add_advisor_metrics(
+                self._metrics,
+                self._advisor_calls,
+                lambda: self._leader.scheduler if self._leader else None,
+            )
         host, _, port = settings.caller_address.rpartition(":")
         self._metrics.gauge(
             "cranberrywheel_configuration_version",
@@ -387,7 +401,6 @@
         if self.configuration:
             scheduler.set_configuration(self.configuration)
         settings = self._settings
-        advisor = AdvisorClient(self._loop, settings.advisor_address)
         machines = MachineClient(
             self._loop, settings.machines_address, self._process_name
         )
@@ -395,7 +408,7 @@
             self._loop,
             self._store,
             self._executor_client,
-            advisor if settings.advisor_address else None,
+            self._advisor_calls,
             machines if settings.machines_address else None,
             scheduler,
             self._leadership.has_valid_lease,
--- a/src/cranberrywheel/platform/configuration.py
+++ b/src/cranberrywheel/platform/configuration.py
@@ -1,10 +1,14 @@
 """Decoding of the operators' configuration from the platform's store."""
 
+import math
+
 import pydantic
 
 from cranberrywheel.configuration_check.entries import ConfigurationEntries, FormatFault
+from cranberrywheel.json_body import clamp
 from cranberrywheel.platform.wire_model import WireModel
 from cranberrywheel.submission.model import (
+    AdvisorTiming,
     Configuration,
     Organisation,
     Queue,
@@ -16,6 +20,13 @@
 #: Key prefix of everything that operators write.
 OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
+#: Largest time of an advisor that counts, an hour.
+MAX_DECISION_MS = 3_600_000
+
+
+class _Advisor(WireModel):
+    decision_ms: float = pydantic.Field(0.0, alias="decisionMs")
+    period_ms: float = pydantic.Field(0.0, alias="periodMs")
 
 
 class _Route(WireModel):
@@ -31,7 +42,7 @@
     goal_ms: int = pydantic.Field(0, alias="targetLatencyMs")
     timeout_ms: int = pydantic.Field(0, alias="timeoutMs")
     public: bool = False
-    advisor: dict[str, float] | None = None
+    advisor: _Advisor | None = None
 
 
 class _Service(WireModel):
@@ -75,6 +86,15 @@
         self.faults = faults
 
 
+def _build_advisor_timing(advisor: _Advisor | None) -> AdvisorTiming:
+    if advisor is None:
+        return AdvisorTiming()
+    return AdvisorTiming(
+        math.ceil(clamp(advisor.decision_ms, MAX_DECISION_MS)),
+        math.ceil(clamp(advisor.period_ms, MAX_DECISION_MS)),
+    )
+
+
 def _build_queue(route: _Route) -> Queue:
     return Queue(
         name=route.name,
@@ -88,6 +108,7 @@
         timeout_ms=route.timeout_ms,
         public=route.public,
         advised=route.advisor is not None,
+        advisor_timing=_build_advisor_timing(route.advisor),
     )
 
 
--- a/src/cranberrywheel/platform/executors.py
+++ b/src/cranberrywheel/platform/executors.py
@@ -34,8 +34,6 @@
 EXECUTOR_PREFIX = "servers/"
 #: Timeout of an order; a healthy executor answers in a few milliseconds.
 CALL_TIMEOUT_MS = 400
-#: Timeout of a call to the advisor, which serves the calls of a machine one by one.
-ADVISOR_TIMEOUT_MS = 2_800
 #: Time added to the wait of a poll before it counts as unanswered. It is short because
 #: completions stay unknown until a lost poll has timed out.
 POLL_MARGIN_MS = 350
@@ -54,8 +52,6 @@
 #: Printable characters without blanks, so that an id cannot add lines to the header of
 #: a call; with the prefix of any record the key stays within the store's 200 bytes.
 _ID = pydantic.TypeAdapter(t.Annotated[str, pydantic.Field(pattern="^[!-~]{1,190}$")])
-#: Largest number of executors in one call to the advisor.
-MAX_EXECUTORS_PER_ADVICE = 100
 
 _log = ComponentLogger("executors")
 
@@ -343,54 +339,6 @@
         )
 
 
-class AdvisorClient:
-    """Client of the advisor, the service that allows executors for a step.
-
-    :param address: ``host:port`` of the advisor.
-    """
-
-    def __init__(self, loop: HttpLoop, address: str) -> None:
-        self._loop = loop
-        self._address = address
-
-    def request_tickets(
-        self,
-        step: str,
-        executor_ids: t.Sequence[str],
-        done: t.Callable[[dict[str, str], int], None],
-    ) -> None:
-        """Request which executors may run a step.
-
-        :param done: called with tickets by executor id and the time in milliseconds
-            for which they are valid; with an empty mapping and 0 if there was no usable
-            answer.
-        """
-        body = {"step": step, "workers": list(executor_ids)[:MAX_EXECUTORS_PER_ADVICE]}
-
-        def decode(reply: HttpReply) -> None:
-            tickets: dict[str, str] = {}
-            valid_ms = 0
-            try:
-                answer = decode_object(reply.body)
-                valid_ms = int(answer["validMs"])
-                tickets = {str(row[0]): str(row[1]) for row in answer["allowed"]}
-            except FIELD_ERRORS as error:
-                _log.warning(
-                    "no usable answer from the advisor",
-                    step=step,
-                    status=reply.status,
-                    error=repr(error)[:200],
-                )
-                valid_ms = 0
-            done(tickets, valid_ms)
-
-        data = json.dumps(body).encode()
-        request = HttpRequest(
-            "POST", self._address, "/api/advise", data, timeout_ms=ADVISOR_TIMEOUT_MS
-        )
-        self._loop.call(request, decode)
-
-
 def encode_executor(entry: ExecutorEntry) -> bytes:
     """Encode an entry in the executors' own format, for records and stand-ins."""
     wire = _Entry(
--- a/src/cranberrywheel/submission/actions.py
+++ b/src/cranberrywheel/submission/actions.py
@@ -7,14 +7,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartRun:
-    """Start a run on its executor.
-
-    :param ticket: the advisor's ticket for the executor, or ``""`` if the queue needs
-        none.
-    """
+    """Start a run on its executor."""
 
     run: Run
-    ticket: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,10 +35,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestAdvice:
-    """Ask the advisor which of these executors may run a step."""
+    """Ask the advisor which of these executors may run a step.
+
+    :param executors: id and boot of each.
+    :param call_ms: time that the advisor takes by the configuration, in milliseconds.
+    :param waiting_since_ms: since when the step has needed tickets, as steady time.
+    """
 
     step: str
-    executor_ids: tuple[str, ...]
+    executors: tuple[tuple[str, int], ...]
+    call_ms: int
+    waiting_since_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cranberrywheel/submission/live.py
+++ b/src/cranberrywheel/submission/live.py
@@ -7,6 +7,9 @@
 from cranberrywheel.submission.model import Queue, Step, Submission, SubmissionState
 from cranberrywheel.submission.record import Progress
 
+if t.TYPE_CHECKING:
+    from cranberrywheel.submission.advice import StepAdvice
+
 
 class RunState(enum.Enum):
     """State of a run as the leader knows it.
@@ -65,6 +68,7 @@
     :ivar stop_confirmed_ms: when the executor confirmed the stop; 0 if not yet.
     :ivar slowness_recorded: its slow progress has been counted as a fault of its
         executor.
+    :ivar ticket: advisor's ticket of its start; ``""`` if its queue needs none.
     """
 
     __slots__ = (
@@ -87,6 +91,7 @@
         "stop_confirmed_ms",
         "stop_sent_ms",
         "task",
+        "ticket",
         "stop_reason",
         "zone",
     )
@@ -113,6 +118,7 @@
         self.stop_confirmed_ms = 0
         self.stop_reason = ""
         self.slowness_recorded = False
+        self.ticket = ""
 
     @property
     def is_confirmed(self) -> bool:
@@ -192,9 +198,11 @@
     :ivar begun_services: services on whose executors tasks of it may have started;
         empty until it begins.
     :ivar may_have_begun: an earlier leader may have started tasks of it.
+    :ivar advice: what the advisor has said about it; ``None`` until it needs tickets.
     """
 
     __slots__ = (
+        "advice",
         "begin_record_version",
         "begun_services",
         "may_have_begun",
@@ -218,6 +226,7 @@
         self.begin_record_version = 0
         self.begun_services: tuple[str, ...] = ()
         self.may_have_begun = False
+        self.advice: StepAdvice | None = None
 
     @property
     def name(self) -> str:
--- a/src/cranberrywheel/submission/model.py
+++ b/src/cranberrywheel/submission/model.py
@@ -191,6 +191,22 @@
     return f"{host} {prefix}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdvisorTiming:
+    """Time that the advisor takes for the calls of a queue; 0 if it is not stated.
+
+    :param decision_ms: time for each call, in milliseconds.
+    :param per_executor_ms: further time for each executor that a call names.
+    """
+
+    decision_ms: int = 0
+    per_executor_ms: int = 0
+
+    def compute_call_ms(self, executor_count: int) -> int:
+        """Return the time of one call, without its wait for a turn."""
+        return self.decision_ms + self.per_executor_ms * executor_count
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Queue:
     """A queue of the configuration.
@@ -209,6 +225,7 @@
     :param timeout_ms: how long callers may wait for an answer, in milliseconds.
     :param public: calls need no API key.
     :param advised: the external advisor decides which executors may run a step.
+    :param advisor_timing: time that the advisor takes for a call.
     """
 
     name: str
@@ -222,6 +239,7 @@
     timeout_ms: int = 0
     public: bool = False
     advised: bool = False
+    advisor_timing: AdvisorTiming = AdvisorTiming()
 
     @property
     def key(self) -> str:
--- a/src/cranberrywheel/submission/reports.py
+++ b/src/cranberrywheel/submission/reports.py
@@ -2,6 +2,7 @@
 
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.submission import actions
+from cranberrywheel.submission.advice import note_accepted, note_refused_ticket
 from cranberrywheel.submission.cold_executors import ran_cold
 from cranberrywheel.submission.crash_attribution import (
     clear_survivors,
@@ -166,6 +167,7 @@
         run.confirm(now_ms)
         run.last_progress_ms = now_ms
         run.task.step_run.live.started = True
+        note_accepted(run.task.step_run)
     elif reply.verdict is OrderVerdict.DUPLICATE:
         # The executor has ended or stopped this run or a later one, as the next poll
         # shows.
@@ -210,7 +212,7 @@
         avoid_ms = AVOID_AFTER_FAULT_MS
         record_fault(executor, now_ms)
     elif reply.verdict is OrderVerdict.TICKET:
-        state.advice_by_step.pop(run.task.step_run.name, None)
+        note_refused_ticket(run.task.step_run, executor.id, run.ticket, now_ms)
     run.task.avoid_until_ms_by_executor[executor.id] = now_ms + avoid_ms
     state.discard_run(run)
 
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -15,6 +15,7 @@
     scheduling_pass,
     urgent_work,
 )
+from cranberrywheel.submission.advice import AdviceReply, apply_reply
 from cranberrywheel.submission.cold_executors import note_cold
 from cranberrywheel.submission.crash_attribution import end_isolation
 from cranberrywheel.submission.demand import record_arrival
@@ -38,7 +39,7 @@
 from cranberrywheel.submission.pool_floor import pack_pool
 from cranberrywheel.submission.record import Progress
 from cranberrywheel.submission.reports import AVOID_AFTER_FAULT_MS
-from cranberrywheel.submission.state import Advice, SchedulerState
+from cranberrywheel.submission.state import SchedulerState
 from cranberrywheel.submission.terms import build_terms
 from cranberrywheel.submission.throttling import decide_throttling
 
@@ -223,18 +224,10 @@
             self.dirty_services.add(live.queue.service)
 
     def on_advice(
-        self, step: str, tickets: dict[str, str], valid_ms: int, now_ms: int
+        self, call: actions.RequestAdvice, reply: AdviceReply, now_ms: int
     ) -> None:
-        """Apply the advisor's answer for a step.
-
-        :param tickets: tickets by id of the executors that may run the step.
-        :param valid_ms: how long the answer is valid; 0 if there was no answer.
-        """
-        if valid_ms:
-            self.advice_by_step[step] = Advice(tickets, now_ms + valid_ms)
-        else:
-            self.advice_by_step.pop(step, None)
-        self.mark_all_dirty()
+        """Apply the end of a call to the advisor; see :func:`.advice.apply_reply`."""
+        apply_reply(self, call, reply, now_ms)
 
     def on_poll_reply(
         self, executor_id: str, reply: PollReply, sent_ms: int, now_ms: int
--- a/src/cranberrywheel/submission/scheduling_pass.py
+++ b/src/cranberrywheel/submission/scheduling_pass.py
@@ -10,7 +10,7 @@
 import typing as t
 
 from cranberrywheel.logs import ComponentLogger
-from cranberrywheel.submission import actions
+from cranberrywheel.submission import actions, advice
 from cranberrywheel.submission.contention import order_by_share
 from cranberrywheel.submission.crash_attribution import choose_isolated_executor
 from cranberrywheel.submission.executor import LATE_START_MS, Executor
@@ -27,7 +27,7 @@
     compute_scheduling_key,
     estimate_remaining_work,
 )
-from cranberrywheel.submission.state import Advice, SchedulerState
+from cranberrywheel.submission.state import SchedulerState
 
 #: Run numbers that one leader may use for a task. Each leader begins above those of
 #: its predecessors, so that a number is never used twice. Refused starts use up
@@ -51,8 +51,12 @@
     state.unknown_use_by_organisation = _estimate_unknown_use(state, unpolled)
     state.forget_expired_runs(now_ms)
     for service in sorted(services):
+        state.advice_turns.begin_pass(service)
         if state.waiting_by_service.get(service):
             _schedule_service(state, service, unpolled, now_ms, unix_ms)
+    call = advice.choose_call(state, now_ms)
+    if call is not None:
+        state.actions.append(call)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -242,18 +246,52 @@
     now_ms: int,
     unix_ms: int,
 ) -> None:
-    """Start the waiting tasks of a step as far as capacity and quota allow."""
+    """Start the waiting tasks of a step as far as capacity and quota allow.
+
+    The tasks of an advised queue start on executors for which they have a ticket. For
+    those that wait on, the advisor is asked about others with free capacity.
+    """
+    if not pool_capacity.may_fit(step_run.step.claim):
+        return
+    if not step_run.live.queue.advised:
+        _start_tasks(state, step_run, pool, pool_capacity, now_ms, unix_ms)
+        return
+    ticketed = advice.list_ticketed(step_run, pool, now_ms)
+    if ticketed:
+        _start_tasks(state, step_run, ticketed, PoolCapacity(ticketed), now_ms, unix_ms)
+        pool_capacity.refresh()
+    if step_run.waiting and pool_capacity.may_fit(step_run.step.claim):
+        tasks = _list_startable_tasks(state, step_run)
+        advice.consider_call(state, step_run, tasks, pool, now_ms)
+
+
+def _list_startable_tasks(state: SchedulerState, step_run: StepRun) -> list[Task]:
+    """Return the waiting tasks that may start if an executor is found for them."""
+    step = step_run.step
+    size = step.size * step.count if step.gang else step.size
+    if not is_within_quota(state, step_run.live, size):
+        return []
+    tasks = [
+        task
+        for task in step_run.waiting.values()
+        if not (state.unlocated_runs and state.may_run_unlocated(task))
+        and (not task.crashes or _may_start_suspect(state, task))
+    ]
+    return [] if step.gang and len(tasks) < step.count else tasks
+
+
+def _start_tasks(
+    state: SchedulerState,
+    step_run: StepRun,
+    pool: t.Sequence[Executor],
+    pool_capacity: PoolCapacity,
+    now_ms: int,
+    unix_ms: int,
+) -> None:
     live = step_run.live
     step = step_run.step
-    if not pool_capacity.may_fit(step.claim):
-        return
-    tickets: dict[str, str] | None = None
-    if live.queue.advised:
-        tickets = _get_advised_tickets(state, step_run, pool, now_ms)
-        pool = [executor for executor in pool if executor.id in tickets]
-        pool_capacity = PoolCapacity(pool)
     if step.gang:
-        _start_gang(state, step_run, pool_capacity, tickets, now_ms, unix_ms)
+        _start_gang(state, step_run, pool_capacity, now_ms, unix_ms)
         pool_capacity.refresh()
         return
     leaving_machines = state.maintenance_due | state.borrowed_machines
@@ -287,16 +325,8 @@
             if not task.avoid_until_ms_by_executor:
                 return  # the other tasks of the step need the same capacity
             continue
-        ticket = tickets[executor.id] if tickets else ""
-        _start_run(
-            state,
-            task,
-            _get_next_run_number(state, task),
-            executor,
-            ticket,
-            now_ms,
-            unix_ms,
-        )
+        number = _get_next_run_number(state, task)
+        _start_run(state, task, number, executor, now_ms, unix_ms)
         pool_capacity.refresh()
 
 
@@ -312,7 +342,6 @@
     state: SchedulerState,
     step_run: StepRun,
     pool_capacity: PoolCapacity,
-    tickets: dict[str, str] | None,
     now_ms: int,
     unix_ms: int,
 ) -> None:
@@ -324,12 +353,7 @@
         state.may_run_unlocated(task) for task in step_run.tasks
     ):
         return
-    gang_size = Resources(
-        step.size.cpu * step.count,
-        step.size.memory_mb * step.count,
-        step.size.gpu * step.count,
-    )
-    if not is_within_quota(state, step_run.live, gang_size):
+    if not is_within_quota(state, step_run.live, step.size * step.count):
         return
     chosen = choose_gang_executors(pool_capacity.usable, step_run, now_ms)
     if chosen is None:
@@ -340,8 +364,7 @@
     )
     for task, executor in zip(step_run.tasks, chosen, strict=True):
         task.checkpoint = checkpoint
-        ticket = tickets[executor.id] if tickets else ""
-        _start_run(state, task, number, executor, ticket, now_ms, unix_ms)
+        _start_run(state, task, number, executor, now_ms, unix_ms)
 
 
 def _get_next_run_number(state: SchedulerState, task: Task) -> int:
@@ -353,7 +376,6 @@
     task: Task,
     number: int,
     executor: Executor,
-    ticket: str,
     now_ms: int,
     unix_ms: int,
 ) -> None:
@@ -361,6 +383,8 @@
     live = task.step_run.live
     task.last_run_number = number
     run = Run(task, number, executor.id, now_ms)
+    if live.queue.advised:
+        run.ticket = advice.use_ticket(state, task.step_run, executor)
     state.track_run(run, executor)
     if executor.cold_until_ms > now_ms:
         executor.cold_started_cpu += task.step_run.step.size.cpu
@@ -374,7 +398,7 @@
         free_cpu=executor.free.cpu,
         config=state.configuration.version if state.configuration else 0,
     )
-    state.actions.append(actions.StartRun(run, ticket))
+    state.actions.append(actions.StartRun(run))
 
 
 def is_within_quota(
@@ -399,23 +423,3 @@
     if not within_quota:
         state.quota_limited_services.add(live.queue.service)
     return within_quota
-
-
-def _get_advised_tickets(
-    state: SchedulerState,
-    step_run: StepRun,
-    pool: t.Sequence[Executor],
-    now_ms: int,
-) -> dict[str, str]:
-    """Return the advised executors of a step with their tickets.
-
-    Requests new advice if there is none, and returns nothing until it arrives.
-    """
-    advice = state.advice_by_step.get(step_run.name)
-    if advice is not None and (advice.pending or advice.until_ms > now_ms):
-        return advice.tickets
-    ids = tuple(executor.id for executor in pool if executor.is_usable)
-    if ids:
-        state.advice_by_step[step_run.name] = Advice({}, 0, pending=True)
-        state.actions.append(actions.RequestAdvice(step_run.name, ids))
-    return {}
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -6,6 +6,7 @@
 
 from cranberrywheel.logs import ComponentLogger
 from cranberrywheel.submission import actions
+from cranberrywheel.submission.advice_turns import AdviceTurns
 from cranberrywheel.submission.crash_attribution import must_give_up, record_crash
 from cranberrywheel.submission.duration_estimates import DurationEstimates
 from cranberrywheel.submission.executor import Executor, compute_lease_expiry_delay
@@ -51,20 +52,6 @@
 _log = ComponentLogger("scheduler")
 
 
-@dataclasses.dataclass
-class Advice:
-    """Advisor's answer for a step.
-
-    :param tickets: tickets by id of the executors that may run the step.
-    :param until_ms: steady time until which the answer is valid, in milliseconds.
-    :param pending: a request is under way.
-    """
-
-    tickets: dict[str, str]
-    until_ms: int
-    pending: bool = False
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnlocatedRun:
     """A run that the predecessor handed over, on an executor that is not known yet.
@@ -132,6 +119,7 @@
     :ivar arrivals_by_service: for each recent submission with short work only, when it
         arrived, and its expected work in core-milliseconds.
     :ivar mean_work_by_service: mean work of the submissions to each pool.
+    :ivar advice_turns: steps that need tickets of the advisor.
     :ivar turns: what is known about the turns of the queues.
     :ivar packed_machines_by_service: ids of the machines on which a pool packs its
         long-running tasks, see :mod:`.pool_plans`.
@@ -186,7 +174,7 @@
         self.borrowed_machines: set[str] = set()
         self.duration_estimates = DurationEstimates()
         self.work_ratio = WorkRatio()
-        self.advice_by_step: dict[str, Advice] = {}
+        self.advice_turns = AdviceTurns()
         self.used_by_organisation: dict[str, Resources] = {}
         self.unknown_use_by_organisation: dict[str, Resources] = {}
         self.arrivals_by_service: dict[str, collections.deque[tuple[int, float]]] = {}
@@ -310,6 +298,13 @@
         live = self.live_by_id.get(parts[0])
         return live.find_task(*parts[1:]) if live else None
 
+    def find_step_run(self, name: str) -> StepRun | None:
+        """Return a step of an occurrence by its name, or ``None`` if it has ended."""
+        task = self.find_task(f"{name}.0")
+        if task is None or task.step_run.live.final_state:
+            return None
+        return task.step_run
+
     def track_run(self, run: Run, executor: Executor) -> None:
         """Track a run that may be on an executor from now on."""
         task = run.task
--- a/src/cranberrywheel_load/main.py
+++ b/src/cranberrywheel_load/main.py
@@ -20,6 +20,7 @@
 from cranberrywheel_load.pattern import LoadPlan, plan_arrivals
 from cranberrywheel_load.report import format_queue_table, summarize, write_json
 from cranberrywheel_load.soak import (
+    ADVISOR_FAULT_KINDS,
     FAULT_KINDS,
     LATE_FAULT_KINDS,
     SoakPlan,
@@ -216,11 +217,18 @@
         option(
             "late-calls", None, "Also let calls without an answer take effect late."
         ),
+        option(
+            "advised",
+            None,
+            "Use three queues with an advisor, and disturb the calls to it.",
+        ),
     ]
 
     def handle(self) -> int:
         failed_seeds = 0
         late_kinds = LATE_FAULT_KINDS if self.option("late-calls") else ()
+        kinds = ADVISOR_FAULT_KINDS if self.option("advised") else FAULT_KINDS
+        advised_queues = 3 if self.option("advised") else 0
         first = int(self.option("seed"))
         for seed in range(first, first + int(self.option("seeds"))):
             folder = pathlib.Path(self.option("folder")) / f"seed-{seed}"
@@ -229,8 +237,12 @@
                 float(self.option("seconds")),
                 int(self.option("submissions")),
                 folder,
-                SoakSize(int(self.option("nodes")), int(self.option("executors"))),
-                FAULT_KINDS + late_kinds,
+                SoakSize(
+                    int(self.option("nodes")),
+                    int(self.option("executors")),
+                    advised_queues=advised_queues,
+                ),
+                kinds + late_kinds,
             )
             faults: list[str] = []
             violations = run_soak(plan, faults.append)
--- a/src/cranberrywheel_load/soak.py
+++ b/src/cranberrywheel_load/soak.py
@@ -28,6 +28,7 @@
     find_cut_requests,
     find_late_configurations,
 )
+from cranberrywheel_standin.advisor import AdvisorState
 from cranberrywheel_standin.platform_server import PlatformServer
 
 PLATFORM_HOST = "127.0.0.1"
@@ -80,6 +81,34 @@
     "store-late",
     "store-late",
 )
+#: Kinds of a deployment with advised queues; a call for advice is lost, held up or
+#: refused, while leaders change and executors begin new lives.
+ADVISOR_FAULT_KINDS = (
+    "advisor-silence",
+    "advisor-cut-answers",
+    "advisor-refuse",
+    "advisor-delay",
+    "advisor-reset",
+    "advisor-slow",
+    "node-kill",
+    "node-pause",
+    "node-stop",
+    "node-dark",
+    "node-roll",
+    "store-silence",
+    "store-away",
+    "configuration",
+    "executor-restart",
+    "executor-crash",
+)
+#: Time that the advisor takes for each call and for each executor that it names.
+DECISION_MS, PERIOD_MS = 80, 5
+#: Validity of a ticket.
+TICKET_VALID_MS = 2_000
+#: Factor on these times while the advisor is slow.
+SLOW_ADVISOR_FACTOR = 5
+#: Submissions of a burst, which go to one queue at once.
+BURST_SUBMISSIONS = 16
 #: Bounds of the time after which such a call is carried out, as the platform has them.
 LATE_EXECUTOR_DELAY_S = (2.0, 12.0)
 LATE_STORE_DELAY_S = (1.0, 6.0)
@@ -97,6 +126,7 @@
     """The state of one submission as its caller knows it.
 
     :param tasks: number of tasks of all steps.
+    :param prefix: path prefix of its queue.
     :param accepted: whether a node answered that it accepted the submission.
     :param possibly_accepted: whether an attempt ended without an answer, or with one
         that does not rule out that the submission runs.
@@ -109,12 +139,18 @@
 
     submission_id: str
     tasks: int
+    prefix: str = ROUTE_PREFIX
     accepted: bool = False
     possibly_accepted: bool = False
     cancelled: bool = False
     withdrawn: bool = False
     states: list[str] = dataclasses.field(default_factory=list)
 
+    @property
+    def path(self) -> str:
+        """Path of its calls."""
+        return self.prefix + self.submission_id
+
 
 @dataclasses.dataclass(frozen=True)
 class SoakSize:
@@ -125,6 +161,7 @@
     :param filler_routes: routes that make the configuration large; 1,000 take 230 kB.
     :param zones: availability zones of the executors, which belong to them in turn.
     :param evacuation_ms: bound of an evacuation that the platform names; 0 for none.
+    :param advised_queues: queues with an advisor, beside the one without.
     """
 
     nodes: int = 3
@@ -132,6 +169,7 @@
     filler_routes: int = 600
     zones: tuple[str, ...] = ("z1",)
     evacuation_ms: int = 0
+    advised_queues: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -195,7 +233,7 @@
         self._size = size or SoakSize()
         node_count, executor_count = self._size.nodes, self._size.executors
         self.lock = threading.Lock()
-        ports = iter(find_free_ports(2 + 2 * executor_count + 5 * node_count))
+        ports = iter(find_free_ports(2 + 2 * executor_count + 7 * node_count))
         store_port, machines_port = next(ports), next(ports)
         self.platform = PlatformServer(PLATFORM_HOST, store_port, machines_port)
         self.executor_proxies: list[FaultProxy] = []
@@ -213,6 +251,24 @@
                 EXECUTOR_CPU_MILLICORES,
                 self._size.zones[number % len(self._size.zones)],
             )
+        advised_routes = _build_advised_routes(self._size.advised_queues)
+        self.prefixes = [ROUTE_PREFIX, *(route["prefix"] for route in advised_routes)]
+        self._advised_routes = advised_routes
+        self.advisor: AdvisorState | None = None
+        self.advisor_proxies: list[FaultProxy] = []
+        advisor_ports = [next(ports) for _ in range(node_count)]
+        if advised_routes:
+            self.advisor = self.platform.add_advisor(
+                advisor_ports,
+                AdvisorState(
+                    self.platform.clock,
+                    self.platform.fleet.get_boot,
+                    _may_run_step,
+                    DECISION_MS,
+                    PERIOD_MS,
+                    TICKET_VALID_MS,
+                ),
+            )
         self.store_proxies: list[FaultProxy] = []
         self.nodes: list[ManagedProcess] = []
         self.front_addresses: list[str] = []
@@ -237,6 +293,13 @@
                 "platform": {"address": f"{PLATFORM_HOST}:{proxy_port}"},
                 "cloudApi": {"address": f"{PLATFORM_HOST}:{machines_port}"},
             }
+            advisor_proxy_port = next(ports)
+            if self.advisor is not None:
+                advisor_address = (PLATFORM_HOST, advisor_proxy_port)
+                self.advisor_proxies.append(
+                    FaultProxy(advisor_address, (PLATFORM_HOST, advisor_ports[number]))
+                )
+                settings["advisor"] = f"{PLATFORM_HOST}:{advisor_proxy_port}"
             if self._size.evacuation_ms:
                 settings["bounds"] = {"evacuationMs": self._size.evacuation_ms}
             path = folder / f"n{number}.json"
@@ -260,6 +323,10 @@
         }
         self.operator: Operator | None = None
 
+    @property
+    def _proxies(self) -> list[FaultProxy]:
+        return [*self.executor_proxies, *self.store_proxies, *self.advisor_proxies]
+
     def record_disturbance(self, kind: str, node: int, length_s: float) -> None:
         """Record that a node is disturbed from now on for a time."""
         now_s = time.monotonic()
@@ -276,14 +343,16 @@
     def start(self) -> None:
         """Start all servers and processes, and restart nodes that exit."""
         self.platform.start()
-        for proxy in (*self.executor_proxies, *self.store_proxies):
+        for proxy in self._proxies:
             proxy.start()
 
         def put(value: bytes) -> None:
             with self.platform.lock:
                 self.platform.state.put(CONFIGURATION_KEY, value)
 
-        self.operator = Operator(put, _build_route(), self._size.filler_routes)
+        self.operator = Operator(
+            put, _build_route(), self._size.filler_routes, self._advised_routes
+        )
         for node in self.nodes:
             node.start()
         threading.Thread(target=self._restart_exited_nodes, daemon=True).start()
@@ -307,8 +376,10 @@
 
     def heal(self) -> None:
         """End all injected faults."""
-        for proxy in (*self.executor_proxies, *self.store_proxies):
+        for proxy in self._proxies:
             proxy.set(Fault.NONE)
+        if self.advisor is not None:
+            self.advisor.decision_ms = DECISION_MS
         self.platform.store_unavailable = False
         self.platform.store_delay_ms = 0
         self.platform.watches_silent = False
@@ -321,7 +392,7 @@
         with self.lock:
             self._stopped = True
         stop_all(self.nodes)
-        for proxy in (*self.executor_proxies, *self.store_proxies):
+        for proxy in self._proxies:
             proxy.stop()
         self.platform.stop()
 
@@ -340,6 +411,28 @@
     }
 
 
+def _build_advised_routes(count: int) -> list[dict[str, t.Any]]:
+    return [
+        {
+            **_build_route(),
+            "name": f"advised-{number}",
+            "prefix": f"/advised-{number}/",
+            "priority": number % 2,
+            "advisor": {
+                "decisionMs": DECISION_MS,
+                "periodMs": PERIOD_MS,
+                "validMs": TICKET_VALID_MS,
+            },
+        }
+        for number in range(count)
+    ]
+
+
+def _may_run_step(step: str, executor_id: str) -> bool:
+    """Tell whether a step may run on an executor: on about every second one."""
+    return random.Random(f"{step} {executor_id}").random() < 0.5 or executor_id == "x0"
+
+
 def plan_faults(
     plan: SoakPlan, rng: random.Random
 ) -> list[tuple[float, str, int, float]]:
@@ -383,6 +476,7 @@
         timer.daemon = True
         timer.start()
 
+    advisor = deployment.advisor
     disturbed = [node_number] if kind.startswith(("node-", "store-")) else []
     if kind in ("store-away", "store-drops-history", "node-roll"):
         disturbed = list(range(len(deployment.nodes)))
@@ -417,6 +511,12 @@
     elif kind == "store-away":
         platform.store_unavailable = True
         schedule_end(lambda: setattr(platform, "store_unavailable", False))
+    elif kind == "advisor-slow":
+        assert advisor is not None
+        advisor.decision_ms = SLOW_ADVISOR_FACTOR * DECISION_MS
+        schedule_end(lambda: setattr(advisor, "decision_ms", DECISION_MS))
+    elif kind.startswith("advisor-"):
+        _disturb_advisor(deployment, kind, schedule_end)
     elif kind == "store-delay":
         store.set(Fault.DELAY, 0.15)
         schedule_end(lambda: store.set(Fault.NONE))
@@ -444,6 +544,23 @@
         schedule_end(lambda: executor.set(Fault.NONE))
 
 
+def _disturb_advisor(
+    deployment: Deployment,
+    kind: str,
+    schedule_end: t.Callable[[t.Callable[[], None]], None],
+) -> None:
+    """Disturb the calls of all machines, since any of them may lead."""
+    for proxy in deployment.advisor_proxies:
+        if kind == "advisor-reset":
+            proxy.reset()
+        elif kind == "advisor-delay":
+            proxy.set(Fault.DELAY, 0.3)
+            schedule_end(lambda proxy=proxy: proxy.set(Fault.NONE))
+        else:
+            proxy.set(Fault(kind.removeprefix("advisor-")))
+            schedule_end(lambda proxy=proxy: proxy.set(Fault.NONE))
+
+
 def _stop_node(deployment: Deployment, number: int) -> None:
     deployment.record_disturbance("node-stop", number, GRACE_S)
     node = deployment.nodes[number]
@@ -489,10 +606,16 @@
         for thread in self._threads:
             thread.join()
 
-    def submit(self) -> None:
-        """Create one submission; retry up to twice, each time at a random node."""
+    def submit(self, prefix: str = "") -> None:
+        """Create one submission; retry up to twice, each time at a random node.
+
+        :param prefix: path prefix of its queue; by default that of a random one.
+        """
         count = self._rng.randint(1, 4)
         submission = TrackedSubmission(f"{self._rng.getrandbits(64):016x}", 2 * count)
+        prefixes = self._deployment.prefixes
+        chooser = random.Random(submission.submission_id + "queue")
+        submission.prefix = prefix or chooser.choice(prefixes)
         step = {"count": count, "cpu": 1_000, "memMb": 10, "estimatedMs": 500}
         body = json.dumps(
             {"spec": "work", "steps": [step, {**step, "after": [0]}]}
@@ -503,13 +626,13 @@
             platform.fleet.set_task_profile(
                 submission.submission_id, 1_000, duration_ms
             )
+            if submission.prefix == ROUTE_PREFIX:
+                platform.fleet.unadvised_submissions.add(submission.submission_id)
         self.submissions.append(submission)
         gives_up = random.Random(submission.submission_id).random() < GIVE_UP_SHARE
         for _ in range(3):
             front_address = self._rng.choice(self._deployment.front_addresses)
-            status, _ = send_call(
-                "POST", front_address, ROUTE_PREFIX + submission.submission_id, body
-            )
+            status, _ = send_call("POST", front_address, submission.path, body)
             if 200 <= status < 300:
                 submission.accepted = True
                 return
@@ -522,10 +645,9 @@
 
     def _withdraw(self, submission: TrackedSubmission) -> None:
         """Cancel a submission that may be stored or not."""
-        path = ROUTE_PREFIX + submission.submission_id
         rng = random.Random(submission.submission_id)
         for address in rng.sample(self._deployment.front_addresses, 2):
-            status, _ = send_call("DELETE", address, path)
+            status, _ = send_call("DELETE", address, submission.path)
             submission.cancelled |= status in MAY_BE_CANCELLED
             submission.withdrawn |= status == 410
             if status in (200, 410):
@@ -537,9 +659,7 @@
         if candidates:
             submission = self._rng.choice(candidates)
             front_address = self._rng.choice(self._deployment.front_addresses)
-            status, _ = send_call(
-                "DELETE", front_address, ROUTE_PREFIX + submission.submission_id
-            )
+            status, _ = send_call("DELETE", front_address, submission.path)
             submission.cancelled |= status in MAY_BE_CANCELLED
 
     def query_state(self, submission: TrackedSubmission) -> str:
@@ -548,9 +668,7 @@
         :returns: the state, or ``""`` if the node did not report one.
         """
         front_address = self._rng.choice(self._deployment.front_addresses)
-        status, body = send_call(
-            "GET", front_address, ROUTE_PREFIX + submission.submission_id
-        )
+        status, body = send_call("GET", front_address, submission.path)
         state = str(body.get("state", "")) if status == 200 else ""
         if status == 410 and submission.accepted:
             self.violations.append(f"{submission.submission_id} accepted, then unknown")
@@ -619,12 +737,15 @@
                 events.append(
                     (offset_s + 0.5, lambda: callers.run_in_thread(callers.cancel))
                 )
+        if deployment.advisor is not None:
+            events += _plan_bursts(deployment, callers, plan)
         for offset_s, event in sorted(events, key=lambda row: row[0]):
             time.sleep(max(0.0, start_s + offset_s - time.monotonic()))
             event()
         deployment.heal()
         callers.wait()
         violations = _check_outcomes(deployment, callers)
+        violations += _check_advisor(deployment)
         for probe in probes:
             probe.stop()
         return violations + _check_probes(deployment, probes)
@@ -635,6 +756,35 @@
         deployment.stop()
 
 
+def _plan_bursts(
+    deployment: Deployment, callers: SimulatedCallers, plan: SoakPlan
+) -> list[tuple[float, t.Callable[[], None]]]:
+    """Choose when many submissions go to one advised queue at once."""
+    rng = random.Random(plan.seed + 2)
+    events: list[tuple[float, t.Callable[[], None]]] = []
+    for prefix in deployment.prefixes[1:]:
+        offset_s = rng.uniform(0, plan.seconds)
+        for _ in range(BURST_SUBMISSIONS):
+
+            def submit(prefix: str = prefix) -> None:
+                callers.run_in_thread(lambda: callers.submit(prefix))
+
+            events.append((offset_s, submit))
+        events.append((offset_s + 0.5, lambda: callers.run_in_thread(callers.cancel)))
+    return events
+
+
+def _check_advisor(deployment: Deployment) -> list[str]:
+    """Check that no process has filled the advisor's queue."""
+    advisor = deployment.advisor
+    if advisor is None or not advisor.count_by_status[429]:
+        return []
+    return [
+        f"the advisor refused {advisor.count_by_status[429]} calls, with up to "
+        f"{advisor.largest_waiting} waiting"
+    ]
+
+
 def _check_probes(deployment: Deployment, probes: t.Sequence[Probe]) -> list[str]:
     assert deployment.operator is not None
     results = [result for probe in probes for result in probe.results]
--- a/src/cranberrywheel_load/soak_probes.py
+++ b/src/cranberrywheel_load/soak_probes.py
@@ -62,6 +62,7 @@
     :param put: writes the configuration to the store.
     :param base_route: route of the submissions, which stays.
     :param filler_routes: number of further routes, which make the record large.
+    :param other_routes: further routes of submissions, which stay.
     """
 
     def __init__(
@@ -69,9 +70,11 @@
         put: t.Callable[[bytes], None],
         base_route: dict[str, t.Any],
         filler_routes: int,
+        other_routes: t.Sequence[dict[str, t.Any]] = (),
     ) -> None:
         self._put = put
         self._base_route = base_route
+        self._other_routes = other_routes
         self._filler = [f"/filler/{number:05}/" for number in range(filler_routes)]
         self._added: list[str] = []
         self.versions: list[ConfigurationVersion] = []
@@ -92,7 +95,7 @@
         ]
         body = {
             "version": 2 * len(self.versions) + 1,
-            "routes": [self._base_route, *rows],
+            "routes": [self._base_route, *self._other_routes, *rows],
             "services": [{"name": self._base_route["service"], "standby": False}],
             "tenants": [],
         }
--- a/src/cranberrywheel_standin/platform_server.py
+++ b/src/cranberrywheel_standin/platform_server.py
@@ -22,6 +22,7 @@
     StartOrder,
 )
 from cranberrywheel.submission.model import Resources
+from cranberrywheel_standin.advisor import AdvisorApp, AdvisorState
 from cranberrywheel_standin.virtual_fleet import (
     StoreState,
     VirtualExecutor,
@@ -43,6 +44,7 @@
     OrderVerdict.DUPLICATE: "old",
     OrderVerdict.LATE: "late",
     OrderVerdict.NO_CAPACITY: "room",
+    OrderVerdict.TICKET: "ticket",
 }
 
 
@@ -102,6 +104,21 @@
         for server in (*self._servers, *self._executor_servers):
             server.close_listener()
 
+    def add_advisor(
+        self, ports: t.Sequence[int], advisor: AdvisorState
+    ) -> AdvisorState:
+        """Add an advisor, whose ticket each start needs from now on.
+
+        :param ports: a port for each machine that calls it.
+        """
+        for number, port in enumerate(ports):
+            app = AdvisorApp(advisor, self.lock, f"machine {number}")
+            self._servers.append(
+                HttpServer(self.host, port, app, SERVER_THREADS, MAX_BODY_BYTES)
+            )
+        self.fleet.advisor = advisor
+        return advisor
+
     def add_executor(
         self,
         executor_id: str,
@@ -157,6 +174,7 @@
                     body["spec"],
                     body["deadlineMs"],
                     body["fencingToken"],
+                    ticket=body.get("ticket", ""),
                 )
                 reply = executor.start(order)
             elif request.path == "/api/run-stop":
--- a/src/cranberrywheel_standin/virtual_fleet.py
+++ b/src/cranberrywheel_standin/virtual_fleet.py
@@ -31,6 +31,7 @@
     StartOrder,
 )
 from cranberrywheel.submission.model import Resources
+from cranberrywheel_standin.advisor import AdvisorState
 
 #: Delay of a message in one direction between a node and the platform.
 NETWORK_DELAY_MS = 2
@@ -626,8 +627,9 @@
         """Start a run.
 
         :returns: ``FENCED`` if a newer fencing token was seen before, ``LATE``
-            after the lease's end, ``DUPLICATE`` if the run has ended, ``NO_CAPACITY``
-            if it does not fit, otherwise ``OK``.
+            after the lease's end, ``TICKET`` without a valid ticket of the advisor,
+            ``DUPLICATE`` if the run has ended, ``NO_CAPACITY`` if it does not fit,
+            otherwise ``OK``.
         """
         self.end_due_runs()
         if order.fence < self.fence:
@@ -635,6 +637,8 @@
         self.fence = order.fence
         if order.deadline_ms <= self.read_clock_ms():
             return OrderReply(OrderVerdict.LATE, self.read_clock_ms())
+        if not self._fleet.accepts_ticket(self, order):
+            return OrderReply(OrderVerdict.TICKET, self.read_clock_ms())
         self._extend_lease(order.deadline_ms)
         if (order.task, order.number) in self.runs:
             return OrderReply(OrderVerdict.OK, self.read_clock_ms())
@@ -762,6 +766,11 @@
         self.message_log: list[str] = []
         #: Each stop takes a random time up to ``stop_duration_ms``.
         self.random_stop_duration = False
+        #: The advisor whose ticket a start needs; ``None`` if no start needs one.
+        self.advisor: AdvisorState | None = None
+        #: Submissions whose tasks start without a ticket.
+        self.unadvised_submissions: set[str] = set()
+        self.refused_tickets = 0
         self.violations: list[str] = []
         self.rejections = 0
         self.starts = 0
@@ -810,6 +819,23 @@
         """Write an executor's entry to the store."""
         self._store.put(EXECUTOR_PREFIX + entry.id, encode_executor(entry))
 
+    def accepts_ticket(self, executor: VirtualExecutor, order: StartOrder) -> bool:
+        """Tell whether a start needs no ticket, or carries a valid one."""
+        if self.advisor is None:
+            return True
+        if order.task.partition(".")[0] in self.unadvised_submissions:
+            return True
+        accepted = self.advisor.is_valid(
+            order.task, executor.entry.id, executor.boot, order.ticket
+        )
+        self.refused_tickets += not accepted
+        return accepted
+
+    def get_boot(self, executor_id: str) -> int | None:
+        """Return the boot of an executor that is up, by its id."""
+        executor = self.executors_by_id.get(executor_id)
+        return None if executor is None or executor.crashed else executor.boot
+
     @property
     def submission_ids(self) -> t.Collection[str]:
         """Ids of the submissions that have a profile."""
--- a/tests/leader_harness.py
+++ b/tests/leader_harness.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from cranberrywheel.node import leader as leader_module
+from cranberrywheel.node.advisor_calls import AdvisorCalls
 from cranberrywheel.node.evacuation_sync import EvacuationSync
 from cranberrywheel.node.keys import (
     CANCEL_SUFFIX,
@@ -29,6 +30,7 @@
 from cranberrywheel.submission.platform_timing import PlatformTiming
 from cranberrywheel.submission.record import encode_submission
 from cranberrywheel.submission.scheduler import Scheduler
+from cranberrywheel_standin.advisor import AdvisorState, VirtualAdvisor
 from cranberrywheel_standin.virtual_fleet import (
     UNIX_START_MS,
     ProcessClient,
@@ -103,6 +105,8 @@
     :ivar continues_without_store: no process reaches the store.
     :ivar evacuation_sync: evacuated zones as the leader's process knows them; ``None``
         while the part is off.
+    :ivar advisor_calls: calls of the current process to the advisor; a leader that is
+        started without a change of it leads in the same process.
     :ivar stepped_down: reasons for which a leader has stepped down.
     :ivar process_loop: loop of the current leader's process.
     """
@@ -119,6 +123,8 @@
         self.timing = PlatformTiming()
         self.feature_settings = ALL_OFF
         self.evacuation_sync: EvacuationSync | None = None
+        self.advisor: AdvisorState | None = None
+        self.advisor_calls: AdvisorCalls | None = None
         self._term = -1
         self.stepped_down: list[str] = []
         monkeypatch.setattr(leader_module, "unix_ms", self.unix_ms)
@@ -157,6 +163,24 @@
         )
         self.evacuation_sync.start()
 
+    def add_advisor(self, **options: t.Any) -> AdvisorState:
+        """Add an advisor; ``options`` are those of :class:`.AdvisorState`.
+
+        The queues must be advised for it to be asked.
+        """
+        self.advisor = AdvisorState(self.loop.clock, self.fleet.get_boot, **options)
+        self.fleet.advisor = self.advisor
+        self.move_to_machine("m1")
+        return self.advisor
+
+    def move_to_machine(self, machine: str) -> None:
+        """Let the next leader run in a new process on a machine."""
+        assert self.advisor is not None
+        self.advisor_client = VirtualAdvisor(self.loop, self.advisor, machine)
+        self.advisor_calls = AdvisorCalls(
+            t.cast(t.Any, self.loop), t.cast(t.Any, self.advisor_client)
+        )
+
     def start_leader(self, stops_predecessor: bool = True) -> Leader:
         """Start a new leader; an earlier one leaves no handover record.
 
@@ -192,7 +216,7 @@
             t.cast(t.Any, self.process_loop),
             t.cast(t.Any, ProcessClient(self.leader_client, self.process_loop)),
             t.cast(ExecutorClient, ProcessClient(self.fleet, self.process_loop)),
-            None,
+            self.advisor_calls,
             None,
             scheduler,
             lambda: self.has_valid_lease and self._term == term,
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -14,13 +14,15 @@
 from cranberrywheel.node.caller_api import CallerApi
 from cranberrywheel.node.metrics import Metrics
 from cranberrywheel.node.watch import PrefixWatch
+from cranberrywheel.platform.advisor import AdvisorClient
 from cranberrywheel.platform.callers import (
     decode_submission as decode_caller_submission,
 )
-from cranberrywheel.platform.executors import AdvisorClient, ExecutorClient
+from cranberrywheel.platform.executors import ExecutorClient
 from cranberrywheel.platform.machines import MachineClient
 from cranberrywheel.platform.store import Store
 from cranberrywheel.store_messages import Item, Outcome, StoreReply
+from cranberrywheel.submission.advice import AdviceOutcome
 from cranberrywheel.submission.executor_orders import (
     ExecutorEntry,
     OrderVerdict,
@@ -170,12 +172,15 @@
 @pytest.mark.parametrize("body", MALFORMED_BODIES)
 def test_malformed_answers_of_advisor_and_machines_are_reported(body):
     """Guards against advice or a machine order that stays open for ever."""
-    tickets, valid_ms = call_once(
-        lambda loop, done: AdvisorClient(loop, "a:1").request_tickets("s", ["i"], done),
+    (reply,) = call_once(
+        lambda loop, done: AdvisorClient(loop, "a:1").request_tickets(
+            "s", ["i"], 1_000, done
+        ),
         200,
         body,
     )
-    assert valid_ms == 0
+    assert reply.outcome is AdviceOutcome.REFUSED
+    assert reply.ticket_by_executor == {} and reply.valid_ms == 0
     (machines,) = call_once(
         lambda loop, done: MachineClient(loop, "a:1", "h").read_all(done), 200, body
     )
@@ -188,6 +193,50 @@
     assert verdict is MachineOrderVerdict.REFUSED
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"allowed":[["i","t"]]}',
+        b'{"allowed":[["i","t"]],"validMs":0}',
+        b'{"allowed":[["i","t"]],"validMs":-1}',
+        b'{"allowed":[["i","t"]],"validMs":1e999}',
+        b'{"allowed":[["i","t"]],"validMs":' + HUGE + b"}",
+        b'{"allowed":{"i":"t"},"validMs":3000}',
+        b'{"allowed":[["i"]],"validMs":3000}',
+        b'{"allowed":[["i","' + b"t" * 5_000 + b'"]],"validMs":3000}',
+        b'{"validMs":3000}',
+    ],
+)
+def test_malformed_advice_is_refused_as_a_whole(body):
+    """Guards against an executor that counts as denied since its row was skipped."""
+    (reply,) = call_once(
+        lambda loop, done: AdvisorClient(loop, "a:1").request_tickets(
+            "s", ["i"], 1_000, done
+        ),
+        200,
+        body,
+    )
+    assert reply.outcome is AdviceOutcome.REFUSED
+
+
+@pytest.mark.parametrize(
+    ("reply", "outcome"),
+    [
+        (HttpReply(429), AdviceOutcome.BUSY),
+        (HttpReply(503), AdviceOutcome.REFUSED),
+        (HttpReply(0, sent=False, error="refused"), AdviceOutcome.REFUSED),
+        (HttpReply(0, error="timed out"), AdviceOutcome.NO_ANSWER),
+    ],
+)
+def test_failed_calls_for_advice_are_told_apart(reply, outcome):
+    """Guards against a call given up that counts as one that is over."""
+    loop = ScriptedLoop(reply)
+    ends = []
+    AdvisorClient(loop, "a:1").request_tickets("s", ["i"], 1_000, ends.append)
+    loop.run_for(100)
+    assert [end.outcome for end in ends] == [outcome]
+
+
 @pytest.mark.parametrize(
     "body",
     [
--- a/tests/test_restarted_executor_orders.py
+++ b/tests/test_restarted_executor_orders.py
@@ -67,7 +67,6 @@
         self.calls = ExecutorCalls(
             self.loop,
             client,
-            None,
             self.scheduler,
             lambda: True,
             lambda: None,
@@ -81,7 +80,7 @@
         self.scheduler.may_start = True
         run = start_task(self.scheduler, self.loop.clock.now_ms())
         self.scheduler.actions.clear()
-        self.calls.execute(actions.StartRun(run, ""))
+        self.calls.execute(actions.StartRun(run))
         return run
 
     def acknowledge(self):
@@ -142,7 +141,7 @@
     assert schedule(calls.scheduler, NOW_MS) == []
     run = Run(calls.scheduler.find_task("s2.0.0.0"), 1, "a", NOW_MS)
     calls.scheduler.track_run(run, calls.executor)  # decided just before the answer
-    calls.calls.execute(actions.StartRun(run, ""))
+    calls.calls.execute(actions.StartRun(run))
     assert len(calls.starts) == 1
     assert run.task.runs == []
     calls.polls[0][2](PollReply(OrderVerdict.UNKNOWN))
--- a/tests/test_run_taken_for_gone.py
+++ b/tests/test_run_taken_for_gone.py
@@ -249,7 +249,7 @@
         start=lambda *args: None,
     )
     calls = ExecutorCalls(
-        loop, client, None, scheduler, lambda: True, lambda: None, lambda: None, print
+        loop, client, scheduler, lambda: True, lambda: None, lambda: None, print
     )
     calls.start()
     assert len(replies) == 1
@@ -300,7 +300,6 @@
     calls = ExecutorCalls(
         loop,
         client,
-        None,
         scheduler,
         lambda: True,
         lambda: loop.clock.advance(5_000),  # the pause follows the check
@@ -580,7 +579,7 @@
         stop=lambda *args: replies.append(args[-1]),
     )
     calls = ExecutorCalls(
-        loop, client, None, scheduler, lambda: True, lambda: None, lambda: None, print
+        loop, client, scheduler, lambda: True, lambda: None, lambda: None, print
     )
     scheduler.on_start_reply(run, OrderReply(OrderVerdict.UNKNOWN), NOW_MS + 400)
     for action in scheduler.take_actions():
