Repeat the stop of a run that is not tracked after a pause

A run that an executor lists and that the leader does not track was stopped with each answer to a poll: 29 orders in virtual time where the stop takes 1.2 s and a run ends each 15 ms.

Cause: unlike those of tracked runs, these stops had no record of the last order.

Why this works: the executor remembers when the stop was ordered, until it lists the run no more or begins a new life; it is repeated after 500 ms.

--- a/src/cranberrywheel/submission/executor.py
+++ b/src/cranberrywheel/submission/executor.py
@@ -128,6 +128,7 @@
     :ivar untracked_runs: runs that it listed last and that the leader does not track,
         such as those of ended submissions after a takeover; they are being stopped.
         Their size may be unknown, so nothing starts beside them.
+    :ivar untracked_stop_ms: when the stop of each of them was last ordered.
     :ivar unanswered_starts: starts without an answer, by name of the task and number of
         the run; the executor may carry them out late.
     :ivar start_pause_end_ms: when it may get starts again after it has refused some.
@@ -184,6 +185,7 @@
         self.ended_visibly = False
         self.ended_ms = 0
         self.untracked_runs: frozenset[tuple[str, int]] = frozenset()
+        self.untracked_stop_ms: dict[tuple[str, int], int] = {}
         self.unanswered_starts: dict[tuple[str, int], UnansweredStart] = {}
         self.start_pause_end_ms = 0
         self._refusals_in_a_row = 0
@@ -247,6 +249,11 @@
         """
         had_some = bool(self.untracked_runs)
         self.untracked_runs = frozenset(runs)
+        self.untracked_stop_ms = {
+            key: sent_ms
+            for key, sent_ms in self.untracked_stop_ms.items()
+            if key in self.untracked_runs
+        }
         return had_some and not self.untracked_runs
 
     def note_unanswered_start(self, run: Run, now_ms: int) -> None:
@@ -402,6 +409,7 @@
         )
         self.fence_confirmed = False
         self.untracked_runs = frozenset()
+        self.untracked_stop_ms.clear()
         self.clock_offset_ms = None
         self.received_sequence = 0
         self.acknowledged_sequence = 0
--- a/src/cranberrywheel/submission/reports.py
+++ b/src/cranberrywheel/submission/reports.py
@@ -25,7 +25,7 @@
 from cranberrywheel.submission.interference_readings import record_report
 from cranberrywheel.submission.live import LiveSubmission, Run, RunState, Task
 from cranberrywheel.submission.model import SubmissionState
-from cranberrywheel.submission.state import SchedulerState
+from cranberrywheel.submission.state import STOP_RETRY_MS, SchedulerState
 
 #: Time for which a task avoids an executor on which it failed or stalled.
 AVOID_AFTER_FAULT_MS = 4_000
@@ -427,7 +427,7 @@
                 if task
                 else "",
             )
-        state.actions.append(actions.StopRun(executor.id, report.task, report.number))
+        _stop_untracked(state, executor, (report.task, report.number), now_ms)
         return None
     run = Run(task, report.number, executor.id, now_ms)
     run.state = RunState.RUNNING
@@ -443,6 +443,16 @@
     return run
 
 
+def _stop_untracked(
+    state: SchedulerState, executor: Executor, key: tuple[str, int], now_ms: int
+) -> None:
+    """Order the stop of a run that is not tracked, unless that was done just before."""
+    sent_ms = executor.untracked_stop_ms.get(key)
+    if sent_ms is None or now_ms - sent_ms > STOP_RETRY_MS:
+        executor.untracked_stop_ms[key] = now_ms
+        state.actions.append(actions.StopRun(executor.id, *key))
+
+
 def _handle_missing_run(
     state: SchedulerState, executor: Executor, run: Run, sent_ms: int, now_ms: int
 ) -> None:
--- a/src/cranberrywheel/submission/scheduler.py
+++ b/src/cranberrywheel/submission/scheduler.py
@@ -39,12 +39,10 @@
 from cranberrywheel.submission.pool_floor import pack_pool
 from cranberrywheel.submission.record import Progress
 from cranberrywheel.submission.reports import AVOID_AFTER_FAULT_MS
-from cranberrywheel.submission.state import SchedulerState
+from cranberrywheel.submission.state import STOP_RETRY_MS, SchedulerState
 from cranberrywheel.submission.terms import build_terms
 from cranberrywheel.submission.throttling import decide_throttling
 
-#: Pause before an unconfirmed stop is sent again.
-STOP_RETRY_MS = 500
 #: Time after which an executor without an entry and without runs is forgotten. Entries
 #: that expired during a store outage reappear within about two seconds of its end.
 FORGET_DELAY_MS = 3_000
--- a/src/cranberrywheel/submission/state.py
+++ b/src/cranberrywheel/submission/state.py
@@ -44,6 +44,8 @@
 #: elsewhere.
 RUN_LEASE_MS = 3_200
 
+#: Pause before an unconfirmed stop is sent again.
+STOP_RETRY_MS = 500
 #: Time for which a leader that continues without the store may renew leases after
 #: another process has reached the store: the interval of its polls of the other
 #: processes and their timeout.
--- a/tests/test_repeated_actions.py
+++ b/tests/test_repeated_actions.py
@@ -6,7 +6,7 @@
 from leader_harness import LeaderHarness, make_step, make_submission
 
 from cranberrywheel.submission.executor_orders import OrderReply, OrderVerdict
-from cranberrywheel_standin.virtual_fleet import VirtualExecutor
+from cranberrywheel_standin.virtual_fleet import VirtualExecutor, VirtualRun
 
 
 @pytest.fixture
@@ -64,3 +64,30 @@
     assert len(harness.fleet.started_tasks) == 1
     harness.run_for(150)
     assert len(harness.fleet.started_tasks) == 2
+
+
+def test_a_run_that_is_not_tracked_is_stopped_seldom(harness, monkeypatch):
+    """Guards against a stop with each answer to a poll while the run is ending."""
+    stops = collections.Counter()
+    stop = VirtualExecutor.stop
+
+    def count(executor, task, number, fence):
+        stops[task] += 1
+        return stop(executor, task, number, fence)
+
+    monkeypatch.setattr(VirtualExecutor, "stop", count)
+    harness.fleet.stop_duration_ms = 1_200
+    executor = harness.fleet.add("e0", "pool", 32_000)
+    harness.start_leader()
+    harness.run_for(300)
+    for number in range(60):
+        # An end each 15 ms, so that polls are answered as often.
+        name = f"{number:016x}"
+        harness.submit(make_submission(name), duration_ms=50 + 15 * number)
+    harness.run_for(30)
+    task = "00000000000000aa.0.0.0"
+    now_ms = harness.loop.clock.now_ms()
+    executor.runs[task, 7] = VirtualRun(task, 7, now_ms + 60_000, now_ms)
+    harness.run_for(2_000)
+    assert (task, 7) not in executor.runs
+    assert 1 <= stops[task] <= 3
