Delay the next progress write after one that failed

While the store refused writes at once, the leader sent 1,641 in 3 s in virtual time, more than the 400 a second that the platform allows all processes.

Cause: the records of a failed write went back to those to be written, and the delay of 300 ms only requested a further pass. Any other pass wrote them again at once.

Why this works: no write begins for 20 ms after a failure, and for twice as long after each further one, up to 300 ms; a success ends that. The first retry stays quick, since a step starts only after its record.

--- a/src/cranberrywheel/node/progress_writer.py
+++ b/src/cranberrywheel/node/progress_writer.py
@@ -27,8 +27,8 @@
 SUBMISSIONS_PER_WRITE = 6
 #: Concurrent progress writes.
 MAX_CONCURRENT_WRITES = 3
-#: Delay before a failed write is repeated.
-RETRY_MS = 300
+#: Shortest and longest delay after a write that failed; it doubles with each in a row.
+MIN_RETRY_MS, MAX_RETRY_MS = 20, 300
 
 
 class ProgressWriter:
@@ -57,6 +57,8 @@
         self._note_revision = note_revision
         self._stopped = False
         self._ids_in_write: set[str] = set()
+        self._failures_in_a_row = 0
+        self._retry_ms = 0
         self.active_writes = 0
 
     def stop(self) -> None:
@@ -65,6 +67,8 @@
 
     def write_changes(self) -> None:
         """Write the changed submissions, as far as the limit of writes allows."""
+        if self._loop.clock.now_ms() < self._retry_ms:
+            return
         unsaved = self._scheduler.unsaved_by_id
         while unsaved and self.active_writes < MAX_CONCURRENT_WRITES:
             batch = [
@@ -121,6 +125,7 @@
         if self._stopped:
             return
         if reply.outcome is Outcome.OK:
+            self._failures_in_a_row = self._retry_ms = 0
             self._note_revision(reply.revision)
             for live, submission in renewed:
                 live.submission = submission
@@ -137,7 +142,16 @@
         if reply.outcome is Outcome.CONFLICT:
             self._on_conflict(versions, reply)
         else:
-            self._loop.after(RETRY_MS, self._request_pass)
+            self._delay_next_write()
+
+    def _delay_next_write(self) -> None:
+        """Begin no write for a time, although passes go on."""
+        now_ms = self._loop.clock.now_ms()
+        if now_ms >= self._retry_ms:  # otherwise it was sent before the delay
+            delay_ms = MIN_RETRY_MS << min(self._failures_in_a_row, 10)
+            self._retry_ms = now_ms + min(delay_ms, MAX_RETRY_MS)
+            self._failures_in_a_row += 1
+        self._loop.after(self._retry_ms - now_ms, self._request_pass)
 
     def _on_conflict(
         self, versions: list[tuple[LiveSubmission, int]], reply: StoreReply
--- a/tests/test_repeated_actions.py
+++ b/tests/test_repeated_actions.py
@@ -5,6 +5,7 @@
 import pytest
 from leader_harness import LeaderHarness, make_step, make_submission
 
+from cranberrywheel.store_messages import Outcome, StoreReply
 from cranberrywheel.submission.executor_orders import OrderReply, OrderVerdict
 from cranberrywheel_standin.virtual_fleet import VirtualExecutor, VirtualRun
 
@@ -91,3 +92,28 @@
     harness.run_for(2_000)
     assert (task, 7) not in executor.runs
     assert 1 <= stops[task] <= 3
+
+
+def test_a_store_that_refuses_writes_gets_few(harness, monkeypatch):
+    """Guards against a write of the same records in each pass after one that failed."""
+    for number in range(4):
+        harness.fleet.add(f"e{number}", "pool", 32_000)
+    harness.start_leader()
+    harness.run_for(300)
+    writes = []
+    write = harness.leader_client.write
+
+    def refuse(request, done):
+        writes.append(harness.loop.clock.now_ms())
+        harness.loop.after(4, lambda: done(StoreReply(Outcome.NOT_DONE)))
+
+    harness.leader_client.write = refuse
+    submit_many(harness, 40)
+    for _ in range(300):
+        harness.leader.request_pass()
+        harness.run_for(10)
+    # Pauses of 20 ms to 300 ms, with three writes under way after each.
+    assert 3 <= len(writes) <= 3 * 15
+    harness.leader_client.write = write
+    harness.run_for(3_000)
+    assert len(harness.fleet.done_ms_by_task) == 80
