--- a/src/cranberrywheel/submission/advice.py
+++ b/src/cranberrywheel/submission/advice.py
@@ -173,6 +173,12 @@
     return step_run.advice
 
 
+def wants_call(state: "SchedulerState", step_run: StepRun, now_ms: int) -> bool:
+    """Record that a step needs tickets; tell whether it may ask for them now."""
+    advice = note_need(step_run, now_ms)
+    return advice.retry_ms <= now_ms and not state.advice_turns.has_candidate(step_run)
+
+
 def consider_call(
     state: "SchedulerState",
     step_run: StepRun,
@@ -184,10 +190,7 @@
 
     :param tasks: its tasks that may start, apart from the tickets.
     """
-    advice = note_need(step_run, now_ms)
-    if not tasks or advice.retry_ms > now_ms:
-        return
-    if state.advice_turns.has_candidate(step_run):
+    if not tasks:
         return
     executors = _choose_executors(state, step_run, tasks, pool, now_ms)
     if executors:
--- a/src/cranberrywheel/submission/scheduling_pass.py
+++ b/src/cranberrywheel/submission/scheduling_pass.py
@@ -260,7 +260,11 @@
     if ticketed:
         _start_tasks(state, step_run, ticketed, PoolCapacity(ticketed), now_ms, unix_ms)
         pool_capacity.refresh()
-    if step_run.waiting and pool_capacity.may_fit(step_run.step.claim):
+    if (
+        step_run.waiting
+        and pool_capacity.may_fit(step_run.step.claim)
+        and advice.wants_call(state, step_run, now_ms)
+    ):
         tasks = _list_startable_tasks(state, step_run)
         advice.consider_call(state, step_run, tasks, pool, now_ms)
 
