--- a/src/cranberrywheel/configuration_check/differences.py
+++ b/src/cranberrywheel/configuration_check/differences.py
@@ -126,6 +126,16 @@
             if after.advised
             else "Tasks that wait start on any executor of the pool.",
         )
+    elif before.advisor_timing != after.advisor_timing:
+        yield (
+            f"advisor's time {_format_advisor(before)} -> {_format_advisor(after)}",
+            "Holds for the time limits of the next calls to the advisor.",
+        )
+
+
+def _format_advisor(queue: Queue) -> str:
+    timing = queue.advisor_timing
+    return f"{timing.decision_ms} ms + {timing.per_executor_ms} ms an executor"
 
 
 def _compare_queues(
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -309,6 +309,11 @@
     (edit("routes", 0, "timeoutMs", 9), "time limit 3000 -> 9 ms", "new calls"),
     (edit("routes", 0, "public", True), "becomes public", "are accepted"),
     (edit("routes", 0, "advisor", {}), "advisor is asked", "advisor allows"),
+    (
+        edit("routes", 0, "advisor", {"decisionMs": 150, "periodMs": 10}),
+        "advisor is asked",
+        "advisor allows",
+    ),
     (edit("services", 1, "standby", True), "becomes a standby pool", "switched off"),
     (edit("services", 2, "standby", False), "no longer a standby", "paid for"),
     (edit("services", "+", {"name": "s"}), "added", "None until"),
@@ -335,6 +340,14 @@
     assert all("key" in row.change for row in others)
 
 
+def test_changed_times_of_the_advisor_are_listed():
+    """Guards against other time limits of the calls without a word about it."""
+    before = edit("routes", 0, "advisor", {"decisionMs": 100})
+    after = edit("routes", 0, "advisor", {"decisionMs": 150, "periodMs": 10})
+    (found,) = check(after, before).differences
+    assert "100 ms + 0 ms" in found.change and "150 ms + 10 ms" in found.change
+
+
 def test_key_that_changes_its_organisation_is_one_difference():
     """Guards against a moved key that is reported as withdrawn."""
     configuration = edit("tenants", 0, "apiKeys", [])
