--- a/src/cranberrywheel/submission/advice.py
+++ b/src/cranberrywheel/submission/advice.py
@@ -209,60 +209,65 @@
     )
 
 
-def _choose_executors(
+def _list_candidates(
     state: "SchedulerState",
     step_run: StepRun,
+    advice: StepAdvice,
     tasks: t.Sequence[Task],
     pool: t.Iterable[Executor],
     now_ms: int,
-) -> tuple[Executor, ...]:
-    """Return the executors to name in the next call for a step.
+) -> list[tuple[bool, Executor]]:
+    """Return the executors on which tickets would let a task start now.
 
-    Those that are known to be allowed go first, and as many of the others as the
-    waiting tasks may need, counting with a denial for every second one.
+    :returns: rows of whether nothing is known about the executor, and the executor;
+        those that are known to be allowed first, and the best for the task first.
     """
-    advice = step_run.advice
-    assert advice is not None
-    is_gang = step_run.step.gang
     leaving_machines = state.maintenance_due | state.borrowed_machines
     packed_machines = state.packed_machines_by_service.get(step_run.live.queue.service)
+    examined = tasks[:EXAMINED_TASKS]
     rows: list[tuple[bool, float, str, Executor]] = []
     for executor in pool:
         # The tickets of a gang are valid together only if all of them are renewed.
-        if not is_gang and advice.has_valid_ticket(executor, now_ms):
+        if not step_run.step.gang and advice.has_valid_ticket(executor, now_ms):
             continue
-        task = next(
-            (
-                task
-                for task in tasks[:EXAMINED_TASKS]
-                if _can_start(executor, task, now_ms)
-            ),
-            None,
-        )
+        fitting = (task for task in examined if _can_start(executor, task, now_ms))
+        task = next(fitting, None)
         if task is not None:
             score = compute_score(
                 executor, task, now_ms, leaving_machines, packed_machines
             )
             rows.append((advice.is_unknown(executor), -score, executor.id, executor))
     rows.sort(key=lambda row: row[:3])
+    return [(is_unknown, executor) for is_unknown, _, _, executor in rows]
+
+
+def _choose_executors(
+    state: "SchedulerState",
+    step_run: StepRun,
+    tasks: t.Sequence[Task],
+    pool: t.Iterable[Executor],
+    now_ms: int,
+) -> tuple[Executor, ...]:
+    """Return the executors to name in the next call for a step.
+
+    Those that are known to be allowed go first, and as many of the others as the
+    waiting tasks may need, counting with a denial for every second one.
+    """
+    advice = step_run.advice
+    assert advice is not None
     chosen: list[Executor] = []
     unknown_count = 0
-    missing = len(step_run.waiting)
-    for is_unknown, _, _, executor in rows[:MAX_EXECUTORS_PER_CALL]:
+    missing: float = len(step_run.waiting)
+    rows = _list_candidates(state, step_run, advice, tasks, pool, now_ms)
+    for is_unknown, executor in rows[:MAX_EXECUTORS_PER_CALL]:
+        needs_more_unknown = 0 < unknown_count < advice.unknown_count
+        if missing <= 0 and not needs_more_unknown:
+            break
         slots = count_slots(executor, step_run)
-        if not is_unknown:
-            if missing <= 0:
-                break
-            missing -= slots
-        else:
-            if missing <= 0 and (
-                not unknown_count or unknown_count >= advice.unknown_count
-            ):
-                break
-            missing -= slots / 2
-            unknown_count += 1
+        missing -= slots / 2 if is_unknown else slots
+        unknown_count += is_unknown
         chosen.append(executor)
-    if is_gang and (
+    if step_run.step.gang and (
         choose_gang_executors(chosen, step_run, now_ms) is None
         or all(advice.has_valid_ticket(executor, now_ms) for executor in chosen)
     ):
--- a/src/cranberrywheel/submission/placement.py
+++ b/src/cranberrywheel/submission/placement.py
@@ -97,9 +97,12 @@
     step = step_run.step
     if now_ms < executor.start_pause_end_ms:
         return False
-    if step_run.advice is not None and step_run.live.queue.advised:
-        if (executor.id, executor.boot) in step_run.advice.denied_boots:
-            return False
+    if (
+        step_run.advice is not None
+        and step_run.live.queue.advised
+        and (executor.id, executor.boot) in step_run.advice.denied_boots
+    ):
+        return False
     if step.required_label and step.required_label not in executor.entry.labels:
         return False
     if any(run.executor_id == executor.id for run in task.runs):
