--- a/src/cranberrywheel/node/advisor_metrics.py
+++ b/src/cranberrywheel/node/advisor_metrics.py
@@ -53,11 +53,7 @@
     def add(
         name: str, help_text: str, read: t.Callable[[SchedulerState], float]
     ) -> None:
-        def read_if_leader() -> float:
-            scheduler = get_scheduler()
-            return float(read(scheduler)) if scheduler is not None else 0.0
-
-        metrics.gauge(f"cranberrywheel_{name}", help_text, read_if_leader)
+        metrics.leader_gauge(name, help_text, get_scheduler, read)
 
     add(
         "steps_waiting_for_tickets",
--- a/src/cranberrywheel/node/metrics.py
+++ b/src/cranberrywheel/node/metrics.py
@@ -45,6 +45,25 @@
         gauge = prometheus.Gauge(name, help_text, registry=self.registry)
         gauge.set_function(read)
 
+    def leader_gauge(
+        self,
+        name: str,
+        help_text: str,
+        get_scheduler: t.Callable[[], SchedulerState | None],
+        read: t.Callable[[SchedulerState], float],
+    ) -> None:
+        """Add a gauge of the scheduler; it is 0 at a process that does not lead.
+
+        :param name: name after the prefix of the program.
+        :param get_scheduler: returns the scheduler, or ``None`` without leadership.
+        """
+
+        def read_if_leader() -> float:
+            scheduler = get_scheduler()
+            return float(read(scheduler)) if scheduler is not None else 0.0
+
+        self.gauge(f"cranberrywheel_{name}", help_text, read_if_leader)
+
     def collect_interference(
         self, read: t.Callable[[], InterferenceEstimates | None]
     ) -> None:
@@ -65,11 +84,7 @@
         def add(
             name: str, help_text: str, read: t.Callable[[SchedulerState], float]
         ) -> None:
-            def read_if_leader() -> float:
-                scheduler = get_scheduler()
-                return float(read(scheduler)) if scheduler is not None else 0.0
-
-            self.gauge(f"cranberrywheel_{name}", help_text, read_if_leader)
+            self.leader_gauge(name, help_text, get_scheduler, read)
 
         add(
             "contended_pools",
--- a/src/cranberrywheel_load/soak.py
+++ b/src/cranberrywheel_load/soak.py
@@ -323,6 +323,20 @@
         }
         self.operator: Operator | None = None
 
+    def wait_until_served(self, prefix: str) -> list[str]:
+        """Wait until every node serves a route, or for the time of a start.
+
+        :returns: front ends that do not serve it.
+        """
+        deadline_s = time.monotonic() + STARTUP_TIMEOUT_S
+        waiting = list(self.front_addresses)
+        while waiting and time.monotonic() < deadline_s:
+            waiting = [
+                front for front in waiting if send_call("GET", front, prefix)[0] != 200
+            ]
+            time.sleep(0.1)
+        return waiting
+
     @property
     def _proxies(self) -> list[FaultProxy]:
         return [*self.executor_proxies, *self.store_proxies, *self.advisor_proxies]
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -248,6 +248,8 @@
     assert list_started(harness) == {"s"}
     named = [name for call in advisor.calls for name in call.executor_ids]
     assert len(named) == len(set(named))
+    # 8, 16, 32 and 64 executors, and the rest.
+    assert len(advisor.calls) <= 5
 
 
 def test_denied_executors_are_not_asked_about_again(harness):
@@ -426,6 +428,17 @@
     assert len(advisor.calls) == 1  # its answer serves the new leadership
 
 
+def test_a_process_that_no_longer_leads_keeps_no_leader(harness):
+    """Guards against the state of a former leader that its calls keep in memory."""
+    start(harness)
+    submit(harness, "s")
+    harness.run_for(50)
+    harness.leader.stop()
+    assert harness.advisor_calls.receiver is None
+    harness.run_for(1_000)
+    assert harness.advisor_calls.under_way is None
+
+
 def test_a_new_leader_on_another_machine_asks_by_itself(harness):
     """Guards against a step that waits for the answer to a former leader."""
     advisor = start(harness)
@@ -482,6 +495,21 @@
     assert len(harness.fleet.started_tasks) == 5
 
 
+def test_the_tickets_of_a_gang_are_renewed_together(harness):
+    """Guards against members whose tickets run out while others are asked about."""
+    start(
+        harness,
+        count=12,
+        may_run=lambda step, executor_id: executor_id in ("e000", "e011"),
+        period_ms=40,
+        valid_ms=200,
+    )
+    submit(harness, "g", make_step(2, 20_000, gang=True))
+    # Two calls, of 470 ms and 350 ms.
+    harness.run_for(1_000)
+    assert len(harness.fleet.started_tasks) == 2
+
+
 def test_advice_ends_with_its_step(harness):
     """Guards against advice that is kept after its submission has ended."""
     start(harness)
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -169,16 +169,14 @@
     assert reply.verdict is OrderVerdict.REFUSED
 
 
+def request_tickets(loop, done):
+    AdvisorClient(loop, "a:1").request_tickets("s", ["i"], 1_000, done)
+
+
 @pytest.mark.parametrize("body", MALFORMED_BODIES)
 def test_malformed_answers_of_advisor_and_machines_are_reported(body):
     """Guards against advice or a machine order that stays open for ever."""
-    (reply,) = call_once(
-        lambda loop, done: AdvisorClient(loop, "a:1").request_tickets(
-            "s", ["i"], 1_000, done
-        ),
-        200,
-        body,
-    )
+    (reply,) = call_once(request_tickets, 200, body)
     assert reply.outcome is AdviceOutcome.REFUSED
     assert reply.ticket_by_executor == {} and reply.valid_ms == 0
     (machines,) = call_once(
@@ -209,13 +207,7 @@
 )
 def test_malformed_advice_is_refused_as_a_whole(body):
     """Guards against an executor that counts as denied since its row was skipped."""
-    (reply,) = call_once(
-        lambda loop, done: AdvisorClient(loop, "a:1").request_tickets(
-            "s", ["i"], 1_000, done
-        ),
-        200,
-        body,
-    )
+    (reply,) = call_once(request_tickets, 200, body)
     assert reply.outcome is AdviceOutcome.REFUSED
 
 
@@ -232,7 +224,7 @@
     """Guards against a call given up that counts as one that is over."""
     loop = ScriptedLoop(reply)
     ends = []
-    AdvisorClient(loop, "a:1").request_tickets("s", ["i"], 1_000, ends.append)
+    request_tickets(loop, ends.append)
     loop.run_for(100)
     assert [end.outcome for end in ends] == [outcome]
 
--- a/tests/test_node_advisor.py
+++ b/tests/test_node_advisor.py
@@ -7,7 +7,6 @@
 
 from cranberrywheel_load.soak import (
     ADVISOR_FAULT_KINDS,
-    STARTUP_TIMEOUT_S,
     Deployment,
     SoakPlan,
     SoakSize,
@@ -27,16 +26,7 @@
     deployment = Deployment(tmp_path, SoakSize(filler_routes=10, advised_queues=1))
     deployment.advisor.decision_ms = 130
     deployment.start()
-    deadline_s = time.monotonic() + STARTUP_TIMEOUT_S
-    waiting = list(deployment.front_addresses)
-    while waiting and time.monotonic() < deadline_s:
-        waiting = [
-            front
-            for front in waiting
-            if send_call("GET", front, deployment.prefixes[1])[0] != 200
-        ]
-        time.sleep(0.1)
-    assert waiting == []
+    assert deployment.wait_until_served(deployment.prefixes[1]) == []
     yield deployment
     deployment.stop()
 
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -10,7 +10,6 @@
 from cranberrywheel_load.soak import (
     LATE_FAULT_KINDS,
     ROUTE_PREFIX,
-    STARTUP_TIMEOUT_S,
     Deployment,
     SoakPlan,
     run_soak,
@@ -24,17 +23,7 @@
 def deployment(tmp_path_factory):
     deployment = Deployment(tmp_path_factory.mktemp("nodes"))
     deployment.start()
-    # Every process is polled, since they may start at different times.
-    deadline_s = time.monotonic() + STARTUP_TIMEOUT_S
-    not_ready = list(deployment.front_addresses)
-    while not_ready and time.monotonic() < deadline_s:
-        not_ready = [
-            front
-            for front in not_ready
-            if send_call("GET", front, ROUTE_PREFIX)[0] != 200
-        ]
-        time.sleep(0.1)
-    assert not_ready == []
+    assert deployment.wait_until_served(ROUTE_PREFIX) == []
     yield deployment
     deployment.stop()
 
